--- /dev/null
+++ b/net/include/savory/net/http_client.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "savory/core/wire.h"
+#include "savory/net/loop.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace savory {
+
+// An IP address and a port.
+struct Endpoint
+{
+  std::string mAddress;
+  int mPort = 0;
+
+  bool operator==(const Endpoint&) const = default;
+};
+
+// Reads "IP:PORT".
+tl::expected<Endpoint, std::string> ParseEndpoint(std::string_view aText);
+
+std::string ToString(const Endpoint& aEndpoint);
+
+enum class HttpErrorCode
+{
+  // The connection was never made: the request did not reach the server.
+  NotConnected,
+  // The connection broke or timed out after the request may have been sent.
+  Broken,
+  Timeout,
+  TooLong,
+  Cancelled,
+};
+
+inline constexpr std::array<EnumName<HttpErrorCode>, 5> kHttpErrorNames{ {
+  { HttpErrorCode::NotConnected, "not connected" },
+  { HttpErrorCode::Broken, "connection broken" },
+  { HttpErrorCode::Timeout, "timeout" },
+  { HttpErrorCode::TooLong, "answer too long" },
+  { HttpErrorCode::Cancelled, "cancelled" },
+} };
+
+struct HttpResponse
+{
+  int mStatus = 0;
+  Headers mHeaders;
+  std::string mBody;
+};
+
+using HttpResult = tl::expected<HttpResponse, HttpErrorCode>;
+
+struct HttpCall
+{
+  Endpoint mServer;
+  std::string mMethod = "GET";
+  std::string mTarget = "/";
+  Headers mHeaders;
+  std::string mBody;
+  TimeMs mTimeoutMs = 5000;
+  std::size_t mMaxBytes = 8 * 1024 * 1024;
+  // Keeps the connection for later calls. A kept connection that the server
+  // closes at the same moment breaks a call that may or may not have run, so
+  // calls that must not be repeated use a new one.
+  bool mKeepAlive = true;
+};
+
+// A call under way. Letting go of the last reference does not cancel it.
+class HttpExchange : public std::enable_shared_from_this<HttpExchange>
+{
+public:
+  HttpExchange() = default;
+  ~HttpExchange();
+  HttpExchange(const HttpExchange&) = delete;
+  HttpExchange& operator=(const HttpExchange&) = delete;
+
+  // Ends the call without a result; neither callback runs afterwards.
+  void Cancel();
+  // Stops or resumes reading the answer, for back-pressure.
+  void PauseReading(bool aPause);
+
+  // Called once the status and headers are there, when set before they come.
+  sigc::slot<void(const HttpResponse&)> mOnHeaders;
+  // Called for each part of the body; when empty the body is collected.
+  sigc::slot<void(std::string_view)> mOnBody;
+  // Called once, at the end.
+  sigc::slot<void(HttpResult)> mOnDone;
+
+private:
+  friend class HttpClient;
+  struct Callbacks;
+
+  void Finish(HttpResult aResult);
+  void ReturnConnection(bool aReusable);
+
+  class HttpClient* mClient = nullptr;
+  Endpoint mServer;
+  bool mKeepAlive = true;
+  std::size_t mMaxBytes = 0;
+  std::size_t mReceived = 0;
+  evhttp_connection* mConnection = nullptr;
+  evhttp_request* mRequest = nullptr;
+  HttpErrorCode mError = HttpErrorCode::NotConnected;
+  HttpResponse mResponse;
+  bool mDone = false;
+  Timer mTimeout;
+  std::shared_ptr<HttpExchange> mSelf;
+};
+
+// An HTTP/1.1 client that keeps idle connections for each server.
+class HttpClient
+{
+public:
+  explicit HttpClient(EventLoop& aLoop);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Starts a call. The callbacks of the returned object run from the loop,
+  // never from within Start, so that they may be set afterwards.
+  std::shared_ptr<HttpExchange> Start(HttpCall aCall);
+
+  // Starts a call and collects its answer.
+  std::shared_ptr<HttpExchange> Fetch(HttpCall aCall,
+                                      sigc::slot<void(HttpResult)> aDone);
+
+private:
+  friend class HttpExchange;
+  struct Idle
+  {
+    Endpoint mServer;
+    evhttp_connection* mConnection;
+  };
+
+  evhttp_connection* TakeConnection(const Endpoint& aServer, bool aReuse);
+
+  EventLoop& mLoop;
+  std::vector<Idle> mIdle;
+};
+
+} // namespace savory
--- /dev/null
+++ b/net/include/savory/net/inner.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "savory/core/wire.h"
+#include "savory/net/http_client.h"
+#include "savory/net/loop.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+struct bufferevent;
+struct evconnlistener;
+struct nghttp2_session;
+
+namespace savory {
+
+class InnerConnection;
+
+// One stream between two processes of the system: frames in both directions.
+// After the stream has closed every call has no effect.
+class InnerStream : public std::enable_shared_from_this<InnerStream>
+{
+public:
+  void Send(FrameType aType, std::string_view aPayload);
+  // Announces that this side sends no more.
+  void Finish();
+  // Ends the stream in both directions at once.
+  void Cancel();
+  // Bytes queued here that the peer's window has not yet let through.
+  std::size_t UnsentBytes() const { return mOutput.size() - mOutputStart; }
+  // Returns window credit to the peer for bytes that were processed. Only
+  // needed after HoldCredit.
+  void Consume(std::size_t aBytes);
+  // Stops returning credit by itself, so that Consume paces the peer.
+  void HoldCredit() { mHoldsCredit = true; }
+  bool IsOpen() const { return mConnection != nullptr; }
+
+  const std::string& Path() const { return mPath; }
+  const std::string& PeerAddress() const { return mPeerAddress; }
+
+  sigc::slot<void(Frame)> mOnFrame;
+  // Called when queued bytes left, for senders that wait for room.
+  sigc::slot<void()> mOnRoom;
+  // Called once when the stream is closed; true when both sides finished.
+  sigc::slot<void(bool)> mOnClosed;
+
+private:
+  friend class InnerConnection;
+  friend struct InnerCallbacks;
+
+  InnerConnection* mConnection = nullptr;
+  int mId = 0;
+  std::string mPath;
+  std::string mPeerAddress;
+  std::string mOutput;
+  std::size_t mOutputStart = 0;
+  bool mFinished = false;
+  bool mDeferred = false;
+  bool mHoldsCredit = false;
+  bool mPeerFinished = false;
+  bool mMalformed = false;
+  FrameReader mReader;
+};
+
+// A connection with many streams, in either role (HTTP/2 with prior
+// knowledge).
+class InnerConnection : public std::enable_shared_from_this<InnerConnection>
+{
+public:
+  // Connects; streams may be opened at once and wait for the connection.
+  static std::shared_ptr<InnerConnection> Connect(EventLoop& aLoop,
+                                                  const Endpoint& aPeer);
+  // Serves a connection that a listener accepted.
+  static std::shared_ptr<InnerConnection> Accept(EventLoop& aLoop,
+                                                 int aSocket,
+                                                 std::string aPeerAddress);
+  ~InnerConnection();
+  InnerConnection(const InnerConnection&) = delete;
+  InnerConnection& operator=(const InnerConnection&) = delete;
+
+  // Opens a stream, or returns null when the connection is closed.
+  std::shared_ptr<InnerStream> Open(const std::string& aPath);
+  // Closes the connection and all its streams.
+  void Close();
+  bool IsOpen() const { return mSession != nullptr; }
+  bool IsConnected() const { return mConnected; }
+  std::size_t StreamCount() const { return mStreams.size(); }
+
+  // Called for each stream that the peer opened, before its first frame.
+  sigc::slot<void(std::shared_ptr<InnerStream>)> mOnStream;
+  sigc::slot<void()> mOnConnected;
+  // Called once when the connection ended, after its streams were closed.
+  sigc::slot<void()> mOnClosed;
+
+private:
+  friend class InnerStream;
+  friend struct InnerCallbacks;
+
+  InnerConnection(EventLoop& aLoop, bool aServer);
+  void Attach(bufferevent* aBuffer);
+  void Receive();
+  void Flush();
+  void ScheduleFlush();
+  void CloseStream(int aId, bool aClean);
+
+  EventLoop& mLoop;
+  bool mServer;
+  bool mConnected = false;
+  bool mReceiving = false;
+  bool mFlushScheduled = false;
+  std::string mPeerAddress;
+  bufferevent* mBuffer = nullptr;
+  nghttp2_session* mSession = nullptr;
+  std::map<int, std::shared_ptr<InnerStream>> mStreams;
+};
+
+// Accepts inner connections on one address. Port 0 lets the kernel choose.
+class InnerListener
+{
+public:
+  InnerListener(EventLoop& aLoop,
+                sigc::slot<void(std::shared_ptr<InnerStream>)> aOnStream);
+  ~InnerListener();
+  InnerListener(const InnerListener&) = delete;
+  InnerListener& operator=(const InnerListener&) = delete;
+
+  int Listen(const std::string& aAddress, int aPort);
+
+private:
+  EventLoop& mLoop;
+  sigc::slot<void(std::shared_ptr<InnerStream>)> mOnStream;
+  evconnlistener* mListener = nullptr;
+  std::map<InnerConnection*, std::shared_ptr<InnerConnection>> mConnections;
+};
+
+} // namespace savory
--- /dev/null
+++ b/net/src/http_client.cpp
@@ -0,0 +1,327 @@
+#include "savory/net/http_client.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace savory {
+
+namespace {
+
+constexpr std::size_t kMaxIdleConnections = 256;
+
+evhttp_cmd_type MethodType(std::string_view aName)
+{
+  if (aName == "POST") {
+    return EVHTTP_REQ_POST;
+  }
+  if (aName == "PUT") {
+    return EVHTTP_REQ_PUT;
+  }
+  if (aName == "DELETE") {
+    return EVHTTP_REQ_DELETE;
+  }
+  if (aName == "PATCH") {
+    return EVHTTP_REQ_PATCH;
+  }
+  if (aName == "HEAD") {
+    return EVHTTP_REQ_HEAD;
+  }
+  if (aName == "OPTIONS") {
+    return EVHTTP_REQ_OPTIONS;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+Headers ReadHeaders(evhttp_request* aRequest)
+{
+  Headers result;
+  evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (evkeyval* header = headers->tqh_first; header;
+       header = header->next.tqe_next) {
+    std::string name = header->key;
+    std::transform(name.begin(),
+                   name.end(),
+                   name.begin(),
+                   [](unsigned char aChar) { return std::tolower(aChar); });
+    result.emplace_back(std::move(name), header->value);
+  }
+  return result;
+}
+
+} // namespace
+
+tl::expected<Endpoint, std::string> ParseEndpoint(std::string_view aText)
+{
+  auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) {
+    return tl::unexpected("\"" + std::string(aText) + "\" is not IP:PORT");
+  }
+  Endpoint endpoint;
+  endpoint.mAddress = aText.substr(0, colon);
+  std::string_view port = aText.substr(colon + 1);
+  auto [end, error] =
+    std::from_chars(port.data(), port.data() + port.size(), endpoint.mPort);
+  if (error != std::errc() || end != port.data() + port.size() ||
+      endpoint.mPort < 0 || endpoint.mPort > 65535) {
+    return tl::unexpected("\"" + std::string(port) + "\" is not a port");
+  }
+  return endpoint;
+}
+
+std::string ToString(const Endpoint& aEndpoint)
+{
+  return aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort);
+}
+
+// The C callbacks of evhttp for one exchange.
+struct HttpExchange::Callbacks
+{
+  static void Done(evhttp_request* aRequest, void* aSelf)
+  {
+    auto* self = static_cast<HttpExchange*>(aSelf);
+    auto keep = self->mSelf;
+    self->mRequest = nullptr;
+    if (!aRequest || evhttp_request_get_response_code(aRequest) == 0) {
+      // evhttp reports a failed connect by a request without a status and
+      // every later failure through the error callback first.
+      self->Finish(tl::unexpected(self->mError));
+      return;
+    }
+    if (self->mResponse.mStatus == 0) {
+      ReadHead(self, aRequest);
+    }
+    ReadBody(self, aRequest);
+    if (!self->mDone) {
+      self->Finish(std::move(self->mResponse));
+    }
+  }
+
+  static void Error(evhttp_request_error aError, void* aSelf)
+  {
+    auto* self = static_cast<HttpExchange*>(aSelf);
+    switch (aError) {
+      case EVREQ_HTTP_TIMEOUT:
+        self->mError = HttpErrorCode::Timeout;
+        break;
+      case EVREQ_HTTP_DATA_TOO_LONG:
+        self->mError = HttpErrorCode::TooLong;
+        break;
+      default:
+        self->mError = HttpErrorCode::Broken;
+    }
+  }
+
+  static int Head(evhttp_request* aRequest, void* aSelf)
+  {
+    auto* self = static_cast<HttpExchange*>(aSelf);
+    ReadHead(self, aRequest);
+    return 0;
+  }
+
+  static void Chunk(evhttp_request* aRequest, void* aSelf)
+  {
+    ReadBody(static_cast<HttpExchange*>(aSelf), aRequest);
+  }
+
+  static void ReadHead(HttpExchange* aSelf, evhttp_request* aRequest)
+  {
+    if (aSelf->mDone) {
+      return;
+    }
+    aSelf->mResponse.mStatus = evhttp_request_get_response_code(aRequest);
+    aSelf->mResponse.mHeaders = ReadHeaders(aRequest);
+    if (aSelf->mOnHeaders) {
+      aSelf->mOnHeaders(aSelf->mResponse);
+    }
+  }
+
+  static void ReadBody(HttpExchange* aSelf, evhttp_request* aRequest)
+  {
+    evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    if (aSelf->mDone || bytes.empty()) {
+      return;
+    }
+    if (aSelf->mOnBody) {
+      aSelf->mOnBody(bytes);
+      return;
+    }
+    aSelf->mReceived += bytes.size();
+    if (aSelf->mReceived > aSelf->mMaxBytes) {
+      auto keep = aSelf->mSelf;
+      aSelf->Finish(tl::unexpected(HttpErrorCode::TooLong));
+      return;
+    }
+    aSelf->mResponse.mBody += bytes;
+  }
+};
+
+HttpExchange::~HttpExchange() = default;
+
+// Ends the exchange once. The connection is dealt with in the next turn of the
+// loop, because evhttp still uses it when it calls back.
+void HttpExchange::Finish(HttpResult aResult)
+{
+  if (mDone) {
+    return;
+  }
+  mDone = true;
+  mTimeout.Cancel();
+  ReturnConnection(aResult.has_value() && mKeepAlive);
+  auto done = mOnDone;
+  if (done) {
+    done(std::move(aResult));
+  }
+}
+
+void HttpExchange::ReturnConnection(bool aReusable)
+{
+  Defer(mClient->mLoop, [self = shared_from_this(), aReusable] {
+    evhttp_connection* connection = std::exchange(self->mConnection, nullptr);
+    HttpClient* client = self->mClient;
+    if (!connection) {
+      return;
+    }
+    if (self->mRequest) {
+      evhttp_cancel_request(std::exchange(self->mRequest, nullptr));
+    }
+    if (aReusable && client->mIdle.size() < kMaxIdleConnections) {
+      client->mIdle.push_back({ self->mServer, connection });
+    } else {
+      evhttp_connection_free(connection);
+    }
+    self->mSelf.reset();
+  });
+}
+
+void HttpExchange::Cancel()
+{
+  if (!mDone) {
+    mDone = true;
+    mTimeout.Cancel();
+    ReturnConnection(false);
+  }
+}
+
+void HttpExchange::PauseReading(bool aPause)
+{
+  if (!mConnection || mDone) {
+    return;
+  }
+  auto* buffer = evhttp_connection_get_bufferevent(mConnection);
+  if (aPause) {
+    bufferevent_disable(buffer, EV_READ);
+  } else {
+    bufferevent_enable(buffer, EV_READ);
+  }
+}
+
+HttpClient::HttpClient(EventLoop& aLoop)
+  : mLoop(aLoop)
+{
+}
+
+HttpClient::~HttpClient()
+{
+  for (const auto& idle : mIdle) {
+    evhttp_connection_free(idle.mConnection);
+  }
+}
+
+evhttp_connection* HttpClient::TakeConnection(const Endpoint& aServer,
+                                              bool aReuse)
+{
+  auto found =
+    std::find_if(mIdle.rbegin(), mIdle.rend(), [&](const Idle& aIdle) {
+      return aIdle.mServer == aServer;
+    });
+  if (aReuse && found != mIdle.rend()) {
+    evhttp_connection* connection = found->mConnection;
+    mIdle.erase(std::next(found).base());
+    return connection;
+  }
+  return evhttp_connection_base_new(mLoop.Base(),
+                                    nullptr,
+                                    aServer.mAddress.c_str(),
+                                    static_cast<std::uint16_t>(aServer.mPort));
+}
+
+std::shared_ptr<HttpExchange> HttpClient::Start(HttpCall aCall)
+{
+  // 1. The exchange, which keeps itself until its connection is returned.
+  auto exchange = std::make_shared<HttpExchange>();
+  exchange->mSelf = exchange;
+  exchange->mClient = this;
+  exchange->mServer = aCall.mServer;
+  exchange->mKeepAlive = aCall.mKeepAlive;
+  exchange->mMaxBytes = aCall.mMaxBytes;
+  exchange->mConnection = TakeConnection(aCall.mServer, aCall.mKeepAlive);
+
+  // 2. The request with its callbacks.
+  evhttp_request* request =
+    evhttp_request_new(&HttpExchange::Callbacks::Done, exchange.get());
+  evhttp_request_set_error_cb(request, &HttpExchange::Callbacks::Error);
+  evhttp_request_set_header_cb(request, &HttpExchange::Callbacks::Head);
+  evhttp_request_set_chunked_cb(request, &HttpExchange::Callbacks::Chunk);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", ToString(aCall.mServer).c_str());
+  for (const auto& [name, value] : aCall.mHeaders) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  if (!aCall.mKeepAlive) {
+    evhttp_add_header(headers, "Connection", "close");
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(request),
+               aCall.mBody.data(),
+               aCall.mBody.size());
+  exchange->mRequest = request;
+
+  // 3. The time limit of the whole call.
+  exchange->mTimeout =
+    Timer::After(mLoop, aCall.mTimeoutMs, [raw = exchange.get()] {
+      auto keep = raw->mSelf;
+      raw->Finish(tl::unexpected(HttpErrorCode::Timeout));
+    });
+
+  // 4. Sent in the next turn of the loop, after the caller set its callbacks.
+  Defer(mLoop, [exchange, request, aCall] {
+    if (exchange->mDone) {
+      return;
+    }
+    if (evhttp_make_request(exchange->mConnection,
+                            request,
+                            MethodType(aCall.mMethod),
+                            aCall.mTarget.c_str()) != 0) {
+      exchange->mRequest = nullptr;
+      exchange->Finish(tl::unexpected(HttpErrorCode::NotConnected));
+      return;
+    }
+    int socket = bufferevent_getfd(
+      evhttp_connection_get_bufferevent(exchange->mConnection));
+    int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  });
+  return exchange;
+}
+
+std::shared_ptr<HttpExchange> HttpClient::Fetch(
+  HttpCall aCall,
+  sigc::slot<void(HttpResult)> aDone)
+{
+  auto exchange = Start(std::move(aCall));
+  exchange->mOnDone = std::move(aDone);
+  return exchange;
+}
+
+} // namespace savory
--- /dev/null
+++ b/net/src/http_server.cpp
@@ -0,0 +1,278 @@
+#include "savory/net/http_server.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cctype>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+namespace savory {
+
+namespace {
+
+struct MethodRow
+{
+  evhttp_cmd_type mType;
+  std::string_view mName;
+};
+
+constexpr std::array<MethodRow, 7> kMethods{ {
+  { EVHTTP_REQ_GET, "GET" },
+  { EVHTTP_REQ_POST, "POST" },
+  { EVHTTP_REQ_PUT, "PUT" },
+  { EVHTTP_REQ_DELETE, "DELETE" },
+  { EVHTTP_REQ_PATCH, "PATCH" },
+  { EVHTTP_REQ_HEAD, "HEAD" },
+  { EVHTTP_REQ_OPTIONS, "OPTIONS" },
+} };
+
+std::string_view MethodName(evhttp_cmd_type aType)
+{
+  for (const auto& row : kMethods) {
+    if (row.mType == aType) {
+      return row.mName;
+    }
+  }
+  return "?";
+}
+
+HttpRequest ReadRequest(evhttp_request* aRequest)
+{
+  HttpRequest request;
+  request.mMethod = MethodName(evhttp_request_get_command(aRequest));
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(aRequest);
+  const char* path = uri ? evhttp_uri_get_path(uri) : nullptr;
+  const char* query = uri ? evhttp_uri_get_query(uri) : nullptr;
+  request.mPath = path ? path : "/";
+  request.mQuery = query ? query : "";
+  evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (evkeyval* header = headers->tqh_first; header;
+       header = header->next.tqe_next) {
+    std::string name = header->key;
+    std::transform(name.begin(),
+                   name.end(),
+                   name.begin(),
+                   [](unsigned char aChar) { return std::tolower(aChar); });
+    request.mHeaders.emplace_back(std::move(name), header->value);
+  }
+  evbuffer* body = evhttp_request_get_input_buffer(aRequest);
+  request.mBody.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, request.mBody.data(), request.mBody.size());
+  return request;
+}
+
+void AddHeaders(evhttp_request* aRequest, const Headers& aHeaders)
+{
+  evkeyvalq* output = evhttp_request_get_output_headers(aRequest);
+  for (const auto& [name, value] : aHeaders) {
+    evhttp_add_header(output, name.c_str(), value.c_str());
+  }
+}
+
+} // namespace
+
+std::string_view HeaderValue(const Headers& aHeaders, std::string_view aName)
+{
+  for (const auto& [name, value] : aHeaders) {
+    if (name == aName) {
+      return value;
+    }
+  }
+  return {};
+}
+
+HttpReply::HttpReply(evhttp_request* aRequest)
+  : mRequest(aRequest)
+{
+  WatchConnection();
+}
+
+HttpReply::~HttpReply()
+{
+  if (mRequest) {
+    Abort();
+  }
+}
+
+// Learns of the end of the caller's connection. evhttp has taken the request
+// off the connection by then and leaves it to be freed by its user.
+void HttpReply::WatchConnection()
+{
+  evhttp_connection_set_closecb(
+    evhttp_request_get_connection(mRequest),
+    [](evhttp_connection*, void* aSelf) {
+      auto* self = static_cast<HttpReply*>(aSelf);
+      evhttp_request* request = self->mRequest;
+      self->mRequest = nullptr;
+      if (request) {
+        evhttp_request_free(request);
+      }
+      auto closed = self->mOnClosed;
+      if (closed) {
+        closed();
+      }
+    },
+    this);
+}
+
+// Ends the watch before the request is handed back to evhttp.
+void HttpReply::Release()
+{
+  if (auto* connection = evhttp_request_get_connection(mRequest)) {
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  }
+  mRequest = nullptr;
+}
+
+void HttpReply::Send(int aStatus,
+                     const Headers& aHeaders,
+                     std::string_view aBody)
+{
+  if (!mRequest || mStarted) {
+    return;
+  }
+  mStarted = true;
+  evhttp_request* request = mRequest;
+  AddHeaders(request, aHeaders);
+  Release();
+  evbuffer* body = evbuffer_new();
+  evbuffer_add(body, aBody.data(), aBody.size());
+  evhttp_send_reply(request, aStatus, nullptr, body);
+  evbuffer_free(body);
+}
+
+void HttpReply::Start(int aStatus, const Headers& aHeaders)
+{
+  if (!mRequest || mStarted) {
+    return;
+  }
+  mStarted = true;
+  AddHeaders(mRequest, aHeaders);
+  evhttp_send_reply_start(mRequest, aStatus, nullptr);
+}
+
+void HttpReply::Chunk(std::string_view aBytes)
+{
+  if (!mRequest || aBytes.empty()) {
+    return;
+  }
+  evbuffer* bytes = evbuffer_new();
+  evbuffer_add(bytes, aBytes.data(), aBytes.size());
+  evhttp_send_reply_chunk_with_cb(
+    mRequest,
+    bytes,
+    [](evhttp_connection*, void* aSelf) {
+      auto* self = static_cast<HttpReply*>(aSelf);
+      auto drained = self->mOnDrained;
+      if (drained) {
+        drained();
+      }
+    },
+    this);
+  evbuffer_free(bytes);
+}
+
+void HttpReply::End()
+{
+  if (!mRequest) {
+    return;
+  }
+  evhttp_request* request = mRequest;
+  Release();
+  evhttp_send_reply_end(request);
+}
+
+void HttpReply::Abort()
+{
+  if (!mRequest) {
+    return;
+  }
+  evhttp_request* request = mRequest;
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  Release();
+  if (connection) {
+    evhttp_connection_free(connection);
+  } else {
+    evhttp_request_free(request);
+  }
+}
+
+std::size_t HttpReply::PendingBytes() const
+{
+  if (!mRequest) {
+    return 0;
+  }
+  auto* connection = evhttp_request_get_connection(mRequest);
+  return evbuffer_get_length(
+    bufferevent_get_output(evhttp_connection_get_bufferevent(connection)));
+}
+
+bool HttpReply::CallerGone() const
+{
+  if (!mRequest) {
+    return true;
+  }
+  auto* connection = evhttp_request_get_connection(mRequest);
+  int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  char byte;
+  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+HttpServer::HttpServer(EventLoop& aLoop,
+                       HttpHandler aHandler,
+                       HttpServerOptions aOptions)
+  : mServer(evhttp_new(aLoop.Base()))
+  , mHandler(std::move(aHandler))
+{
+  evhttp_set_max_headers_size(mServer,
+                              static_cast<ssize_t>(aOptions.mMaxHeaderBytes));
+  evhttp_set_max_body_size(mServer,
+                           static_cast<ssize_t>(aOptions.mMaxBodyBytes));
+  evhttp_set_timeout(mServer, aOptions.mTimeoutS);
+  evhttp_set_allowed_methods(mServer,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                               EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH |
+                               EVHTTP_REQ_HEAD | EVHTTP_REQ_OPTIONS);
+  evhttp_set_gencb(
+    mServer,
+    [](evhttp_request* aRequest, void* aSelf) {
+      auto* self = static_cast<HttpServer*>(aSelf);
+      int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(
+        evhttp_request_get_connection(aRequest)));
+      int on = 1;
+      setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      HttpRequest request = ReadRequest(aRequest);
+      self->mHandler(std::move(request), std::make_shared<HttpReply>(aRequest));
+    },
+    this);
+}
+
+HttpServer::~HttpServer()
+{
+  evhttp_free(mServer);
+}
+
+int HttpServer::Listen(const std::string& aAddress, int aPort)
+{
+  auto* bound = evhttp_bind_socket_with_handle(
+    mServer, aAddress.c_str(), static_cast<std::uint16_t>(aPort));
+  if (!bound) {
+    return 0;
+  }
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(evhttp_bound_socket_get_fd(bound),
+              reinterpret_cast<sockaddr*>(&address),
+              &size);
+  return ntohs(address.sin_port);
+}
+
+} // namespace savory
--- /dev/null
+++ b/net/src/loop.cpp
@@ -0,0 +1,181 @@
+#include "savory/net/loop.h"
+
+#include <chrono>
+#include <event2/event.h>
+#include <event2/thread.h>
+#include <utility>
+
+namespace savory {
+
+EventLoop::EventLoop()
+  : mBase(event_base_new())
+{
+}
+
+EventLoop::~EventLoop()
+{
+  event_base_free(mBase);
+}
+
+void EventLoop::Run()
+{
+  event_base_loop(mBase, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::Stop()
+{
+  event_base_loopbreak(mBase);
+}
+
+TimeMs EventLoop::NowMs() const
+{
+  return MonotonicMs();
+}
+
+std::int64_t MonotonicUs()
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+           std::chrono::steady_clock::now().time_since_epoch())
+    .count();
+}
+
+TimeMs MonotonicMs()
+{
+  return MonotonicUs() / 1000;
+}
+
+std::int64_t WallClockMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+struct Timer::State
+{
+  event* mEvent = nullptr;
+  Timer* mOwner = nullptr;
+  bool mRepeats = false;
+  sigc::slot<void()> mSlot;
+};
+
+namespace {
+
+timeval ToTimeval(TimeMs aMs)
+{
+  return { static_cast<time_t>(aMs / 1000),
+           static_cast<suseconds_t>(aMs % 1000 * 1000) };
+}
+
+} // namespace
+
+Timer::Timer(Timer&& aOther) noexcept
+{
+  *this = std::move(aOther);
+}
+
+Timer& Timer::operator=(Timer&& aOther) noexcept
+{
+  if (this != &aOther) {
+    Cancel();
+    mState = std::exchange(aOther.mState, nullptr);
+    if (mState) {
+      mState->mOwner = this;
+    }
+  }
+  return *this;
+}
+
+Timer::~Timer()
+{
+  Cancel();
+}
+
+void Timer::Cancel()
+{
+  if (mState) {
+    event_free(mState->mEvent);
+    delete std::exchange(mState, nullptr);
+  }
+}
+
+Timer Timer::After(EventLoop& aLoop, TimeMs aDelay, sigc::slot<void()> aSlot)
+{
+  Timer timer;
+  timer.mState = new State;
+  timer.mState->mOwner = &timer;
+  timer.mState->mSlot = std::move(aSlot);
+  timer.mState->mEvent = evtimer_new(
+    aLoop.Base(),
+    [](evutil_socket_t, short, void* aState) {
+      // The slot may replace or destroy the timer, so it is moved out first.
+      auto* state = static_cast<State*>(aState);
+      auto slot = state->mSlot;
+      state->mOwner->Cancel();
+      slot();
+    },
+    timer.mState);
+  timeval delay = ToTimeval(aDelay);
+  evtimer_add(timer.mState->mEvent, &delay);
+  return timer;
+}
+
+Timer Timer::Every(EventLoop& aLoop, TimeMs aPeriod, sigc::slot<void()> aSlot)
+{
+  Timer timer;
+  timer.mState = new State;
+  timer.mState->mOwner = &timer;
+  timer.mState->mRepeats = true;
+  timer.mState->mSlot = std::move(aSlot);
+  timer.mState->mEvent = event_new(
+    aLoop.Base(),
+    -1,
+    EV_PERSIST,
+    [](evutil_socket_t, short, void* aState) {
+      auto slot = static_cast<State*>(aState)->mSlot;
+      slot();
+    },
+    timer.mState);
+  timeval period = ToTimeval(aPeriod);
+  evtimer_add(timer.mState->mEvent, &period);
+  return timer;
+}
+
+void Defer(EventLoop& aLoop, sigc::slot<void()> aSlot)
+{
+  auto* slot = new sigc::slot<void()>(std::move(aSlot));
+  timeval now{ 0, 0 };
+  event_base_once(
+    aLoop.Base(),
+    -1,
+    EV_TIMEOUT,
+    [](evutil_socket_t, short, void* aSlotPointer) {
+      std::unique_ptr<sigc::slot<void()>> owned(
+        static_cast<sigc::slot<void()>*>(aSlotPointer));
+      (*owned)();
+    },
+    slot,
+    &now);
+}
+
+SignalWatch::SignalWatch(EventLoop& aLoop,
+                         int aSignal,
+                         sigc::slot<void()> aSlot)
+  : mEvent(evsignal_new(
+      aLoop.Base(),
+      aSignal,
+      [](evutil_socket_t, short, void* aSelf) {
+        static_cast<SignalWatch*>(aSelf)->mSlot();
+      },
+      this))
+  , mSlot(std::move(aSlot))
+{
+  event_add(mEvent, nullptr);
+}
+
+SignalWatch::~SignalWatch()
+{
+  event_free(mEvent);
+}
+
+} // namespace savory
