Use the unmodified Mozilla style for return types

Cause: two overrides in .clang-format left the place of return types to line length, so that the same function was written in two ways. Slots take const references, since sigc++ passes by const reference and a move had no effect.

--- a/bench/bench_balancer.cpp
+++ b/bench/bench_balancer.cpp
@@ -2,6 +2,9 @@
 
 namespace savory::bench {
 
-void BenchBalancer(Results& /*aResults*/) {}
+void
+BenchBalancer(Results& /*aResults*/)
+{
+}
 
 } // namespace savory::bench
--- a/bench/bench_cascade.cpp
+++ b/bench/bench_cascade.cpp
@@ -2,6 +2,9 @@
 
 namespace savory::bench {
 
-void BenchCascade(Results& /*aResults*/) {}
+void
+BenchCascade(Results& /*aResults*/)
+{
+}
 
 } // namespace savory::bench
--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -2,6 +2,9 @@
 
 namespace savory::bench {
 
-void BenchControl(Results& /*aResults*/) {}
+void
+BenchControl(Results& /*aResults*/)
+{
+}
 
 } // namespace savory::bench
--- a/bench/bench_limits.cpp
+++ b/bench/bench_limits.cpp
@@ -2,6 +2,9 @@
 
 namespace savory::bench {
 
-void BenchLimits(Results& /*aResults*/) {}
+void
+BenchLimits(Results& /*aResults*/)
+{
+}
 
 } // namespace savory::bench
--- a/bench/bench_memory.cpp
+++ b/bench/bench_memory.cpp
@@ -2,6 +2,9 @@
 
 namespace savory::bench {
 
-void BenchMemory(Results& /*aResults*/) {}
+void
+BenchMemory(Results& /*aResults*/)
+{
+}
 
 } // namespace savory::bench
--- a/bench/bench_record.cpp
+++ b/bench/bench_record.cpp
@@ -2,6 +2,9 @@
 
 namespace savory::bench {
 
-void BenchRecord(Results& /*aResults*/) {}
+void
+BenchRecord(Results& /*aResults*/)
+{
+}
 
 } // namespace savory::bench
--- a/bench/bench_rollout.cpp
+++ b/bench/bench_rollout.cpp
@@ -2,6 +2,9 @@
 
 namespace savory::bench {
 
-void BenchRollout(Results& /*aResults*/) {}
+void
+BenchRollout(Results& /*aResults*/)
+{
+}
 
 } // namespace savory::bench
--- a/bench/bench_zones.cpp
+++ b/bench/bench_zones.cpp
@@ -2,6 +2,9 @@
 
 namespace savory::bench {
 
-void BenchZones(Results& /*aResults*/) {}
+void
+BenchZones(Results& /*aResults*/)
+{
+}
 
 } // namespace savory::bench
--- a/bench/benchmarks.h
+++ b/bench/benchmarks.h
@@ -5,13 +5,21 @@
 namespace savory::bench {
 
 // Each adds its lines to the results; docs/measurements.md explains them.
-void BenchCascade(Results& aResults);
-void BenchRollout(Results& aResults);
-void BenchBalancer(Results& aResults);
-void BenchLimits(Results& aResults);
-void BenchZones(Results& aResults);
-void BenchMemory(Results& aResults);
-void BenchControl(Results& aResults);
-void BenchRecord(Results& aResults);
+void
+BenchCascade(Results& aResults);
+void
+BenchRollout(Results& aResults);
+void
+BenchBalancer(Results& aResults);
+void
+BenchLimits(Results& aResults);
+void
+BenchZones(Results& aResults);
+void
+BenchMemory(Results& aResults);
+void
+BenchControl(Results& aResults);
+void
+BenchRecord(Results& aResults);
 
 } // namespace savory::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -31,7 +31,8 @@
 
 // Runs every benchmark, or those named on the command line, and prints the
 // table. "--out FOLDER" also writes JSON and plots.
-int main(int aCount, char** aArguments)
+int
+main(int aCount, char** aArguments)
 {
   std::string folder;
   std::string names;
--- a/bench/results.cpp
+++ b/bench/results.cpp
@@ -12,12 +12,14 @@
 
 using nlohmann::json;
 
-void MixDecision(Results& aResults, std::string_view aDecision)
+void
+MixDecision(Results& aResults, std::string_view aDecision)
 {
   aResults.mSignature = HashOf(aDecision, aResults.mSignature);
 }
 
-double Median(const Line& aLine)
+double
+Median(const Line& aLine)
 {
   if (aLine.mValues.empty()) {
     return 0;
@@ -27,7 +29,8 @@
   return sorted[sorted.size() / 2];
 }
 
-bool MeetsTarget(const Line& aLine)
+bool
+MeetsTarget(const Line& aLine)
 {
   if (!aLine.mTarget) {
     return true;
@@ -37,7 +40,8 @@
                                         : value >= *aLine.mTarget;
 }
 
-void PrintTable(const Results& aResults)
+void
+PrintTable(const Results& aResults)
 {
   std::printf("%-46s %12s %21s %10s %10s %-6s %s\n",
               "line",
@@ -85,7 +89,8 @@
               static_cast<unsigned long long>(aResults.mSignature));
 }
 
-bool WriteFiles(const Results& aResults, const std::string& aFolder)
+bool
+WriteFiles(const Results& aResults, const std::string& aFolder)
 {
   std::error_code failed;
   std::filesystem::create_directories(aFolder, failed);
--- a/bench/results.h
+++ b/bench/results.h
@@ -54,19 +54,24 @@
 };
 
 // Mixes a decision into the signature.
-void MixDecision(Results& aResults, std::string_view aDecision);
+void
+MixDecision(Results& aResults, std::string_view aDecision);
 
 // The median of a line's values.
-double Median(const Line& aLine);
+double
+Median(const Line& aLine);
 
 // Whether the median meets the target; a line without a target meets it.
-bool MeetsTarget(const Line& aLine);
+bool
+MeetsTarget(const Line& aLine);
 
 // Prints the table of lines and, last, "signature N".
-void PrintTable(const Results& aResults);
+void
+PrintTable(const Results& aResults);
 
 // Writes results.json and one SVG file for each plot into a folder. Returns
 // false when a file cannot be written.
-bool WriteFiles(const Results& aResults, const std::string& aFolder);
+bool
+WriteFiles(const Results& aResults, const std::string& aFolder);
 
 } // namespace savory::bench
--- a/core/include/savory/core/config.h
+++ b/core/include/savory/core/config.h
@@ -159,39 +159,47 @@
 
 // Reads a configuration from JSON. A document with any fault is refused whole,
 // with all faults that were found.
-tl::expected<Configuration, std::vector<ConfigError>> ParseConfiguration(
-  const nlohmann::json& aDocument);
+tl::expected<Configuration, std::vector<ConfigError>>
+ParseConfiguration(const nlohmann::json& aDocument);
 
 // Checks what holds between fields: names are unique, references resolve, one
 // preset is in force, at least one zone is not out. Empty when there is none.
-std::vector<ConfigError> ValidateConfiguration(const Configuration& aConfig);
+std::vector<ConfigError>
+ValidateConfiguration(const Configuration& aConfig);
 
 // The document that ParseConfiguration reads back to an equal value.
-nlohmann::json ToJson(const Configuration& aConfig);
+nlohmann::json
+ToJson(const Configuration& aConfig);
 
 // One line for each difference, such as "zones[gulf-a].state: in -> out".
-std::vector<std::string> DiffConfiguration(const Configuration& aFrom,
-                                           const Configuration& aTo);
+std::vector<std::string>
+DiffConfiguration(const Configuration& aFrom, const Configuration& aTo);
 
 // Look-ups by name; null when there is none. The pointers live as long as the
 // configuration.
-const Model* FindModel(const Configuration& aConfig, std::string_view aName);
-const Version* FindVersion(const Model& aModel, std::string_view aName);
-const Customer* FindCustomer(const Configuration& aConfig,
-                             std::string_view aName);
-const Service* FindService(const Configuration& aConfig,
-                           std::string_view aName);
-const Zone* FindZone(const Configuration& aConfig, std::string_view aName);
-const Preset& PresetInForce(const Configuration& aConfig);
+const Model*
+FindModel(const Configuration& aConfig, std::string_view aName);
+const Version*
+FindVersion(const Model& aModel, std::string_view aName);
+const Customer*
+FindCustomer(const Configuration& aConfig, std::string_view aName);
+const Service*
+FindService(const Configuration& aConfig, std::string_view aName);
+const Zone*
+FindZone(const Configuration& aConfig, std::string_view aName);
+const Preset&
+PresetInForce(const Configuration& aConfig);
 
 // Whether a customer may use a version of a model.
-bool IsAllowed(const Customer& aCustomer,
-               std::string_view aModel,
-               std::string_view aVersion);
+bool
+IsAllowed(const Customer& aCustomer,
+          std::string_view aModel,
+          std::string_view aVersion);
 
 // Whether a call of a service must not run twice.
-bool IsNonIdempotent(const Service& aService,
-                     std::string_view aMethod,
-                     std::string_view aPath);
+bool
+IsNonIdempotent(const Service& aService,
+                std::string_view aMethod,
+                std::string_view aPath);
 
 } // namespace savory
--- a/core/include/savory/core/identity.h
+++ b/core/include/savory/core/identity.h
@@ -10,17 +10,20 @@
 namespace savory {
 
 // Lower-case hexadecimal SHA-256.
-std::string Sha256Hex(std::string_view aText);
+std::string
+Sha256Hex(std::string_view aText);
 
 // XXH64 of a text.
-std::uint64_t HashOf(std::string_view aText, std::uint64_t aSeed = 0);
+std::uint64_t
+HashOf(std::string_view aText, std::uint64_t aSeed = 0);
 
 // The customer whose key hash matches a bearer key, or null.
-const Customer* FindCustomerByKey(const Configuration& aConfig,
-                                  std::string_view aKey);
+const Customer*
+FindCustomerByKey(const Configuration& aConfig, std::string_view aKey);
 
 // Whether a token is the operators' token of a configuration.
-bool IsOperatorToken(const Configuration& aConfig, std::string_view aToken);
+bool
+IsOperatorToken(const Configuration& aConfig, std::string_view aToken);
 
 // The model and version that a session is bound to.
 struct SessionBinding
@@ -31,17 +34,19 @@
 
 // A session id that carries its binding, signed with the configuration's
 // session secret: "ss1.MODEL.VERSION.NONCE.SIGNATURE", fields in hexadecimal.
-std::string SignSession(const Configuration& aConfig,
-                        const SessionBinding& aBinding,
-                        std::uint64_t aNonce);
+std::string
+SignSession(const Configuration& aConfig,
+            const SessionBinding& aBinding,
+            std::uint64_t aNonce);
 
 // The binding of a signed session id; nothing when the id is not signed by
 // this configuration, as one that the caller chose.
-std::optional<SessionBinding> ReadSession(const Configuration& aConfig,
-                                          std::string_view aSession);
+std::optional<SessionBinding>
+ReadSession(const Configuration& aConfig, std::string_view aSession);
 
 // The request id of a call: derived from customer and idempotency key where
 // there is a key, so that a retry is billed to the same request.
-std::string RequestIdForKey(std::string_view aCustomer, std::string_view aKey);
+std::string
+RequestIdForKey(std::string_view aCustomer, std::string_view aKey);
 
 } // namespace savory
--- a/core/include/savory/core/types.h
+++ b/core/include/savory/core/types.h
@@ -23,8 +23,8 @@
 
 // The name of a value; "?" for a value without a row.
 template<class E, std::size_t N>
-constexpr std::string_view NameOf(const std::array<EnumName<E>, N>& aTable,
-                                  E aValue)
+constexpr std::string_view
+NameOf(const std::array<EnumName<E>, N>& aTable, E aValue)
 {
   for (const auto& row : aTable) {
     if (row.mValue == aValue) {
@@ -36,8 +36,8 @@
 
 // The value that a name stands for, or nothing when the table lacks it.
 template<class E, std::size_t N>
-constexpr std::optional<E> ValueOf(const std::array<EnumName<E>, N>& aTable,
-                                   std::string_view aName)
+constexpr std::optional<E>
+ValueOf(const std::array<EnumName<E>, N>& aTable, std::string_view aName)
 {
   for (const auto& row : aTable) {
     if (row.mName == aName) {
@@ -128,6 +128,7 @@
 } };
 
 // The HTTP status with which the callers' interface answers a code.
-int HttpStatus(ErrorCode aCode);
+int
+HttpStatus(ErrorCode aCode);
 
 } // namespace savory
--- a/core/include/savory/core/wire.h
+++ b/core/include/savory/core/wire.h
@@ -49,11 +49,12 @@
   std::string mPending;
 };
 
-std::string EncodeFrame(FrameType aType, std::string_view aPayload);
+std::string
+EncodeFrame(FrameType aType, std::string_view aPayload);
 
 // Takes received bytes and gives the frames that they complete, in order.
-tl::expected<std::vector<Frame>, WireError> ReadFrames(FrameReader& aReader,
-                                                       std::string_view aBytes);
+tl::expected<std::vector<Frame>, WireError>
+ReadFrames(FrameReader& aReader, std::string_view aBytes);
 
 // Who sent a message: the host's name, the incarnation of its process and the
 // revision of the configuration it has in force.
@@ -160,19 +161,31 @@
 
 // Codecs of the messages (CBOR). A decoder refuses bytes that are no CBOR map
 // and fields of a wrong type; unknown fields are ignored.
-std::string Encode(const RunRequest& aMessage);
-std::string Encode(const CallRequest& aMessage);
-std::string Encode(const AnswerHead& aMessage);
-std::string Encode(const AnswerEnd& aMessage);
-std::string Encode(const Report& aMessage);
-tl::expected<RunRequest, WireError> DecodeRunRequest(std::string_view aBytes);
-tl::expected<CallRequest, WireError> DecodeCallRequest(std::string_view aBytes);
-tl::expected<AnswerHead, WireError> DecodeAnswerHead(std::string_view aBytes);
-tl::expected<AnswerEnd, WireError> DecodeAnswerEnd(std::string_view aBytes);
-tl::expected<Report, WireError> DecodeReport(std::string_view aBytes);
+std::string
+Encode(const RunRequest& aMessage);
+std::string
+Encode(const CallRequest& aMessage);
+std::string
+Encode(const AnswerHead& aMessage);
+std::string
+Encode(const AnswerEnd& aMessage);
+std::string
+Encode(const Report& aMessage);
+tl::expected<RunRequest, WireError>
+DecodeRunRequest(std::string_view aBytes);
+tl::expected<CallRequest, WireError>
+DecodeCallRequest(std::string_view aBytes);
+tl::expected<AnswerHead, WireError>
+DecodeAnswerHead(std::string_view aBytes);
+tl::expected<AnswerEnd, WireError>
+DecodeAnswerEnd(std::string_view aBytes);
+tl::expected<Report, WireError>
+DecodeReport(std::string_view aBytes);
 
 // CBOR of any document, for messages without a type of their own.
-std::string EncodeDocument(const nlohmann::json& aDocument);
-tl::expected<nlohmann::json, WireError> DecodeDocument(std::string_view aBytes);
+std::string
+EncodeDocument(const nlohmann::json& aDocument);
+tl::expected<nlohmann::json, WireError>
+DecodeDocument(std::string_view aBytes);
 
 } // namespace savory
--- a/core/src/config.cpp
+++ b/core/src/config.cpp
@@ -36,16 +36,18 @@
 constexpr Range kSlots{ 1, 1024 };
 constexpr Range kDeadline{ 1, 3600000 };
 
-std::string Member(const std::string& aPath, const char* aName)
+std::string
+Member(const std::string& aPath, const char* aName)
 {
   return aPath.empty() ? aName : aPath + "." + aName;
 }
 
-std::string ReadString(Reader& aReader,
-                       const json& aObject,
-                       const std::string& aPath,
-                       const char* aName,
-                       bool aRequired)
+std::string
+ReadString(Reader& aReader,
+           const json& aObject,
+           const std::string& aPath,
+           const char* aName,
+           bool aRequired)
 {
   auto found = aObject.find(aName);
   if (found == aObject.end()) {
@@ -64,12 +66,13 @@
   return found->get<std::string>();
 }
 
-double ReadNumber(Reader& aReader,
-                  const json& aObject,
-                  const std::string& aPath,
-                  const char* aName,
-                  double aDefault,
-                  Range aRange)
+double
+ReadNumber(Reader& aReader,
+           const json& aObject,
+           const std::string& aPath,
+           const char* aName,
+           double aDefault,
+           Range aRange)
 {
   auto found = aObject.find(aName);
   if (found == aObject.end()) {
@@ -88,12 +91,13 @@
 }
 
 template<class E, std::size_t N>
-E ReadEnum(Reader& aReader,
-           const json& aObject,
-           const std::string& aPath,
-           const char* aName,
-           E aDefault,
-           const std::array<EnumName<E>, N>& aTable)
+E
+ReadEnum(Reader& aReader,
+         const json& aObject,
+         const std::string& aPath,
+         const char* aName,
+         E aDefault,
+         const std::array<EnumName<E>, N>& aTable)
 {
   if (!aObject.contains(aName)) {
     return aDefault;
@@ -107,10 +111,11 @@
   return *value;
 }
 
-std::vector<std::string> ReadStrings(Reader& aReader,
-                                     const json& aObject,
-                                     const std::string& aPath,
-                                     const char* aName)
+std::vector<std::string>
+ReadStrings(Reader& aReader,
+            const json& aObject,
+            const std::string& aPath,
+            const char* aName)
 {
   std::vector<std::string> result;
   auto found = aObject.find(aName);
@@ -133,11 +138,12 @@
 
 // Reads a list of objects by a parse function of one of them.
 template<class T, class Parse>
-std::vector<T> ReadList(Reader& aReader,
-                        const json& aObject,
-                        const std::string& aPath,
-                        const char* aName,
-                        Parse aParse)
+std::vector<T>
+ReadList(Reader& aReader,
+         const json& aObject,
+         const std::string& aPath,
+         const char* aName,
+         Parse aParse)
 {
   std::vector<T> result;
   auto found = aObject.find(aName);
@@ -160,9 +166,8 @@
   return result;
 }
 
-Version ParseVersion(Reader& aReader,
-                     const json& aObject,
-                     const std::string& aPath)
+Version
+ParseVersion(Reader& aReader, const json& aObject, const std::string& aPath)
 {
   return {
     .mName = ReadString(aReader, aObject, aPath, "name", true),
@@ -176,7 +181,8 @@
   };
 }
 
-Model ParseModel(Reader& aReader, const json& aObject, const std::string& aPath)
+Model
+ParseModel(Reader& aReader, const json& aObject, const std::string& aPath)
 {
   return {
     .mName = ReadString(aReader, aObject, aPath, "name", true),
@@ -192,9 +198,8 @@
   };
 }
 
-Customer ParseCustomer(Reader& aReader,
-                       const json& aObject,
-                       const std::string& aPath)
+Customer
+ParseCustomer(Reader& aReader, const json& aObject, const std::string& aPath)
 {
   return {
     .mName = ReadString(aReader, aObject, aPath, "name", true),
@@ -209,9 +214,8 @@
   };
 }
 
-NonIdempotentCall ParseCall(Reader& aReader,
-                            const json& aObject,
-                            const std::string& aPath)
+NonIdempotentCall
+ParseCall(Reader& aReader, const json& aObject, const std::string& aPath)
 {
   return {
     .mMethod = ReadString(aReader, aObject, aPath, "method", true),
@@ -219,9 +223,8 @@
   };
 }
 
-Service ParseService(Reader& aReader,
-                     const json& aObject,
-                     const std::string& aPath)
+Service
+ParseService(Reader& aReader, const json& aObject, const std::string& aPath)
 {
   return {
     .mName = ReadString(aReader, aObject, aPath, "name", true),
@@ -232,7 +235,8 @@
   };
 }
 
-Zone ParseZone(Reader& aReader, const json& aObject, const std::string& aPath)
+Zone
+ParseZone(Reader& aReader, const json& aObject, const std::string& aPath)
 {
   return {
     .mName = ReadString(aReader, aObject, aPath, "name", true),
@@ -242,9 +246,8 @@
   };
 }
 
-Preset ParsePreset(Reader& aReader,
-                   const json& aObject,
-                   const std::string& aPath)
+Preset
+ParsePreset(Reader& aReader, const json& aObject, const std::string& aPath)
 {
   return {
     .mName = ReadString(aReader, aObject, aPath, "name", true),
@@ -261,9 +264,8 @@
   };
 }
 
-Rollout ParseRollout(Reader& aReader,
-                     const json& aObject,
-                     const std::string& aPath)
+Rollout
+ParseRollout(Reader& aReader, const json& aObject, const std::string& aPath)
 {
   return {
     .mModel = ReadString(aReader, aObject, aPath, "model", true),
@@ -276,9 +278,10 @@
 
 // Adds a fault for each name that stands twice in a list.
 template<class T>
-void CheckUnique(std::vector<ConfigError>& aErrors,
-                 const std::vector<T>& aItems,
-                 const std::string& aList)
+void
+CheckUnique(std::vector<ConfigError>& aErrors,
+            const std::vector<T>& aItems,
+            const std::string& aList)
 {
   std::set<std::string> seen;
   for (std::size_t i = 0; i < aItems.size(); ++i) {
@@ -290,7 +293,8 @@
 }
 
 template<class T>
-const T* FindByName(const std::vector<T>& aItems, std::string_view aName)
+const T*
+FindByName(const std::vector<T>& aItems, std::string_view aName)
 {
   auto found = std::find_if(aItems.begin(), aItems.end(), [&](const T& aItem) {
     return aItem.mName == aName;
@@ -299,7 +303,8 @@
 }
 
 // Whether an entry of a customer's list names a model or version that exists.
-bool AllowedExists(const Configuration& aConfig, const std::string& aAllowed)
+bool
+AllowedExists(const Configuration& aConfig, const std::string& aAllowed)
 {
   auto at = aAllowed.find('@');
   const Model* model = FindModel(aConfig, aAllowed.substr(0, at));
@@ -312,10 +317,11 @@
 
 // Adds a line for each leaf in which two documents differ. Lists of objects
 // with a name are compared by name, so that an insertion is one line.
-void DiffJson(const json& aFrom,
-              const json& aTo,
-              const std::string& aPath,
-              std::vector<std::string>& aLines)
+void
+DiffJson(const json& aFrom,
+         const json& aTo,
+         const std::string& aPath,
+         std::vector<std::string>& aLines)
 {
   if (aFrom == aTo) {
     return;
@@ -359,8 +365,8 @@
 
 } // namespace
 
-tl::expected<Configuration, std::vector<ConfigError>> ParseConfiguration(
-  const json& aDocument)
+tl::expected<Configuration, std::vector<ConfigError>>
+ParseConfiguration(const json& aDocument)
 {
   Reader reader;
   if (!aDocument.is_object()) {
@@ -396,7 +402,8 @@
   return config;
 }
 
-std::vector<ConfigError> ValidateConfiguration(const Configuration& aConfig)
+std::vector<ConfigError>
+ValidateConfiguration(const Configuration& aConfig)
 {
   std::vector<ConfigError> errors;
   CheckUnique(errors, aConfig.mCustomers, "customers");
@@ -451,7 +458,8 @@
   return errors;
 }
 
-json ToJson(const Configuration& aConfig)
+json
+ToJson(const Configuration& aConfig)
 {
   json document = {
     { "revision", aConfig.mRevision },
@@ -529,8 +537,8 @@
   return document;
 }
 
-std::vector<std::string> DiffConfiguration(const Configuration& aFrom,
-                                           const Configuration& aTo)
+std::vector<std::string>
+DiffConfiguration(const Configuration& aFrom, const Configuration& aTo)
 {
   std::vector<std::string> lines;
   json from = ToJson(aFrom);
@@ -541,42 +549,48 @@
   return lines;
 }
 
-const Model* FindModel(const Configuration& aConfig, std::string_view aName)
+const Model*
+FindModel(const Configuration& aConfig, std::string_view aName)
 {
   return FindByName(aConfig.mModels, aName);
 }
 
-const Version* FindVersion(const Model& aModel, std::string_view aName)
+const Version*
+FindVersion(const Model& aModel, std::string_view aName)
 {
   return FindByName(aModel.mVersions, aName);
 }
 
-const Customer* FindCustomer(const Configuration& aConfig,
-                             std::string_view aName)
+const Customer*
+FindCustomer(const Configuration& aConfig, std::string_view aName)
 {
   return FindByName(aConfig.mCustomers, aName);
 }
 
-const Service* FindService(const Configuration& aConfig, std::string_view aName)
+const Service*
+FindService(const Configuration& aConfig, std::string_view aName)
 {
   return FindByName(aConfig.mServices, aName);
 }
 
-const Zone* FindZone(const Configuration& aConfig, std::string_view aName)
+const Zone*
+FindZone(const Configuration& aConfig, std::string_view aName)
 {
   return FindByName(aConfig.mZones, aName);
 }
 
-const Preset& PresetInForce(const Configuration& aConfig)
+const Preset&
+PresetInForce(const Configuration& aConfig)
 {
   static const Preset kDefault;
   const Preset* preset = FindByName(aConfig.mPresets, aConfig.mPresetInForce);
   return preset ? *preset : kDefault;
 }
 
-bool IsAllowed(const Customer& aCustomer,
-               std::string_view aModel,
-               std::string_view aVersion)
+bool
+IsAllowed(const Customer& aCustomer,
+          std::string_view aModel,
+          std::string_view aVersion)
 {
   return std::any_of(aCustomer.mAllowed.begin(),
                      aCustomer.mAllowed.end(),
@@ -590,9 +604,10 @@
                      });
 }
 
-bool IsNonIdempotent(const Service& aService,
-                     std::string_view aMethod,
-                     std::string_view aPath)
+bool
+IsNonIdempotent(const Service& aService,
+                std::string_view aMethod,
+                std::string_view aPath)
 {
   return std::any_of(aService.mNonIdempotent.begin(),
                      aService.mNonIdempotent.end(),
--- a/core/src/identity.cpp
+++ b/core/src/identity.cpp
@@ -15,7 +15,8 @@
 constexpr std::string_view kSessionPrefix = "ss1";
 constexpr std::size_t kSessionParts = 5;
 
-std::string ToHex(std::string_view aBytes)
+std::string
+ToHex(std::string_view aBytes)
 {
   std::string text;
   text.reserve(aBytes.size() * 2);
@@ -26,7 +27,8 @@
   return text;
 }
 
-std::optional<std::string> FromHex(std::string_view aText)
+std::optional<std::string>
+FromHex(std::string_view aText)
 {
   if (aText.size() % 2 != 0) {
     return std::nullopt;
@@ -44,7 +46,8 @@
   return bytes;
 }
 
-std::string Signature(const std::string& aSecret, std::string_view aText)
+std::string
+Signature(const std::string& aSecret, std::string_view aText)
 {
   unsigned char digest[SHA256_DIGEST_LENGTH];
   unsigned int size = sizeof digest;
@@ -59,7 +62,8 @@
 }
 
 // Compares in time that does not depend on the content.
-bool SameText(std::string_view aLeft, std::string_view aRight)
+bool
+SameText(std::string_view aLeft, std::string_view aRight)
 {
   return aLeft.size() == aRight.size() &&
          CRYPTO_memcmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
@@ -67,7 +71,8 @@
 
 } // namespace
 
-std::string Sha256Hex(std::string_view aText)
+std::string
+Sha256Hex(std::string_view aText)
 {
   unsigned char digest[SHA256_DIGEST_LENGTH];
   SHA256(
@@ -75,13 +80,14 @@
   return ToHex({ reinterpret_cast<char*>(digest), sizeof digest });
 }
 
-std::uint64_t HashOf(std::string_view aText, std::uint64_t aSeed)
+std::uint64_t
+HashOf(std::string_view aText, std::uint64_t aSeed)
 {
   return XXH64(aText.data(), aText.size(), aSeed);
 }
 
-const Customer* FindCustomerByKey(const Configuration& aConfig,
-                                  std::string_view aKey)
+const Customer*
+FindCustomerByKey(const Configuration& aConfig, std::string_view aKey)
 {
   std::string hash = Sha256Hex(aKey);
   for (const auto& customer : aConfig.mCustomers) {
@@ -92,14 +98,16 @@
   return nullptr;
 }
 
-bool IsOperatorToken(const Configuration& aConfig, std::string_view aToken)
+bool
+IsOperatorToken(const Configuration& aConfig, std::string_view aToken)
 {
   return SameText(aConfig.mOperatorTokenHash, Sha256Hex(aToken));
 }
 
-std::string SignSession(const Configuration& aConfig,
-                        const SessionBinding& aBinding,
-                        std::uint64_t aNonce)
+std::string
+SignSession(const Configuration& aConfig,
+            const SessionBinding& aBinding,
+            std::uint64_t aNonce)
 {
   std::string text(kSessionPrefix);
   text += "." + ToHex(aBinding.mModel) + "." + ToHex(aBinding.mVersion) + "." +
@@ -107,8 +115,8 @@
   return text + "." + Signature(aConfig.mSessionSecret, text);
 }
 
-std::optional<SessionBinding> ReadSession(const Configuration& aConfig,
-                                          std::string_view aSession)
+std::optional<SessionBinding>
+ReadSession(const Configuration& aConfig, std::string_view aSession)
 {
   std::vector<std::string_view> parts;
   std::string_view rest = aSession;
@@ -133,7 +141,8 @@
   return SessionBinding{ *model, *version };
 }
 
-std::string RequestIdForKey(std::string_view aCustomer, std::string_view aKey)
+std::string
+RequestIdForKey(std::string_view aCustomer, std::string_view aKey)
 {
   std::string text(aCustomer);
   text.push_back('\0');
--- a/core/src/types.cpp
+++ b/core/src/types.cpp
@@ -2,7 +2,8 @@
 
 namespace savory {
 
-int HttpStatus(ErrorCode aCode)
+int
+HttpStatus(ErrorCode aCode)
 {
   switch (aCode) {
     case ErrorCode::BadRequest:
--- a/core/src/wire.cpp
+++ b/core/src/wire.cpp
@@ -10,34 +10,39 @@
 
 constexpr std::size_t kFrameHeaderBytes = 5;
 
-json SenderJson(const Sender& aSender)
+json
+SenderJson(const Sender& aSender)
 {
   return { { "from", aSender.mHost },
            { "incarnation", aSender.mIncarnation },
            { "revision", aSender.mRevision } };
 }
 
-Sender ParseSender(const json& aMessage)
+Sender
+ParseSender(const json& aMessage)
 {
   return { .mHost = aMessage.at("from").get<std::string>(),
            .mIncarnation = aMessage.at("incarnation").get<std::int64_t>(),
            .mRevision = aMessage.at("revision").get<std::int64_t>() };
 }
 
-ErrorCode ParseCode(const json& aMessage)
+ErrorCode
+ParseCode(const json& aMessage)
 {
   return ValueOf(kErrorCodeNames, aMessage.value("code", std::string()))
     .value_or(ErrorCode::Internal);
 }
 
 // An absent or unknown value counts as Unknown, the only safe reading.
-Ran ParseRan(const json& aMessage)
+Ran
+ParseRan(const json& aMessage)
 {
   return ValueOf(kRanNames, aMessage.value("ran", std::string()))
     .value_or(Ran::Unknown);
 }
 
-std::string ToCbor(const json& aMessage)
+std::string
+ToCbor(const json& aMessage)
 {
   std::string bytes;
   json::to_cbor(aMessage, bytes);
@@ -46,7 +51,8 @@
 
 // Decodes bytes and fills a message; errors of the library become WireError.
 template<class T, class Fill>
-tl::expected<T, WireError> DecodeAs(std::string_view aBytes, Fill aFill)
+tl::expected<T, WireError>
+DecodeAs(std::string_view aBytes, Fill aFill)
 {
   auto document = DecodeDocument(aBytes);
   if (!document) {
@@ -62,7 +68,8 @@
 
 } // namespace
 
-std::string EncodeFrame(FrameType aType, std::string_view aPayload)
+std::string
+EncodeFrame(FrameType aType, std::string_view aPayload)
 {
   std::string bytes;
   bytes.reserve(kFrameHeaderBytes + aPayload.size());
@@ -76,8 +83,8 @@
   return bytes;
 }
 
-tl::expected<std::vector<Frame>, WireError> ReadFrames(FrameReader& aReader,
-                                                       std::string_view aBytes)
+tl::expected<std::vector<Frame>, WireError>
+ReadFrames(FrameReader& aReader, std::string_view aBytes)
 {
   aReader.mPending.append(aBytes);
   std::vector<Frame> frames;
@@ -110,12 +117,14 @@
   return frames;
 }
 
-std::string EncodeDocument(const json& aDocument)
+std::string
+EncodeDocument(const json& aDocument)
 {
   return ToCbor(aDocument);
 }
 
-tl::expected<json, WireError> DecodeDocument(std::string_view aBytes)
+tl::expected<json, WireError>
+DecodeDocument(std::string_view aBytes)
 {
   // The library throws on an object size beyond its limit even when it is
   // asked not to throw on errors of the encoding.
@@ -132,7 +141,8 @@
   }
 }
 
-std::string Encode(const RunRequest& aMessage)
+std::string
+Encode(const RunRequest& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
   message["request"] = aMessage.mRequestId;
@@ -151,7 +161,8 @@
   return ToCbor(message);
 }
 
-tl::expected<RunRequest, WireError> DecodeRunRequest(std::string_view aBytes)
+tl::expected<RunRequest, WireError>
+DecodeRunRequest(std::string_view aBytes)
 {
   return DecodeAs<RunRequest>(aBytes, [](const json& aMessage) {
     return RunRequest{
@@ -173,7 +184,8 @@
   });
 }
 
-std::string Encode(const CallRequest& aMessage)
+std::string
+Encode(const CallRequest& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
   message["request"] = aMessage.mRequestId;
@@ -188,7 +200,8 @@
   return ToCbor(message);
 }
 
-tl::expected<CallRequest, WireError> DecodeCallRequest(std::string_view aBytes)
+tl::expected<CallRequest, WireError>
+DecodeCallRequest(std::string_view aBytes)
 {
   return DecodeAs<CallRequest>(aBytes, [](const json& aMessage) {
     return CallRequest{
@@ -206,7 +219,8 @@
   });
 }
 
-std::string Encode(const AnswerHead& aMessage)
+std::string
+Encode(const AnswerHead& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
   message["accepted"] = aMessage.mAccepted;
@@ -221,7 +235,8 @@
   return ToCbor(message);
 }
 
-tl::expected<AnswerHead, WireError> DecodeAnswerHead(std::string_view aBytes)
+tl::expected<AnswerHead, WireError>
+DecodeAnswerHead(std::string_view aBytes)
 {
   return DecodeAs<AnswerHead>(aBytes, [](const json& aMessage) {
     return AnswerHead{
@@ -239,7 +254,8 @@
   });
 }
 
-std::string Encode(const AnswerEnd& aMessage)
+std::string
+Encode(const AnswerEnd& aMessage)
 {
   return ToCbor({ { "complete", aMessage.mComplete },
                   { "code", NameOf(kErrorCodeNames, aMessage.mCode) },
@@ -250,7 +266,8 @@
                   { "cost", aMessage.mCost } });
 }
 
-tl::expected<AnswerEnd, WireError> DecodeAnswerEnd(std::string_view aBytes)
+tl::expected<AnswerEnd, WireError>
+DecodeAnswerEnd(std::string_view aBytes)
 {
   return DecodeAs<AnswerEnd>(aBytes, [](const json& aMessage) {
     return AnswerEnd{
@@ -265,7 +282,8 @@
   });
 }
 
-std::string Encode(const Report& aMessage)
+std::string
+Encode(const Report& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
   message["pool"] = aMessage.mPool;
@@ -287,7 +305,8 @@
   return ToCbor(message);
 }
 
-tl::expected<Report, WireError> DecodeReport(std::string_view aBytes)
+tl::expected<Report, WireError>
+DecodeReport(std::string_view aBytes)
 {
   return DecodeAs<Report>(aBytes, [](const json& aMessage) {
     Report report{
--- a/net/include/savory/net/http_client.h
+++ b/net/include/savory/net/http_client.h
@@ -22,9 +22,11 @@
 };
 
 // Reads "IP:PORT".
-tl::expected<Endpoint, std::string> ParseEndpoint(std::string_view aText);
+tl::expected<Endpoint, std::string>
+ParseEndpoint(std::string_view aText);
 
-std::string ToString(const Endpoint& aEndpoint);
+std::string
+ToString(const Endpoint& aEndpoint);
 
 enum class HttpErrorCode
 {
@@ -88,7 +90,7 @@
   // Called for each part of the body; when empty the body is collected.
   sigc::slot<void(std::string_view)> mOnBody;
   // Called once, at the end.
-  sigc::slot<void(HttpResult)> mOnDone;
+  sigc::slot<void(const HttpResult&)> mOnDone;
 
 private:
   friend class HttpClient;
@@ -125,8 +127,9 @@
   std::shared_ptr<HttpExchange> Start(HttpCall aCall);
 
   // Starts a call and collects its answer.
-  std::shared_ptr<HttpExchange> Fetch(HttpCall aCall,
-                                      sigc::slot<void(HttpResult)> aDone);
+  std::shared_ptr<HttpExchange> Fetch(
+    HttpCall aCall,
+    sigc::slot<void(const HttpResult&)> aDone);
 
 private:
   friend class HttpExchange;
--- a/net/include/savory/net/http_server.h
+++ b/net/include/savory/net/http_server.h
@@ -23,7 +23,8 @@
 };
 
 // The value of a header, or an empty text. The name is in lower case.
-std::string_view HeaderValue(const Headers& aHeaders, std::string_view aName);
+std::string_view
+HeaderValue(const Headers& aHeaders, std::string_view aName);
 
 // The reply to one request. It is sent whole, or started and continued in
 // chunks. After the caller has gone every call has no effect.
@@ -63,7 +64,8 @@
   bool mStarted = false;
 };
 
-using HttpHandler = sigc::slot<void(HttpRequest, std::shared_ptr<HttpReply>)>;
+using HttpHandler =
+  sigc::slot<void(const HttpRequest&, std::shared_ptr<HttpReply>)>;
 
 struct HttpServerOptions
 {
--- a/net/include/savory/net/inner.h
+++ b/net/include/savory/net/inner.h
@@ -39,7 +39,7 @@
   const std::string& Path() const { return mPath; }
   const std::string& PeerAddress() const { return mPeerAddress; }
 
-  sigc::slot<void(Frame)> mOnFrame;
+  sigc::slot<void(const Frame&)> mOnFrame;
   // Called when queued bytes left, for senders that wait for room.
   sigc::slot<void()> mOnRoom;
   // Called once when the stream is closed; true when both sides finished.
--- a/net/include/savory/net/loop.h
+++ b/net/include/savory/net/loop.h
@@ -34,11 +34,14 @@
 };
 
 // Monotonic time in milliseconds and microseconds.
-TimeMs MonotonicMs();
-std::int64_t MonotonicUs();
+TimeMs
+MonotonicMs();
+std::int64_t
+MonotonicUs();
 
 // Wall-clock time in milliseconds since the epoch; for names and logs only.
-std::int64_t WallClockMs();
+std::int64_t
+WallClockMs();
 
 // A timer that ends with its object.
 class Timer
@@ -64,7 +67,8 @@
 };
 
 // Calls the slot in the next turn of the loop.
-void Defer(EventLoop& aLoop, sigc::slot<void()> aSlot);
+void
+Defer(EventLoop& aLoop, sigc::slot<void()> aSlot);
 
 // A signal of the operating system, for as long as the object lives.
 class SignalWatch
--- a/net/src/http_client.cpp
+++ b/net/src/http_client.cpp
@@ -19,7 +19,8 @@
 
 constexpr std::size_t kMaxIdleConnections = 256;
 
-evhttp_cmd_type MethodType(std::string_view aName)
+evhttp_cmd_type
+MethodType(std::string_view aName)
 {
   if (aName == "POST") {
     return EVHTTP_REQ_POST;
@@ -42,7 +43,8 @@
   return EVHTTP_REQ_GET;
 }
 
-Headers ReadHeaders(evhttp_request* aRequest)
+Headers
+ReadHeaders(evhttp_request* aRequest)
 {
   Headers result;
   evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
@@ -60,7 +62,8 @@
 
 } // namespace
 
-tl::expected<Endpoint, std::string> ParseEndpoint(std::string_view aText)
+tl::expected<Endpoint, std::string>
+ParseEndpoint(std::string_view aText)
 {
   auto colon = aText.rfind(':');
   if (colon == std::string_view::npos || colon == 0) {
@@ -78,7 +81,8 @@
   return endpoint;
 }
 
-std::string ToString(const Endpoint& aEndpoint)
+std::string
+ToString(const Endpoint& aEndpoint)
 {
   return aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort);
 }
@@ -102,7 +106,7 @@
     }
     ReadBody(self, aRequest);
     if (!self->mDone) {
-      self->Finish(std::move(self->mResponse));
+      self->Finish(self->mResponse);
     }
   }
 
@@ -171,7 +175,8 @@
 
 // Ends the exchange once. The connection is dealt with in the next turn of the
 // loop, because evhttp still uses it when it calls back.
-void HttpExchange::Finish(HttpResult aResult)
+void
+HttpExchange::Finish(HttpResult aResult)
 {
   if (mDone) {
     return;
@@ -181,11 +186,12 @@
   ReturnConnection(aResult.has_value() && mKeepAlive);
   auto done = mOnDone;
   if (done) {
-    done(std::move(aResult));
+    done(aResult);
   }
 }
 
-void HttpExchange::ReturnConnection(bool aReusable)
+void
+HttpExchange::ReturnConnection(bool aReusable)
 {
   Defer(mClient->mLoop, [self = shared_from_this(), aReusable] {
     evhttp_connection* connection = std::exchange(self->mConnection, nullptr);
@@ -205,7 +211,8 @@
   });
 }
 
-void HttpExchange::Cancel()
+void
+HttpExchange::Cancel()
 {
   if (!mDone) {
     mDone = true;
@@ -214,7 +221,8 @@
   }
 }
 
-void HttpExchange::PauseReading(bool aPause)
+void
+HttpExchange::PauseReading(bool aPause)
 {
   if (!mConnection || mDone) {
     return;
@@ -239,8 +247,8 @@
   }
 }
 
-evhttp_connection* HttpClient::TakeConnection(const Endpoint& aServer,
-                                              bool aReuse)
+evhttp_connection*
+HttpClient::TakeConnection(const Endpoint& aServer, bool aReuse)
 {
   auto found =
     std::find_if(mIdle.rbegin(), mIdle.rend(), [&](const Idle& aIdle) {
@@ -257,7 +265,8 @@
                                     static_cast<std::uint16_t>(aServer.mPort));
 }
 
-std::shared_ptr<HttpExchange> HttpClient::Start(HttpCall aCall)
+std::shared_ptr<HttpExchange>
+HttpClient::Start(HttpCall aCall)
 {
   // 1. The exchange, which keeps itself until its connection is returned.
   auto exchange = std::make_shared<HttpExchange>();
@@ -315,9 +324,8 @@
   return exchange;
 }
 
-std::shared_ptr<HttpExchange> HttpClient::Fetch(
-  HttpCall aCall,
-  sigc::slot<void(HttpResult)> aDone)
+std::shared_ptr<HttpExchange>
+HttpClient::Fetch(HttpCall aCall, sigc::slot<void(const HttpResult&)> aDone)
 {
   auto exchange = Start(std::move(aCall));
   exchange->mOnDone = std::move(aDone);
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -34,7 +34,8 @@
   { EVHTTP_REQ_OPTIONS, "OPTIONS" },
 } };
 
-std::string_view MethodName(evhttp_cmd_type aType)
+std::string_view
+MethodName(evhttp_cmd_type aType)
 {
   for (const auto& row : kMethods) {
     if (row.mType == aType) {
@@ -44,7 +45,8 @@
   return "?";
 }
 
-HttpRequest ReadRequest(evhttp_request* aRequest)
+HttpRequest
+ReadRequest(evhttp_request* aRequest)
 {
   HttpRequest request;
   request.mMethod = MethodName(evhttp_request_get_command(aRequest));
@@ -69,7 +71,8 @@
   return request;
 }
 
-void AddHeaders(evhttp_request* aRequest, const Headers& aHeaders)
+void
+AddHeaders(evhttp_request* aRequest, const Headers& aHeaders)
 {
   evkeyvalq* output = evhttp_request_get_output_headers(aRequest);
   for (const auto& [name, value] : aHeaders) {
@@ -79,7 +82,8 @@
 
 } // namespace
 
-std::string_view HeaderValue(const Headers& aHeaders, std::string_view aName)
+std::string_view
+HeaderValue(const Headers& aHeaders, std::string_view aName)
 {
   for (const auto& [name, value] : aHeaders) {
     if (name == aName) {
@@ -104,7 +108,8 @@
 
 // Learns of the end of the caller's connection. evhttp has taken the request
 // off the connection by then and leaves it to be freed by its user.
-void HttpReply::WatchConnection()
+void
+HttpReply::WatchConnection()
 {
   evhttp_connection_set_closecb(
     evhttp_request_get_connection(mRequest),
@@ -124,7 +129,8 @@
 }
 
 // Ends the watch before the request is handed back to evhttp.
-void HttpReply::Release()
+void
+HttpReply::Release()
 {
   if (auto* connection = evhttp_request_get_connection(mRequest)) {
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
@@ -132,9 +138,8 @@
   mRequest = nullptr;
 }
 
-void HttpReply::Send(int aStatus,
-                     const Headers& aHeaders,
-                     std::string_view aBody)
+void
+HttpReply::Send(int aStatus, const Headers& aHeaders, std::string_view aBody)
 {
   if (!mRequest || mStarted) {
     return;
@@ -149,7 +154,8 @@
   evbuffer_free(body);
 }
 
-void HttpReply::Start(int aStatus, const Headers& aHeaders)
+void
+HttpReply::Start(int aStatus, const Headers& aHeaders)
 {
   if (!mRequest || mStarted) {
     return;
@@ -159,7 +165,8 @@
   evhttp_send_reply_start(mRequest, aStatus, nullptr);
 }
 
-void HttpReply::Chunk(std::string_view aBytes)
+void
+HttpReply::Chunk(std::string_view aBytes)
 {
   if (!mRequest || aBytes.empty()) {
     return;
@@ -180,7 +187,8 @@
   evbuffer_free(bytes);
 }
 
-void HttpReply::End()
+void
+HttpReply::End()
 {
   if (!mRequest) {
     return;
@@ -190,7 +198,8 @@
   evhttp_send_reply_end(request);
 }
 
-void HttpReply::Abort()
+void
+HttpReply::Abort()
 {
   if (!mRequest) {
     return;
@@ -205,7 +214,8 @@
   }
 }
 
-std::size_t HttpReply::PendingBytes() const
+std::size_t
+HttpReply::PendingBytes() const
 {
   if (!mRequest) {
     return 0;
@@ -215,7 +225,8 @@
     bufferevent_get_output(evhttp_connection_get_bufferevent(connection)));
 }
 
-bool HttpReply::CallerGone() const
+bool
+HttpReply::CallerGone() const
 {
   if (!mRequest) {
     return true;
@@ -250,7 +261,7 @@
       int on = 1;
       setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       HttpRequest request = ReadRequest(aRequest);
-      self->mHandler(std::move(request), std::make_shared<HttpReply>(aRequest));
+      self->mHandler(request, std::make_shared<HttpReply>(aRequest));
     },
     this);
 }
@@ -260,7 +271,8 @@
   evhttp_free(mServer);
 }
 
-int HttpServer::Listen(const std::string& aAddress, int aPort)
+int
+HttpServer::Listen(const std::string& aAddress, int aPort)
 {
   auto* bound = evhttp_bind_socket_with_handle(
     mServer, aAddress.c_str(), static_cast<std::uint16_t>(aPort));
--- a/net/src/inner.cpp
+++ b/net/src/inner.cpp
@@ -26,7 +26,8 @@
 // Bytes handed to the socket's buffer before the session waits for it.
 constexpr std::size_t kSocketBacklogBytes = 256 * 1024;
 
-nghttp2_nv HeaderField(const char* aName, const std::string& aValue)
+nghttp2_nv
+HeaderField(const char* aName, const std::string& aValue)
 {
   return { reinterpret_cast<std::uint8_t*>(const_cast<char*>(aName)),
            reinterpret_cast<std::uint8_t*>(const_cast<char*>(aValue.data())),
@@ -178,10 +179,10 @@
     if (!stream->mHoldsCredit) {
       nghttp2_session_consume_stream(aSession, aId, aLength);
     }
-    for (auto& frame : *frames) {
+    for (const auto& frame : *frames) {
       auto handler = stream->mOnFrame;
       if (handler && stream->IsOpen()) {
-        handler(std::move(frame));
+        handler(frame);
       }
     }
     return 0;
@@ -197,7 +198,8 @@
   }
 };
 
-void InnerStream::Send(FrameType aType, std::string_view aPayload)
+void
+InnerStream::Send(FrameType aType, std::string_view aPayload)
 {
   if (!mConnection || mFinished) {
     return;
@@ -218,7 +220,8 @@
   mConnection->ScheduleFlush();
 }
 
-void InnerStream::Finish()
+void
+InnerStream::Finish()
 {
   if (!mConnection || mFinished) {
     return;
@@ -231,7 +234,8 @@
   mConnection->ScheduleFlush();
 }
 
-void InnerStream::Cancel()
+void
+InnerStream::Cancel()
 {
   if (!mConnection) {
     return;
@@ -248,7 +252,8 @@
   mConnection = nullptr;
 }
 
-void InnerStream::Consume(std::size_t aBytes)
+void
+InnerStream::Consume(std::size_t aBytes)
 {
   if (mConnection && mHoldsCredit) {
     nghttp2_session_consume_stream(mConnection->mSession, mId, aBytes);
@@ -267,8 +272,8 @@
   Close();
 }
 
-std::shared_ptr<InnerConnection> InnerConnection::Connect(EventLoop& aLoop,
-                                                          const Endpoint& aPeer)
+std::shared_ptr<InnerConnection>
+InnerConnection::Connect(EventLoop& aLoop, const Endpoint& aPeer)
 {
   std::shared_ptr<InnerConnection> connection(
     new InnerConnection(aLoop, false));
@@ -305,7 +310,8 @@
   return connection;
 }
 
-void InnerConnection::Attach(bufferevent* aBuffer)
+void
+InnerConnection::Attach(bufferevent* aBuffer)
 {
   // 1. The HTTP/2 session with manual window updates.
   mBuffer = aBuffer;
@@ -364,7 +370,8 @@
   bufferevent_enable(aBuffer, EV_READ | EV_WRITE);
 }
 
-std::shared_ptr<InnerStream> InnerConnection::Open(const std::string& aPath)
+std::shared_ptr<InnerStream>
+InnerConnection::Open(const std::string& aPath)
 {
   if (!mSession) {
     return nullptr;
@@ -392,7 +399,8 @@
   return stream;
 }
 
-void InnerConnection::Receive()
+void
+InnerConnection::Receive()
 {
   auto keep = weak_from_this().lock();
   evbuffer* input = bufferevent_get_input(mBuffer);
@@ -414,7 +422,8 @@
 }
 
 // Hands frames to the socket until it has enough to write.
-void InnerConnection::Flush()
+void
+InnerConnection::Flush()
 {
   mFlushScheduled = false;
   if (!mSession || mReceiving || !mConnected) {
@@ -438,7 +447,8 @@
 
 // Flushes at the end of this turn, so that the frames of one turn share a
 // write.
-void InnerConnection::ScheduleFlush()
+void
+InnerConnection::ScheduleFlush()
 {
   if (mFlushScheduled) {
     return;
@@ -451,7 +461,8 @@
   });
 }
 
-void InnerConnection::CloseStream(int aId, bool aClean)
+void
+InnerConnection::CloseStream(int aId, bool aClean)
 {
   auto found = mStreams.find(aId);
   if (found == mStreams.end()) {
@@ -470,7 +481,8 @@
   }
 }
 
-void InnerConnection::Close()
+void
+InnerConnection::Close()
 {
   if (!mSession) {
     return;
@@ -514,7 +526,8 @@
   }
 }
 
-int InnerListener::Listen(const std::string& aAddress, int aPort)
+int
+InnerListener::Listen(const std::string& aAddress, int aPort)
 {
   sockaddr_in address{};
   address.sin_family = AF_INET;
--- a/net/src/log.cpp
+++ b/net/src/log.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-std::string Quoted(const std::string& aValue)
+std::string
+Quoted(const std::string& aValue)
 {
   if (!aValue.empty() &&
       aValue.find_first_of(" \t\r\n\"=") == std::string::npos) {
@@ -25,14 +26,16 @@
 
 } // namespace
 
-void StartLog(const std::string& aProgram)
+void
+StartLog(const std::string& aProgram)
 {
   FLAGS_logtostderr = true;
   static std::string program = aProgram;
   google::InitGoogleLogging(program.c_str());
 }
 
-void LogEvent(
+void
+LogEvent(
   Event aEvent,
   std::initializer_list<std::pair<std::string_view, std::string>> aFields)
 {
--- a/net/src/loop.cpp
+++ b/net/src/loop.cpp
@@ -17,34 +17,40 @@
   event_base_free(mBase);
 }
 
-void EventLoop::Run()
+void
+EventLoop::Run()
 {
   event_base_loop(mBase, EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
-void EventLoop::Stop()
+void
+EventLoop::Stop()
 {
   event_base_loopbreak(mBase);
 }
 
-TimeMs EventLoop::NowMs() const
+TimeMs
+EventLoop::NowMs() const
 {
   return MonotonicMs();
 }
 
-std::int64_t MonotonicUs()
+std::int64_t
+MonotonicUs()
 {
   return std::chrono::duration_cast<std::chrono::microseconds>(
            std::chrono::steady_clock::now().time_since_epoch())
     .count();
 }
 
-TimeMs MonotonicMs()
+TimeMs
+MonotonicMs()
 {
   return MonotonicUs() / 1000;
 }
 
-std::int64_t WallClockMs()
+std::int64_t
+WallClockMs()
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
            std::chrono::system_clock::now().time_since_epoch())
@@ -61,7 +67,8 @@
 
 namespace {
 
-timeval ToTimeval(TimeMs aMs)
+timeval
+ToTimeval(TimeMs aMs)
 {
   return { static_cast<time_t>(aMs / 1000),
            static_cast<suseconds_t>(aMs % 1000 * 1000) };
@@ -74,7 +81,8 @@
   *this = std::move(aOther);
 }
 
-Timer& Timer::operator=(Timer&& aOther) noexcept
+Timer&
+Timer::operator=(Timer&& aOther) noexcept
 {
   if (this != &aOther) {
     Cancel();
@@ -91,7 +99,8 @@
   Cancel();
 }
 
-void Timer::Cancel()
+void
+Timer::Cancel()
 {
   if (mState) {
     event_free(mState->mEvent);
@@ -99,7 +108,8 @@
   }
 }
 
-Timer Timer::After(EventLoop& aLoop, TimeMs aDelay, sigc::slot<void()> aSlot)
+Timer
+Timer::After(EventLoop& aLoop, TimeMs aDelay, sigc::slot<void()> aSlot)
 {
   Timer timer;
   timer.mState = new State;
@@ -120,7 +130,8 @@
   return timer;
 }
 
-Timer Timer::Every(EventLoop& aLoop, TimeMs aPeriod, sigc::slot<void()> aSlot)
+Timer
+Timer::Every(EventLoop& aLoop, TimeMs aPeriod, sigc::slot<void()> aSlot)
 {
   Timer timer;
   timer.mState = new State;
@@ -141,7 +152,8 @@
   return timer;
 }
 
-void Defer(EventLoop& aLoop, sigc::slot<void()> aSlot)
+void
+Defer(EventLoop& aLoop, sigc::slot<void()> aSlot)
 {
   auto* slot = new sigc::slot<void()>(std::move(aSlot));
   timeval now{ 0, 0 };
--- a/router/src/main.cpp
+++ b/router/src/main.cpp
@@ -1,4 +1,5 @@
-int main()
+int
+main()
 {
   return 0;
 }
--- a/tests/core/test_config.cpp
+++ b/tests/core/test_config.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-json Example()
+json
+Example()
 {
   std::ifstream file(SOURCE_DIR "/docs/examples/gulfway.json");
   return json::parse(file);
