Add entry and agent roles in thin form

Change: settings from one table, the two roles, model calls and service calls over inner streams. The choice of agent is by fewest requests until the balancer is merged.

--- a/core/include/savory/core/wire.h
+++ b/core/include/savory/core/wire.h
@@ -84,6 +84,10 @@
   std::uint64_t mFingerprint = 0;
   int mPriority = 0;
   bool mStream = false;
+  // Whether the agent may let the request wait, as when the entry has no other
+  // candidate, and whether it must run with no other request beside it.
+  bool mMayQueue = false;
+  bool mAlone = false;
 };
 
 // A call of a plain service, from an entry to an agent. The key is empty when
--- a/core/src/wire.cpp
+++ b/core/src/wire.cpp
@@ -158,6 +158,8 @@
   message["fingerprint"] = aMessage.mFingerprint;
   message["priority"] = aMessage.mPriority;
   message["stream"] = aMessage.mStream;
+  message["may_queue"] = aMessage.mMayQueue;
+  message["alone"] = aMessage.mAlone;
   return ToCbor(message);
 }
 
@@ -180,6 +182,8 @@
       .mFingerprint = aMessage.value("fingerprint", std::uint64_t(0)),
       .mPriority = aMessage.value("priority", 0),
       .mStream = aMessage.value("stream", false),
+      .mMayQueue = aMessage.value("may_queue", false),
+      .mAlone = aMessage.value("alone", false),
     };
   });
 }
--- a/net/src/inner.cpp
+++ b/net/src/inner.cpp
@@ -19,7 +19,7 @@
 
 // The window of one stream bounds what an entry holds for a slow caller; the
 // connection's window is wide, so that one slow stream stops no other.
-constexpr std::int32_t kStreamWindowBytes = 64 * 1024;
+constexpr std::int32_t kStreamWindowBytes = 32 * 1024;
 constexpr std::int32_t kConnectionWindowBytes = 64 * 1024 * 1024;
 constexpr std::uint32_t kMaxStreams = 100000;
 
--- /dev/null
+++ b/router/src/agent_exchange.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "savory/core/wire.h"
+#include "savory/net/inner.h"
+
+#include <memory>
+#include <string>
+
+namespace savory {
+
+// One request from an entry to an agent and its answer. Exactly one of
+// mOnRefused, mOnEnd and mOnBroken ends it.
+class AgentExchange : public std::enable_shared_from_this<AgentExchange>
+{
+public:
+  // Opens a stream and sends head and body. Null when the connection is gone,
+  // and then nothing was sent.
+  static std::shared_ptr<AgentExchange> Start(InnerConnection& aConnection,
+                                              const std::string& aPath,
+                                              const std::string& aHead,
+                                              std::string_view aBody);
+
+  // The agent accepted the request; its answer follows.
+  sigc::slot<void(const AnswerHead&)> mOnAccepted;
+  sigc::slot<void(const AnswerHead&)> mOnRefused;
+  sigc::slot<void(std::string_view)> mOnBody;
+  sigc::slot<void(const AnswerEnd&)> mOnEnd;
+  // The stream closed before its end; true when the agent had accepted.
+  sigc::slot<void(bool)> mOnBroken;
+
+  // Ends the request at the agent; no callback runs afterwards.
+  void Cancel();
+  // Keeps the agent from sending more than a window until Release is called.
+  void HoldCredit();
+  void ReleaseCredit();
+
+private:
+  void OnFrame(const Frame& aFrame);
+  void Finish();
+
+  std::shared_ptr<InnerStream> mStream;
+  bool mAccepted = false;
+  bool mDone = false;
+  bool mHolds = false;
+  std::size_t mHeldBytes = 0;
+};
+
+} // namespace savory
--- /dev/null
+++ b/router/src/agent_links.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "node.h"
+#include "savory/core/wire.h"
+#include "savory/net/inner.h"
+#include "savory/platform/host_list.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace savory {
+
+// An entry's connection to one agent.
+struct AgentLink
+{
+  Host mHost;
+  std::shared_ptr<InnerConnection> mConnection;
+  std::shared_ptr<InnerStream> mReports;
+  Report mReport;
+  TimeMs mReportedMs = 0;
+  int mOwn = 0;
+  std::int64_t mPushedRevision = 0;
+  TimeMs mRetryAtMs = 0;
+};
+
+// Keeps an entry connected to its agents, receives their reports and brings
+// them the configuration in force.
+class AgentLinks
+{
+public:
+  explicit AgentLinks(Node& aNode);
+
+  // Takes the agents of a host list: connects to new ones and drops those
+  // that are gone.
+  void SetHosts(const std::vector<Host>& aHosts);
+
+  // The link to an agent's inner address, or null.
+  AgentLink* Find(const std::string& aAddress);
+  const std::map<std::string, AgentLink>& All() const { return mLinks; }
+
+  // Called for each report, after it was stored in the link.
+  sigc::signal<void(const Report&)> mOnReport;
+  // Called when the connection to an agent is lost or the agent is gone.
+  sigc::signal<void(const std::string&)> mOnLost;
+
+private:
+  void Connect(const std::string& aAddress, AgentLink& aLink);
+  void Subscribe(const std::string& aAddress);
+  void PushConfiguration(AgentLink& aLink);
+  void Maintain();
+
+  Node& mNode;
+  std::map<std::string, AgentLink> mLinks;
+  Timer mMaintain;
+};
+
+} // namespace savory
--- /dev/null
+++ b/router/src/caller_api.cpp
@@ -0,0 +1,222 @@
+#include "caller_api.h"
+
+#include "savory/core/identity.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace savory {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::int64_t kBytesPerToken = 4;
+constexpr std::int64_t kTokensPerImage = 1024;
+constexpr std::int64_t kDefaultOutputTokens = 256;
+constexpr std::int64_t kMaxOutputTokens = 1 << 20;
+constexpr TimeMs kMaxDeadlineMs = 3600000;
+constexpr std::size_t kMaxKeyBytes = 256;
+
+json
+ErrorDocument(const CallerError& aError, const std::string& aRequestId)
+{
+  return { { "error",
+             { { "code", NameOf(kErrorCodeNames, aError.mCode) },
+               { "message", aError.mMessage },
+               { "ran", NameOf(kRanNames, aError.mRan) },
+               { "retry", MayRetry(aError.mCode) },
+               { "retry_after_ms", aError.mRetryAfterMs },
+               { "request_id", aRequestId } } } };
+}
+
+// Replaces bytes that are no UTF-8, so that any text of a caller may stand in
+// an error.
+std::string
+Dump(const json& aDocument)
+{
+  return aDocument.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+tl::unexpected<CallerError>
+BadRequest(const std::string& aMessage)
+{
+  return tl::unexpected(
+    CallerError{ ErrorCode::BadRequest, aMessage, Ran::NotRun, 0 });
+}
+
+// Adds the text and images of one message's content, a string or a list of
+// parts.
+bool
+ReadContent(const json& aContent, ChatRequest& aRequest)
+{
+  if (aContent.is_string()) {
+    aRequest.mPrompt += aContent.get_ref<const std::string&>();
+    aRequest.mPrompt += '\n';
+    return true;
+  }
+  if (!aContent.is_array()) {
+    return aContent.is_null();
+  }
+  for (const auto& part : aContent) {
+    if (!part.is_object()) {
+      return false;
+    }
+    auto type = part.find("type");
+    if (type != part.end() && *type == "image_url") {
+      aRequest.mHasImages = true;
+      aRequest.mInputTokens += kTokensPerImage;
+    } else if (part.contains("text") && part["text"].is_string()) {
+      aRequest.mPrompt += part["text"].get_ref<const std::string&>();
+      aRequest.mPrompt += '\n';
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+bool
+MayRetry(ErrorCode aCode)
+{
+  switch (aCode) {
+    case ErrorCode::BadRequest:
+    case ErrorCode::BodyTooLarge:
+    case ErrorCode::Unauthorized:
+    case ErrorCode::NotAllowed:
+    case ErrorCode::UnknownModel:
+    case ErrorCode::UnknownService:
+    case ErrorCode::SessionVersionWithdrawn:
+    case ErrorCode::KeyReused:
+    case ErrorCode::Quarantined:
+    case ErrorCode::OutcomeUnknown:
+      return false;
+    default:
+      return true;
+  }
+}
+
+void
+SendError(HttpReply& aReply,
+          const CallerError& aError,
+          const std::string& aRequestId)
+{
+  Headers headers{ { "Content-Type", "application/json" },
+                   { "x-savory-request-id", aRequestId } };
+  if (aError.mRetryAfterMs > 0) {
+    headers.emplace_back("Retry-After",
+                         std::to_string((aError.mRetryAfterMs + 999) / 1000));
+  }
+  aReply.Send(HttpStatus(aError.mCode),
+              headers,
+              Dump(ErrorDocument(aError, aRequestId)) + "\n");
+}
+
+std::string
+StreamError(const CallerError& aError, const std::string& aRequestId)
+{
+  return "data: " + Dump(ErrorDocument(aError, aRequestId)) + "\n\n";
+}
+
+tl::expected<CallerContext, CallerError>
+ReadContext(Node& aNode, const HttpRequest& aRequest)
+{
+  CallerContext context;
+  context.mConfig = aNode.mConfig;
+
+  // 1. Who calls.
+  if (!context.mConfig) {
+    return tl::unexpected(CallerError{
+      ErrorCode::NoConfiguration, "no configuration yet", Ran::NotRun, 1000 });
+  }
+  std::string_view bearer = HeaderValue(aRequest.mHeaders, "authorization");
+  constexpr std::string_view kBearer = "Bearer ";
+  if (bearer.substr(0, kBearer.size()) == kBearer) {
+    context.mCustomer =
+      FindCustomerByKey(*context.mConfig, bearer.substr(kBearer.size()));
+  }
+  if (!context.mCustomer) {
+    return tl::unexpected(CallerError{ ErrorCode::Unauthorized,
+                                       "the bearer key is missing or unknown",
+                                       Ran::NotRun,
+                                       0 });
+  }
+
+  // 2. The idempotency key, from which the request id is derived.
+  context.mKey = HeaderValue(aRequest.mHeaders, "idempotency-key");
+  if (context.mKey.size() > kMaxKeyBytes) {
+    return BadRequest("Idempotency-Key is longer than 256 bytes");
+  }
+  context.mRequestId =
+    context.mKey.empty()
+      ? "rq-" + RandomId(aNode)
+      : RequestIdForKey(context.mCustomer->mName, context.mKey);
+
+  // 3. The deadline.
+  context.mDeadlineMs = PresetInForce(*context.mConfig).mDeadlineMs;
+  std::string_view deadline = HeaderValue(aRequest.mHeaders, "x-deadline-ms");
+  if (!deadline.empty()) {
+    TimeMs value = 0;
+    auto [end, error] = std::from_chars(
+      deadline.data(), deadline.data() + deadline.size(), value);
+    if (error != std::errc() || end != deadline.data() + deadline.size() ||
+        value < 1 || value > kMaxDeadlineMs) {
+      return BadRequest("x-deadline-ms must be a number from 1 to 3600000");
+    }
+    context.mDeadlineMs = value;
+  }
+  context.mExplain =
+    HeaderValue(aRequest.mHeaders, "x-savory-explain") == "true";
+  return context;
+}
+
+tl::expected<ChatRequest, CallerError>
+ParseChatRequest(const std::string& aBody)
+{
+  json document = json::parse(aBody, nullptr, false);
+  if (!document.is_object()) {
+    return BadRequest("the body is not a JSON object");
+  }
+  ChatRequest request;
+  if (document.contains("model")) {
+    if (!document["model"].is_string()) {
+      return BadRequest("\"model\" must be a string");
+    }
+    request.mModel = document["model"].get<std::string>();
+  }
+  if (request.mModel == "auto") {
+    request.mModel.clear();
+  }
+  auto messages = document.find("messages");
+  if (messages == document.end() || !messages->is_array() ||
+      messages->empty()) {
+    return BadRequest("\"messages\" must be a list with an element");
+  }
+  for (const auto& message : *messages) {
+    if (!message.is_object() || !message.contains("content") ||
+        !ReadContent(message["content"], request)) {
+      return BadRequest("each message must be an object with content");
+    }
+  }
+  auto stream = document.find("stream");
+  if (stream != document.end()) {
+    if (!stream->is_boolean()) {
+      return BadRequest("\"stream\" must be true or false");
+    }
+    request.mStream = stream->get<bool>();
+  }
+  request.mOutputTokens = kDefaultOutputTokens;
+  auto limit = document.find("max_tokens");
+  if (limit != document.end()) {
+    if (!limit->is_number_integer() || limit->get<std::int64_t>() < 1 ||
+        limit->get<std::int64_t>() > kMaxOutputTokens) {
+      return BadRequest("\"max_tokens\" must be a number from 1 to 1048576");
+    }
+    request.mOutputTokens = limit->get<std::int64_t>();
+  }
+  request.mInputTokens +=
+    static_cast<std::int64_t>(request.mPrompt.size()) / kBytesPerToken + 1;
+  return request;
+}
+
+} // namespace savory
--- a/router/src/main.cpp
+++ b/router/src/main.cpp
@@ -1,5 +1,79 @@
+#include "agent.h"
+#include "entry.h"
+#include "node.h"
+#include "savory/net/log.h"
+#include "settings.h"
+
+#include <csignal>
+#include <cstdio>
+
+using namespace savory;
+
+namespace {
+
+// Ends gracefully at the first signal and at once at the second.
+struct Stopper
+{
+  Node& mNode;
+  sigc::slot<void()> mDrain;
+  int mSignals = 0;
+  int mExitCode = kExitOk;
+
+  void OnSignal()
+  {
+    if (++mSignals == 1) {
+      mDrain();
+      return;
+    }
+    LogEvent(Event::AbandonedAtStop, { { "reason", "second signal" } });
+    mExitCode = kExitAbandoned;
+    mNode.mLoop.Stop();
+  }
+};
+
+template<class RoleProcess>
+int
+RunRole(Node& aNode)
+{
+  RoleProcess process(aNode);
+  if (!process.Listen()) {
+    std::fprintf(stderr, "cannot listen on the given addresses\n");
+    return kExitCannotListen;
+  }
+  Stopper stopper{ aNode, [&] { process.Drain(); } };
+  SignalWatch terminate(
+    aNode.mLoop, SIGTERM, [&] { stopper.OnSignal(); });
+  SignalWatch interrupt(aNode.mLoop, SIGINT, [&] { stopper.OnSignal(); });
+  LogEvent(Event::ProcessStarted,
+           { { "role", std::string(NameOf(kRoleNames, aNode.mSettings.mRole)) },
+             { "host", aNode.mSettings.mHost },
+             { "listen", ToString(aNode.mSettings.mListen) },
+             { "inner", ToString(aNode.mSettings.mInner) },
+             { "admin", ToString(aNode.mSettings.mAdmin) } });
+  aNode.mLoop.Run();
+  LogEvent(Event::ProcessStopped,
+           { { "exit", std::to_string(stopper.mExitCode) } });
+  return stopper.mExitCode;
+}
+
+} // namespace
+
 int
-main()
+main(int aCount, char** aArguments)
 {
-  return 0;
+  auto settings = ParseSettings({ aArguments, aArguments + aCount });
+  if (!settings) {
+    std::fputs(settings.error().mText.c_str(),
+               settings.error().mCode == kExitOk ? stdout : stderr);
+    return settings.error().mCode;
+  }
+  if (settings->mCheckOnly) {
+    std::puts("settings: ok");
+    return kExitOk;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  StartLog("savorystream");
+  Node node(*settings);
+  return node.mSettings.mRole == Role::Entry ? RunRole<Entry>(node)
+                                             : RunRole<Agent>(node);
 }
