Add stand-ins for store, hosts, engine and service

Cause: process tests and independent checkers need the platform's interfaces with their faults, and no third-party server may be run.

Change: tests/standins holds a small static library of the servers and the program `standin` with a subcommand each. Every server has POST /fault for its switches and GET /seen for what it saw. The store speaks the etcd v3 JSON mapping in memory. The engine crashes under more than its cold share, above its token capacity and on a poisoned prompt, and restarts under the same port as a new instance. Three moves into sigc++ slots, which take constant references, are removed from net, because clang-tidy refuses them.

Ruled out: generating tokens with one timer for each token; due tokens are computed from the elapsed time, so that rates above 1000 per second hold.

Checked: each interface by curl (store compare-and-swap, watch, lost answer; service cut; engine stream, poison, cold crash, cut, fencing).

--- a/net/src/http_client.cpp
+++ b/net/src/http_client.cpp
@@ -181,7 +181,7 @@
   ReturnConnection(aResult.has_value() && mKeepAlive);
   auto done = mOnDone;
   if (done) {
-    done(std::move(aResult));
+    done(aResult);
   }
 }
 
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -249,8 +249,8 @@
         evhttp_request_get_connection(aRequest)));
       int on = 1;
       setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      HttpRequest request = ReadRequest(aRequest);
-      self->mHandler(std::move(request), std::make_shared<HttpReply>(aRequest));
+      const HttpRequest request = ReadRequest(aRequest);
+      self->mHandler(request, std::make_shared<HttpReply>(aRequest));
     },
     this);
 }
--- a/net/src/inner.cpp
+++ b/net/src/inner.cpp
@@ -178,10 +178,10 @@
     if (!stream->mHoldsCredit) {
       nghttp2_session_consume_stream(aSession, aId, aLength);
     }
-    for (auto& frame : *frames) {
+    for (const auto& frame : *frames) {
       auto handler = stream->mOnFrame;
       if (handler && stream->IsOpen()) {
-        handler(std::move(frame));
+        handler(frame);
       }
     }
     return 0;
--- /dev/null
+++ b/tests/standins/hosts.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "server.h"
+
+#include <deque>
+
+namespace savory {
+
+// The platform's list of hosts: GET /hosts serves it, PUT /hosts replaces it.
+// Faults: down, lag_ms (the list served is the one of that long ago).
+class HostsStandin : public Standin
+{
+public:
+  explicit HostsStandin(EventLoop& aLoop);
+
+  nlohmann::json Seen() override;
+
+protected:
+  void Handle(const HttpRequest& aRequest, const Reply& aReply) override;
+
+private:
+  struct Entry
+  {
+    TimeMs mSinceMs;
+    std::string mList;
+  };
+
+  std::deque<Entry> mLists;
+  int mReads = 0;
+  int mWrites = 0;
+};
+
+} // namespace savory
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -1,4 +1,164 @@
-int main()
+#include "engine.h"
+#include "hosts.h"
+#include "service.h"
+#include "store.h"
+
+#include "savory/net/http_client.h"
+
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+using namespace savory;
+
+namespace {
+
+// Declares a subcommand's options, and makes its server from them once the
+// command line has been read.
+using Maker = std::function<std::unique_ptr<Standin>(EventLoop&)>;
+using Declare = Maker (*)(TCLAP::CmdLine&);
+
+// The options live as long as the process, which the command line refers to.
+template<class T>
+TCLAP::ValueArg<T>& Option(TCLAP::CmdLine& aLine,
+                           const std::string& aName,
+                           const std::string& aText,
+                           T aDefault)
 {
+  return *new TCLAP::ValueArg<T>(
+    "", aName, aText, false, aDefault, "value", aLine);
+}
+
+Maker DeclareStore(TCLAP::CmdLine&)
+{
+  return [](EventLoop& aLoop) { return std::make_unique<StoreStandin>(aLoop); };
+}
+
+Maker DeclareHosts(TCLAP::CmdLine&)
+{
+  return [](EventLoop& aLoop) { return std::make_unique<HostsStandin>(aLoop); };
+}
+
+Maker DeclareService(TCLAP::CmdLine& aLine)
+{
+  auto& work = Option<TimeMs>(aLine, "work-ms", "time that a run takes", 0);
+  auto& slots = Option<int>(aLine, "slots", "max_running of the load", 64);
+  return [&](EventLoop& aLoop) {
+    return std::make_unique<ServiceStandin>(
+      aLoop, ServiceOptions{ work.getValue(), slots.getValue() });
+  };
+}
+
+Maker DeclareEngine(TCLAP::CmdLine& aLine)
+{
+  EngineOptions defaults;
+  auto& serves = *new TCLAP::MultiArg<std::string>(
+    "", "serves", "model@version, repeatable", true, "name", aLine);
+  auto& first = Option<TimeMs>(
+    aLine, "first-token-ms", "time to first token", defaults.mFirstTokenMs);
+  auto& token =
+    Option<double>(aLine, "token-ms", "time per token", defaults.mTokenMs);
+  auto& prefill = Option<TimeMs>(aLine,
+                                 "prefill-ms",
+                                 "added per thousand uncached input tokens",
+                                 defaults.mPrefillMs);
+  auto& slots =
+    Option<int>(aLine, "slots", "concurrent requests", defaults.mSlots);
+  auto& capacity = Option<std::int64_t>(
+    aLine, "token-capacity", "tokens held at most", defaults.mTokenCapacity);
+  auto& cold = Option<TimeMs>(
+    aLine, "cold-ms", "length of a cold start", defaults.mColdMs);
+  auto& coldRequests = Option<int>(aLine,
+                                   "cold-concurrency",
+                                   "requests carried while cold",
+                                   defaults.mColdConcurrency);
+  auto& restart = Option<TimeMs>(
+    aLine, "restart-ms", "time a restart takes", defaults.mRestartMs);
+  auto& poison = Option<std::string>(
+    aLine, "poison", "text of a prompt that crashes the engine", "");
+  auto& lag = Option<TimeMs>(aLine, "load-lag-ms", "lag of the load report", 0);
+  auto& blocks = Option<std::size_t>(
+    aLine, "cache-blocks", "blocks of 64 tokens cached", defaults.mCacheBlocks);
+  auto& ignores = *new TCLAP::SwitchArg(
+    "", "ignores-fencing", "accepts orders with old tokens", aLine);
+  return [&](EventLoop& aLoop) {
+    EngineOptions options{
+      .mServes = { serves.getValue().begin(), serves.getValue().end() },
+      .mFirstTokenMs = first.getValue(),
+      .mTokenMs = token.getValue(),
+      .mPrefillMs = prefill.getValue(),
+      .mSlots = slots.getValue(),
+      .mTokenCapacity = capacity.getValue(),
+      .mColdMs = cold.getValue(),
+      .mColdConcurrency = coldRequests.getValue(),
+      .mRestartMs = restart.getValue(),
+      .mPoison = poison.getValue(),
+      .mLoadLagMs = lag.getValue(),
+      .mIgnoresFencing = ignores.getValue(),
+      .mCacheBlocks = blocks.getValue(),
+    };
+    return std::make_unique<EngineStandin>(aLoop, options);
+  };
+}
+
+struct Subcommand
+{
+  std::string_view mName;
+  Declare mDeclare;
+};
+
+constexpr std::array<Subcommand, 4> kSubcommands{ {
+  { "store", &DeclareStore },
+  { "hosts", &DeclareHosts },
+  { "engine", &DeclareEngine },
+  { "service", &DeclareService },
+} };
+
+int Serve(const Subcommand& aCommand, int aCount, char** aArguments)
+{
+  // 1. The command line, whose first word is the subcommand.
+  TCLAP::CmdLine line("Stand-in for an interface of the platform");
+  auto& listen = Option<std::string>(
+    line, "listen", "IP:PORT; port 0 lets the kernel choose", "127.0.0.1:0");
+  Maker maker = aCommand.mDeclare(line);
+  line.parse(aCount - 1, aArguments + 1);
+  auto endpoint = ParseEndpoint(listen.getValue());
+  if (!endpoint) {
+    std::cerr << endpoint.error() << std::endl;
+    return 2;
+  }
+
+  // 2. The server, until a signal ends it.
+  EventLoop loop;
+  auto server = maker(loop);
+  int port = server->Listen(endpoint->mAddress, endpoint->mPort);
+  if (port == 0) {
+    std::cerr << "cannot listen on " << listen.getValue() << std::endl;
+    return 1;
+  }
+  std::cout << "listening " << endpoint->mAddress << ":" << port << std::endl;
+  SignalWatch terminate(loop, SIGTERM, [&] { loop.Stop(); });
+  SignalWatch interrupt(loop, SIGINT, [&] { loop.Stop(); });
+  loop.Run();
   return 0;
 }
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  for (const auto& command : kSubcommands) {
+    if (aCount > 1 && command.mName == aArguments[1]) {
+      return Serve(command, aCount, aArguments);
+    }
+  }
+  std::cerr << "usage: standin";
+  for (const auto& command : kSubcommands) {
+    std::cerr << (command.mName == kSubcommands[0].mName ? " " : "|")
+              << command.mName;
+  }
+  std::cerr << " --listen IP:PORT [options]" << std::endl;
+  return 2;
+}
--- /dev/null
+++ b/tests/standins/server.cpp
@@ -0,0 +1,93 @@
+#include "server.h"
+
+namespace savory {
+
+using nlohmann::json;
+
+Standin::Standin(EventLoop& aLoop)
+  : mLoop(aLoop)
+{
+}
+
+int Standin::Listen(const std::string& aAddress, int aPort)
+{
+  mAddress = aAddress;
+  mPort = aPort;
+  Open();
+  return mServer ? mPort : 0;
+}
+
+void Standin::Open()
+{
+  HttpServerOptions options;
+  options.mMaxBodyBytes = 64 * 1024 * 1024;
+  options.mTimeoutS = 3600;
+  mServer = std::make_unique<HttpServer>(
+    mLoop,
+    [this](HttpRequest aRequest, Reply aReply) { Dispatch(aRequest, aReply); },
+    options);
+  int port = mServer->Listen(mAddress, mPort);
+  if (port == 0) {
+    mServer.reset();
+    return;
+  }
+  mPort = port;
+}
+
+void Standin::DropConnections(TimeMs aDownMs)
+{
+  // Not from within a callback of the server that is to go.
+  mReopen = Timer::After(mLoop, 0, [this, aDownMs] {
+    mServer.reset();
+    mReopen = Timer::After(mLoop, aDownMs, [this] { Open(); });
+  });
+}
+
+void Standin::Dispatch(const HttpRequest& aRequest, const Reply& aReply)
+{
+  try {
+    if (aRequest.mMethod == "GET" && aRequest.mPath == "/seen") {
+      Answer(aReply, 200, Seen());
+    } else if (aRequest.mMethod == "POST" && aRequest.mPath == "/fault") {
+      SetFaults(json::parse(aRequest.mBody));
+      Answer(aReply, 200, mFault);
+    } else {
+      Handle(aRequest, aReply);
+    }
+  } catch (const json::exception& error) {
+    Answer(aReply, 400, { { "error", error.what() }, { "code", 3 } });
+  }
+}
+
+void Standin::SetFaults(const json& aFaults)
+{
+  mFault.merge_patch(aFaults);
+}
+
+void Standin::Later(TimeMs aDelayMs, sigc::slot<void()> aSlot)
+{
+  std::int64_t id = ++mLastTimer;
+  mTimers[id] = Timer::After(mLoop, aDelayMs, [this, id, aSlot] {
+    mTimers.erase(id);
+    aSlot();
+  });
+}
+
+bool Standin::TakeFault(const std::string& aName)
+{
+  int left = mFault.value(aName, 0);
+  if (left <= 0) {
+    return false;
+  }
+  mFault[aName] = left - 1;
+  return true;
+}
+
+void Standin::Answer(const Reply& aReply, int aStatus, const json& aBody)
+{
+  aReply->Send(aStatus,
+               { { "Content-Type", "application/json" } },
+               aBody.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+} // namespace savory
--- /dev/null
+++ b/tests/standins/service.cpp
@@ -0,0 +1,105 @@
+#include "service.h"
+
+namespace savory {
+
+using nlohmann::json;
+
+ServiceStandin::ServiceStandin(EventLoop& aLoop, const ServiceOptions& aOptions)
+  : Standin(aLoop)
+  , mOptions(aOptions)
+{
+  Start();
+}
+
+void ServiceStandin::Start()
+{
+  mStartMs = MonotonicMs();
+  mInstance = "service-" + std::to_string(MonotonicUs()) + "-" +
+              std::to_string(++mStarts);
+  mRunning = 0;
+}
+
+json ServiceStandin::Seen()
+{
+  return { { "runs", mRuns },
+           { "by_key", mByKey },
+           { "starts", mStarts },
+           { "instance", mInstance } };
+}
+
+void ServiceStandin::SetFaults(const json& aFaults)
+{
+  json faults = aFaults;
+  bool crash = faults.value("crash", false);
+  faults.erase("crash");
+  Standin::SetFaults(faults);
+  if (crash) {
+    // After the answer to this request has left.
+    Later(20, [this] {
+      Start();
+      DropConnections(50);
+    });
+  }
+}
+
+void ServiceStandin::Handle(const HttpRequest& aRequest, const Reply& aReply)
+{
+  // 1. The load report.
+  if (aRequest.mMethod == "GET" && aRequest.mPath == "/load") {
+    Answer(aReply,
+           200,
+           { { "instance", mInstance },
+             { "uptime_ms", MonotonicMs() - mStartMs },
+             { "running", mRunning },
+             { "queued", 0 },
+             { "tokens_held", 0 },
+             { "token_capacity", 0 },
+             { "max_running", mOptions.mMaxRunning },
+             { "versions", json::array() },
+             { "warm", true } });
+    return;
+  }
+  if (int status = mFault.value("refuse_status", 0); status != 0) {
+    Answer(aReply, status, { { "error", "refused" } });
+    return;
+  }
+
+  // 2. The run, which takes effect at its start.
+  int run = ++mRuns;
+  ++mRunning;
+  mByKey[std::string(HeaderValue(aRequest.mHeaders, "idempotency-key"))]
+    .push_back({ { "run", run },
+                 { "method", aRequest.mMethod },
+                 { "path", aRequest.mPath },
+                 { "at_ms", MonotonicMs() },
+                 { "instance", mInstance } });
+  if (mFault.value("hang", false)) {
+    // Holds the connection until the caller or this process ends it.
+    aReply->mOnClosed = [this, aReply] { --mRunning; };
+    return;
+  }
+  Later(mOptions.mWorkMs + mFault.value("slow_ms", TimeMs(0)),
+        [this, run, aRequest, aReply] { Complete(run, aRequest, aReply); });
+}
+
+void ServiceStandin::Complete(int aRun,
+                              const HttpRequest& aRequest,
+                              const Reply& aReply)
+{
+  mRunning -= mRunning > 0 ? 1 : 0;
+  if (TakeFault("cut")) {
+    aReply->Abort();
+    return;
+  }
+  Answer(aReply,
+         200,
+         { { "run", aRun },
+           { "instance", mInstance },
+           { "method", aRequest.mMethod },
+           { "path", aRequest.mPath },
+           { "query", aRequest.mQuery },
+           { "key", HeaderValue(aRequest.mHeaders, "idempotency-key") },
+           { "body", aRequest.mBody } });
+}
+
+} // namespace savory
