--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -26,7 +26,8 @@
 };
 
 // The text of all messages, and its length in tokens.
-Prompt ReadPrompt(const json& aMessages)
+Prompt
+ReadPrompt(const json& aMessages)
 {
   Prompt prompt;
   std::int64_t photographs = 0;
@@ -48,7 +49,8 @@
   return prompt;
 }
 
-json ErrorJson(const std::string& aType, const std::string& aMessage)
+json
+ErrorJson(const std::string& aType, const std::string& aMessage)
 {
   return { { "error", { { "type", aType }, { "message", aMessage } } } };
 }
@@ -71,7 +73,8 @@
   Start();
 }
 
-void EngineStandin::Start()
+void
+EngineStandin::Start()
 {
   mStartMs = MonotonicMs();
   mInstance =
@@ -82,7 +85,8 @@
   mCacheEvents.clear();
 }
 
-void EngineStandin::Crash(const std::string& aCause)
+void
+EngineStandin::Crash(const std::string& aCause)
 {
   mCrashes.push_back({ { "at_ms", MonotonicMs() },
                        { "cause", aCause },
@@ -95,7 +99,8 @@
   DropConnections(mOptions.mRestartMs);
 }
 
-json EngineStandin::Seen()
+json
+EngineStandin::Seen()
 {
   json runs = mEnded;
   for (const auto& run : mRuns) {
@@ -109,7 +114,8 @@
            { "load", Load() } };
 }
 
-void EngineStandin::SetFaults(const json& aFaults)
+void
+EngineStandin::SetFaults(const json& aFaults)
 {
   json faults = aFaults;
   bool restart = faults.value("restart", false);
@@ -121,7 +127,8 @@
   }
 }
 
-void EngineStandin::Handle(const HttpRequest& aRequest, const Reply& aReply)
+void
+EngineStandin::Handle(const HttpRequest& aRequest, const Reply& aReply)
 {
   if (aRequest.mPath == "/v1/chat/completions" && aRequest.mMethod == "POST") {
     Accept(aRequest, aReply);
@@ -139,7 +146,8 @@
   }
 }
 
-void EngineStandin::Accept(const HttpRequest& aRequest, const Reply& aReply)
+void
+EngineStandin::Accept(const HttpRequest& aRequest, const Reply& aReply)
 {
   // 1. The request and the version it asks for.
   json body = json::parse(aRequest.mBody);
@@ -201,7 +209,8 @@
   }
 }
 
-void EngineStandin::StartWaiting()
+void
+EngineStandin::StartWaiting()
 {
   auto running = std::count_if(
     mRuns.begin(), mRuns.end(), [](const Run& aRun) { return aRun.mRunning; });
@@ -222,7 +231,8 @@
 }
 
 // Produces the tokens that are due.
-void EngineStandin::Continue(Run& aRun)
+void
+EngineStandin::Continue(Run& aRun)
 {
   // 1. Callers that have gone, and the faults that hold or cut an answer.
   if (aRun.mReply->CallerGone()) {
@@ -263,7 +273,8 @@
                  [this, &aRun] { Continue(aRun); });
 }
 
-void EngineStandin::SendToken(Run& aRun)
+void
+EngineStandin::SendToken(Run& aRun)
 {
   if (aRun.mTokens == 0) {
     aRun.mRecord["first_token_ms"] = MonotonicMs();
@@ -291,14 +302,16 @@
   aRun.mReply->Chunk("data: " + event.dump() + "\n\n");
 }
 
-json EngineStandin::Usage(const Run& aRun) const
+json
+EngineStandin::Usage(const Run& aRun) const
 {
   return { { "prompt_tokens", aRun.mInputTokens },
            { "completion_tokens", aRun.mTokens },
            { "total_tokens", aRun.mInputTokens + aRun.mTokens } };
 }
 
-void EngineStandin::Complete(Run& aRun)
+void
+EngineStandin::Complete(Run& aRun)
 {
   Reply reply = aRun.mReply;
   if (aRun.mStream) {
@@ -331,7 +344,8 @@
   StartWaiting();
 }
 
-void EngineStandin::EndRun(Run& aRun, const std::string& aOutcome)
+void
+EngineStandin::EndRun(Run& aRun, const std::string& aOutcome)
 {
   aRun.mRecord["outcome"] = aOutcome;
   aRun.mRecord["tokens"] = aRun.mTokens;
@@ -341,7 +355,8 @@
   mRuns.remove_if([&](const Run& aOther) { return &aOther == &aRun; });
 }
 
-void EngineStandin::DropAbandoned()
+void
+EngineStandin::DropAbandoned()
 {
   std::vector<Run*> gone;
   for (auto& run : mRuns) {
@@ -357,7 +372,8 @@
   }
 }
 
-std::int64_t EngineStandin::TokensHeld() const
+std::int64_t
+EngineStandin::TokensHeld() const
 {
   std::int64_t held = 0;
   for (const auto& run : mRuns) {
@@ -366,7 +382,8 @@
   return held;
 }
 
-json EngineStandin::Load() const
+json
+EngineStandin::Load() const
 {
   auto running = std::count_if(
     mRuns.begin(), mRuns.end(), [](const Run& aRun) { return aRun.mRunning; });
@@ -381,7 +398,8 @@
            { "warm", MonotonicMs() - mStartMs >= mOptions.mColdMs } };
 }
 
-std::int64_t EngineStandin::CachePrompt(const std::string& aPrompt)
+std::int64_t
+EngineStandin::CachePrompt(const std::string& aPrompt)
 {
   // 1. The blocks that are not cached; a block is hashed with all before it.
   std::size_t size = kBlockTokens * kCharactersPerToken;
@@ -422,8 +440,9 @@
   return static_cast<std::int64_t>(tokens - std::min(tokens, cached));
 }
 
-void EngineStandin::AnswerCacheEvents(const HttpRequest& aRequest,
-                                      const Reply& aReply)
+void
+EngineStandin::AnswerCacheEvents(const HttpRequest& aRequest,
+                                 const Reply& aReply)
 {
   std::int64_t after = 0;
   std::string_view query = aRequest.mQuery;
@@ -441,7 +460,8 @@
   Answer(aReply, 200, { { "instance", mInstance }, { "events", events } });
 }
 
-void EngineStandin::TakeOrder(const json& aOrder, const Reply& aReply)
+void
+EngineStandin::TakeOrder(const json& aOrder, const Reply& aReply)
 {
   std::int64_t fencing = aOrder.at("fencing").get<std::int64_t>();
   std::string action = aOrder.at("action").get<std::string>();
--- a/tests/standins/hosts.cpp
+++ b/tests/standins/hosts.cpp
@@ -10,14 +10,16 @@
 {
 }
 
-json HostsStandin::Seen()
+json
+HostsStandin::Seen()
 {
   return { { "reads", mReads },
            { "writes", mWrites },
            { "list", json::parse(mLists.back().mList) } };
 }
 
-void HostsStandin::Handle(const HttpRequest& aRequest, const Reply& aReply)
+void
+HostsStandin::Handle(const HttpRequest& aRequest, const Reply& aReply)
 {
   if (mFault.value("down", false)) {
     aReply->Abort();
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -21,26 +21,30 @@
 
 // The options live as long as the process, which the command line refers to.
 template<class T>
-TCLAP::ValueArg<T>& Option(TCLAP::CmdLine& aLine,
-                           const std::string& aName,
-                           const std::string& aText,
-                           T aDefault)
+TCLAP::ValueArg<T>&
+Option(TCLAP::CmdLine& aLine,
+       const std::string& aName,
+       const std::string& aText,
+       T aDefault)
 {
   return *new TCLAP::ValueArg<T>(
     "", aName, aText, false, aDefault, "value", aLine);
 }
 
-Maker DeclareStore(TCLAP::CmdLine&)
+Maker
+DeclareStore(TCLAP::CmdLine&)
 {
   return [](EventLoop& aLoop) { return std::make_unique<StoreStandin>(aLoop); };
 }
 
-Maker DeclareHosts(TCLAP::CmdLine&)
+Maker
+DeclareHosts(TCLAP::CmdLine&)
 {
   return [](EventLoop& aLoop) { return std::make_unique<HostsStandin>(aLoop); };
 }
 
-Maker DeclareService(TCLAP::CmdLine& aLine)
+Maker
+DeclareService(TCLAP::CmdLine& aLine)
 {
   auto& work = Option<TimeMs>(aLine, "work-ms", "time that a run takes", 0);
   auto& slots = Option<int>(aLine, "slots", "max_running of the load", 64);
@@ -50,7 +54,8 @@
   };
 }
 
-Maker DeclareEngine(TCLAP::CmdLine& aLine)
+Maker
+DeclareEngine(TCLAP::CmdLine& aLine)
 {
   EngineOptions defaults;
   auto& serves = *new TCLAP::MultiArg<std::string>(
@@ -115,7 +120,8 @@
   { "service", &DeclareService },
 } };
 
-int Serve(const Subcommand& aCommand, int aCount, char** aArguments)
+int
+Serve(const Subcommand& aCommand, int aCount, char** aArguments)
 {
   // 1. The command line, whose first word is the subcommand.
   TCLAP::CmdLine line("Stand-in for an interface of the platform");
@@ -146,7 +152,8 @@
 
 } // namespace
 
-int main(int aCount, char** aArguments)
+int
+main(int aCount, char** aArguments)
 {
   std::signal(SIGPIPE, SIG_IGN);
   for (const auto& command : kSubcommands) {
--- a/tests/standins/server.cpp
+++ b/tests/standins/server.cpp
@@ -9,7 +9,8 @@
 {
 }
 
-int Standin::Listen(const std::string& aAddress, int aPort)
+int
+Standin::Listen(const std::string& aAddress, int aPort)
 {
   mAddress = aAddress;
   mPort = aPort;
@@ -17,7 +18,8 @@
   return mServer ? mPort : 0;
 }
 
-void Standin::Open()
+void
+Standin::Open()
 {
   HttpServerOptions options;
   options.mMaxBodyBytes = 64 * 1024 * 1024;
@@ -34,7 +36,8 @@
   mPort = port;
 }
 
-void Standin::DropConnections(TimeMs aDownMs)
+void
+Standin::DropConnections(TimeMs aDownMs)
 {
   // Not from within a callback of the server that is to go.
   mReopen = Timer::After(mLoop, 0, [this, aDownMs] {
@@ -43,7 +46,8 @@
   });
 }
 
-void Standin::Dispatch(const HttpRequest& aRequest, const Reply& aReply)
+void
+Standin::Dispatch(const HttpRequest& aRequest, const Reply& aReply)
 {
   try {
     if (aRequest.mMethod == "GET" && aRequest.mPath == "/seen") {
@@ -59,12 +63,14 @@
   }
 }
 
-void Standin::SetFaults(const json& aFaults)
+void
+Standin::SetFaults(const json& aFaults)
 {
   mFault.merge_patch(aFaults);
 }
 
-void Standin::Later(TimeMs aDelayMs, sigc::slot<void()> aSlot)
+void
+Standin::Later(TimeMs aDelayMs, sigc::slot<void()> aSlot)
 {
   std::int64_t id = ++mLastTimer;
   mTimers[id] = Timer::After(mLoop, aDelayMs, [this, id, aSlot] {
@@ -73,7 +79,8 @@
   });
 }
 
-bool Standin::TakeFault(const std::string& aName)
+bool
+Standin::TakeFault(const std::string& aName)
 {
   int left = mFault.value(aName, 0);
   if (left <= 0) {
@@ -83,7 +90,8 @@
   return true;
 }
 
-void Standin::Answer(const Reply& aReply, int aStatus, const json& aBody)
+void
+Standin::Answer(const Reply& aReply, int aStatus, const json& aBody)
 {
   aReply->Send(aStatus,
                { { "Content-Type", "application/json" } },
--- a/tests/standins/service.cpp
+++ b/tests/standins/service.cpp
@@ -11,7 +11,8 @@
   Start();
 }
 
-void ServiceStandin::Start()
+void
+ServiceStandin::Start()
 {
   mStartMs = MonotonicMs();
   mInstance = "service-" + std::to_string(MonotonicUs()) + "-" +
@@ -19,7 +20,8 @@
   mRunning = 0;
 }
 
-json ServiceStandin::Seen()
+json
+ServiceStandin::Seen()
 {
   return { { "runs", mRuns },
            { "by_key", mByKey },
@@ -27,7 +29,8 @@
            { "instance", mInstance } };
 }
 
-void ServiceStandin::SetFaults(const json& aFaults)
+void
+ServiceStandin::SetFaults(const json& aFaults)
 {
   json faults = aFaults;
   bool crash = faults.value("crash", false);
@@ -42,7 +45,8 @@
   }
 }
 
-void ServiceStandin::Handle(const HttpRequest& aRequest, const Reply& aReply)
+void
+ServiceStandin::Handle(const HttpRequest& aRequest, const Reply& aReply)
 {
   // 1. The load report.
   if (aRequest.mMethod == "GET" && aRequest.mPath == "/load") {
@@ -82,9 +86,10 @@
         [this, run, aRequest, aReply] { Complete(run, aRequest, aReply); });
 }
 
-void ServiceStandin::Complete(int aRun,
-                              const HttpRequest& aRequest,
-                              const Reply& aReply)
+void
+ServiceStandin::Complete(int aRun,
+                         const HttpRequest& aRequest,
+                         const Reply& aReply)
 {
   mRunning -= mRunning > 0 ? 1 : 0;
   if (TakeFault("cut")) {
--- a/tests/standins/store.cpp
+++ b/tests/standins/store.cpp
@@ -26,7 +26,8 @@
 };
 
 // 64-bit numbers are texts in this mapping; plain numbers are taken too.
-std::int64_t Number(const json& aBody, const char* aName)
+std::int64_t
+Number(const json& aBody, const char* aName)
 {
   auto found = aBody.find(aName);
   if (found == aBody.end()) {
@@ -36,7 +37,8 @@
                             : found->get<std::int64_t>();
 }
 
-std::string Bytes(const json& aBody, const char* aName)
+std::string
+Bytes(const json& aBody, const char* aName)
 {
   auto bytes = DecodeBase64(aBody.value(aName, std::string()));
   if (!bytes) {
@@ -46,7 +48,8 @@
 }
 
 // A field under its JSON name or its name in the protocol file.
-json Field(const json& aBody, const char* aName, const char* aOther)
+json
+Field(const json& aBody, const char* aName, const char* aOther)
 {
   return aBody.contains(aName) ? aBody[aName]
                                : aBody.value(aOther, json::object());
@@ -54,7 +57,8 @@
 
 } // namespace
 
-bool StoreStandin::Range::Has(const std::string& aKey) const
+bool
+StoreStandin::Range::Has(const std::string& aKey) const
 {
   if (mEnd.empty()) {
     return aKey == mKey;
@@ -68,7 +72,8 @@
 {
 }
 
-json StoreStandin::Seen()
+json
+StoreStandin::Seen()
 {
   json keys = json::object();
   for (const auto& [key, value] : mKeys) {
@@ -83,7 +88,8 @@
            { "watchers", mWatchers.size() } };
 }
 
-void StoreStandin::SetFaults(const json& aFaults)
+void
+StoreStandin::SetFaults(const json& aFaults)
 {
   Standin::SetFaults(aFaults);
   if (mFault.value("down", false)) {
@@ -94,7 +100,8 @@
   }
 }
 
-void StoreStandin::Handle(const HttpRequest& aRequest, const Reply& aReply)
+void
+StoreStandin::Handle(const HttpRequest& aRequest, const Reply& aReply)
 {
   ++mCalls[aRequest.mPath.substr(std::min<std::size_t>(
     aRequest.mPath.size(), std::string_view("/v3/").size()))];
@@ -110,7 +117,8 @@
   Later(delay, [this, aRequest, aReply] { Run(aRequest, aReply); });
 }
 
-void StoreStandin::Run(const HttpRequest& aRequest, const Reply& aReply)
+void
+StoreStandin::Run(const HttpRequest& aRequest, const Reply& aReply)
 {
   try {
     // 1. Refusals, which have no effect.
@@ -160,7 +168,8 @@
   }
 }
 
-json StoreStandin::Execute(const std::string& aKind, const json& aBody)
+json
+StoreStandin::Execute(const std::string& aKind, const json& aBody)
 {
   if (aKind == "kv/range") {
     return ReadRange(aBody);
@@ -203,12 +212,14 @@
   throw StoreFault(5, 404, "Not Found");
 }
 
-StoreStandin::Range StoreStandin::ReadKeys(const json& aBody)
+StoreStandin::Range
+StoreStandin::ReadKeys(const json& aBody)
 {
   return { Bytes(aBody, "key"), Bytes(aBody, "range_end") };
 }
 
-json StoreStandin::ReadRange(const json& aBody) const
+json
+StoreStandin::ReadRange(const json& aBody) const
 {
   Range range = ReadKeys(aBody);
   json keys = json::array();
@@ -231,7 +242,8 @@
   return answer;
 }
 
-json StoreStandin::Transact(const json& aBody)
+json
+StoreStandin::Transact(const json& aBody)
 {
   // 1. The conditions.
   bool holds = true;
@@ -288,7 +300,8 @@
   return answer;
 }
 
-bool StoreStandin::Holds(const json& aCompare) const
+bool
+StoreStandin::Holds(const json& aCompare) const
 {
   if (aCompare.value("target", std::string()) != "MOD" ||
       aCompare.value("result", std::string("EQUAL")) != "EQUAL") {
@@ -301,7 +314,8 @@
   return (found == mKeys.end() ? 0 : found->second.mModified) == expected;
 }
 
-void StoreStandin::Put(const json& aBody)
+void
+StoreStandin::Put(const json& aBody)
 {
   std::string key = Bytes(aBody, "key");
   std::int64_t lease = Number(aBody, "lease");
@@ -318,7 +332,8 @@
   mHistory.push_back({ mRevision, key, { { "kv", KeyJson(key, value) } } });
 }
 
-std::int64_t StoreStandin::Delete(const Range& aRange)
+std::int64_t
+StoreStandin::Delete(const Range& aRange)
 {
   std::int64_t count = 0;
   for (auto entry = mKeys.lower_bound(aRange.mKey);
@@ -337,7 +352,8 @@
   return count;
 }
 
-void StoreStandin::ExpireLeases()
+void
+StoreStandin::ExpireLeases()
 {
   std::vector<std::int64_t> ended;
   for (const auto& [id, lease] : mLeases) {
@@ -351,7 +367,8 @@
   Notify(std::exchange(mNotified, mHistory.size()));
 }
 
-void StoreStandin::EndLease(std::int64_t aId)
+void
+StoreStandin::EndLease(std::int64_t aId)
 {
   mLeases.erase(aId);
   std::vector<std::string> keys;
@@ -366,7 +383,8 @@
   }
 }
 
-void StoreStandin::StartWatch(const json& aBody, const Reply& aReply)
+void
+StoreStandin::StartWatch(const json& aBody, const Reply& aReply)
 {
   json request = Field(aBody, "create_request", "createRequest");
   Watcher watcher{ aReply, ReadKeys(request) };
@@ -387,7 +405,8 @@
   mWatchers.push_back(watcher);
 }
 
-void StoreStandin::Notify(std::size_t aFirstChange)
+void
+StoreStandin::Notify(std::size_t aFirstChange)
 {
   std::erase_if(mWatchers, [](const Watcher& aWatcher) {
     return aWatcher.mReply->CallerGone();
@@ -403,8 +422,8 @@
   }
 }
 
-void StoreStandin::SendChanges(const Watcher& aWatcher,
-                               std::vector<Change> aChanges)
+void
+StoreStandin::SendChanges(const Watcher& aWatcher, std::vector<Change> aChanges)
 {
   json events = json::array();
   for (const auto& change : aChanges) {
@@ -427,14 +446,16 @@
   aWatcher.mReply->Chunk(text.substr(text.size() / 2));
 }
 
-json StoreStandin::Header() const
+json
+StoreStandin::Header() const
 {
   return { { "cluster_id", "1" },
            { "member_id", "1" },
            { "revision", std::to_string(mRevision) } };
 }
 
-json StoreStandin::KeyJson(const std::string& aKey, const Value& aValue) const
+json
+StoreStandin::KeyJson(const std::string& aKey, const Value& aValue) const
 {
   json entry = { { "key", EncodeBase64(aKey) },
                  { "value", EncodeBase64(aValue.mValue) },
