Add balancer, warm-up, admission, limits and quarantine modules

The modules are free functions over plain structs with the clock and the random engine passed in.

Ruled out: a list of all backend servers scanned for each request (the cost grows with the pool), a lock for requests run in isolation (rendezvous hashing names the same agent at every entry), and a shared store for the customers' counters (entries gossip them).

--- /dev/null
+++ b/core/include/savory/core/limits.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "savory/core/config.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace savory {
+
+// Tuning of the limits at one entry. The `mUse` switches exist for tests that
+// show what a mechanism prevents.
+struct LimitsOptions
+{
+  double mRetryShare = 0.1;
+  double mRetryPerSecond = 3;
+  double mRetryBurst = 10;
+  TimeMs mRetryWindowMs = 10000;
+  std::size_t mMaxFingerprints = 1 << 17;
+  TimeMs mUsageDecayMs = 10000;
+  TimeMs mPeerTimeoutMs = 10000;
+  double mBurstSeconds = 2;
+  double mFairSlack = 0.02;
+  std::size_t mMaxQueuePerCustomer = 64;
+  bool mUseFairQueue = true;
+  bool mUseRetryBudget = true;
+};
+
+// What an entry tells its peers of one customer: the demand in tokens per
+// second, the decayed sum of tokens it let through, and whether requests of
+// the customer wait for capacity.
+struct CustomerDemand
+{
+  std::string mCustomer;
+  double mDemand = 0;
+  double mUsage = 0;
+  bool mWaiting = false;
+};
+
+// The counters of one entry. Only the entry itself numbers its rows, so the
+// newest of an entry is the one with the highest incarnation and sequence.
+struct DemandRow
+{
+  std::string mEntry;
+  std::int64_t mIncarnation = 0;
+  std::int64_t mSequence = 0;
+  std::vector<CustomerDemand> mCustomers;
+};
+
+struct WaitingRequest
+{
+  std::string mId;
+  std::int64_t mTokens = 0;
+  TimeMs mDeadlineMs = 0;
+};
+
+struct CustomerState
+{
+  double mWeight = 1;
+  int mPriority = 1;
+  double mTokensPerSecond = 0;
+  double mBucket = 0;
+  TimeMs mBucketMs = 0;
+  double mRetryTokens = 0;
+  TimeMs mRetryMs = 0;
+  double mDemand = 0;
+  double mUsage = 0;
+  TimeMs mDecayMs = 0;
+  double mPeerDemand = 0;
+  double mPeerUsage = 0;
+  bool mPeerWaiting = false;
+  TimeMs mPeerMs = 0;
+  std::vector<WaitingRequest> mQueue;
+};
+
+struct PeerDemand
+{
+  DemandRow mRow;
+  TimeMs mReceivedMs = 0;
+};
+
+// The limits of one entry. Fingerprints of requests that were sent and have
+// not been answered in full are kept in two generations of one window each.
+struct Limits
+{
+  std::string mEntry;
+  std::int64_t mIncarnation = 0;
+  std::int64_t mSequence = 0;
+  std::map<std::string, CustomerState, std::less<>> mCustomers;
+  std::map<std::string, PeerDemand> mPeers;
+  std::unordered_map<std::uint64_t, TimeMs> mSeen;
+  std::unordered_map<std::uint64_t, TimeMs> mSeenBefore;
+  TimeMs mSeenSinceMs = 0;
+};
+
+// Takes the customers of a configuration. Counters of those that stay are
+// kept; those that are gone lose theirs, with their queue.
+void ApplyCustomers(Limits& aLimits,
+                    const LimitsOptions& aOptions,
+                    std::span<const Customer> aCustomers,
+                    TimeMs aNowMs);
+
+// Whether a request may go on. A refusal is "not run".
+struct LimitAnswer
+{
+  bool mAllowed = false;
+  bool mIsRetry = false;
+  ErrorCode mCode = ErrorCode::Internal;
+  TimeMs mRetryAfterMs = 0;
+  std::string mReason;
+};
+
+// Decides a request that has just arrived, in the order: known customer,
+// retry budget, shedding by the preset's priority while `aOverloaded`, token
+// bucket. The fingerprint covers the customer too.
+LimitAnswer CheckArrival(Limits& aLimits,
+                         const LimitsOptions& aOptions,
+                         std::string_view aCustomer,
+                         std::uint64_t aFingerprint,
+                         std::int64_t aTokens,
+                         const Preset& aPreset,
+                         bool aOverloaded,
+                         TimeMs aNowMs);
+
+// Spends one retry of the entry's own from the customer's budget. False when
+// there is none, and then the caller gets the refusal at hand.
+bool TakeRetry(Limits& aLimits,
+               const LimitsOptions& aOptions,
+               std::string_view aCustomer,
+               TimeMs aNowMs);
+
+// Takes a full answer: it earns retry budget, and the same request sent again
+// later is a new one.
+void OnAnswered(Limits& aLimits,
+                const LimitsOptions& aOptions,
+                std::string_view aCustomer,
+                std::uint64_t aFingerprint,
+                TimeMs aNowMs);
+
+// Puts an allowed request into its customer's queue. False when the queue is
+// full; the caller then refuses it with `overloaded`.
+bool Enqueue(Limits& aLimits,
+             const LimitsOptions& aOptions,
+             std::string_view aCustomer,
+             const WaitingRequest& aRequest,
+             TimeMs aNowMs);
+
+// Takes a queued request whose caller has gone out. True when it was queued.
+bool RemoveWaiting(Limits& aLimits,
+                   std::string_view aCustomer,
+                   std::string_view aId);
+
+struct NextRequest
+{
+  std::string mCustomer;
+  WaitingRequest mRequest;
+};
+
+// The request whose turn it is: of the customer that got least for its weight
+// in the whole fleet of entries. Nothing when none waits, or when those that
+// wait here are ahead of one that waits at another entry. The request counts
+// as let through; when no backend server takes it, return it with PutBack.
+std::optional<NextRequest> TakeNext(Limits& aLimits,
+                                    const LimitsOptions& aOptions,
+                                    TimeMs aNowMs);
+void PutBack(Limits& aLimits, const NextRequest& aNext);
+
+// Removes the queued requests whose deadline has passed.
+std::vector<NextRequest> TakeExpired(Limits& aLimits, TimeMs aNowMs);
+
+// Gossip: this entry's counters under a new sequence, and those of a peer,
+// which replace older ones of the same peer. True when they were newer.
+DemandRow OwnDemand(Limits& aLimits,
+                    const LimitsOptions& aOptions,
+                    TimeMs aNowMs);
+bool MergeDemand(Limits& aLimits,
+                 const LimitsOptions& aOptions,
+                 const DemandRow& aRow,
+                 TimeMs aNowMs);
+
+// The share in [0, 1] of a customer's rate that this entry may give out.
+double OwnShare(const Limits& aLimits,
+                const LimitsOptions& aOptions,
+                std::string_view aCustomer,
+                TimeMs aNowMs);
+
+} // namespace savory
--- /dev/null
+++ b/core/src/admission.cpp
@@ -0,0 +1,333 @@
+#include "savory/core/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savory {
+
+namespace {
+
+// Share of the capacity that new requests may fill. The rest takes answers
+// that grow beyond their reserve until they end.
+constexpr double kFillShare = 0.95;
+
+// Weight of a new sample in the mean service time.
+constexpr double kServiceRate = 0.1;
+
+std::int64_t HeldBy(const RunningRequest& aRunning)
+{
+  return aRunning.mInputTokens +
+         std::max(aRunning.mReserved, aRunning.mGenerated);
+}
+
+std::int64_t FillLimit(const AdmissionOptions& aOptions)
+{
+  return static_cast<std::int64_t>(
+    kFillShare * static_cast<double>(aOptions.mTokenCapacity));
+}
+
+// Why a request cannot start now; nothing when it can.
+std::optional<ErrorCode> CannotStart(const Admission& aAdmission,
+                                     const AdmissionOptions& aOptions,
+                                     int aAllowance,
+                                     bool aCold,
+                                     const AdmissionRequest& aRequest)
+{
+  if (!aAdmission.mRunning.empty() &&
+      (aRequest.mAlone || aAdmission.mRunning.begin()->second.mAlone)) {
+    return ErrorCode::Overloaded;
+  }
+  if (static_cast<int>(aAdmission.mRunning.size()) >= aAllowance) {
+    return aCold ? ErrorCode::ColdLimit : ErrorCode::Overloaded;
+  }
+  if (aOptions.mCheckMemory && aOptions.mTokenCapacity > 0 &&
+      aAdmission.mTokensHeld + aRequest.mInputTokens + aRequest.mOutputTokens >
+        FillLimit(aOptions)) {
+    return ErrorCode::MemoryLimit;
+  }
+  return std::nullopt;
+}
+
+void Start(Admission& aAdmission,
+           const AdmissionRequest& aRequest,
+           TimeMs aNowMs)
+{
+  RunningRequest running;
+  running.mInputTokens = aRequest.mInputTokens;
+  running.mReserved = aRequest.mOutputTokens;
+  running.mPriority = aRequest.mPriority;
+  running.mStartedMs = aNowMs;
+  running.mAlone = aRequest.mAlone;
+  aAdmission.mTokensHeld += HeldBy(running);
+  aAdmission.mRunning.insert_or_assign(aRequest.mId, running);
+}
+
+// Mean time until a place in the queue gets its turn.
+TimeMs ExpectedWait(const Admission& aAdmission,
+                    int aAllowance,
+                    std::size_t aAhead)
+{
+  return static_cast<TimeMs>(
+    std::ceil(aAdmission.mServiceMs * static_cast<double>(aAhead + 1) /
+              std::max(1, aAllowance)));
+}
+
+AdmissionAnswer Refuse(const Admission& aAdmission,
+                       const AdmissionOptions& aOptions,
+                       int aAllowance,
+                       ErrorCode aCode,
+                       std::string aReason)
+{
+  AdmissionAnswer answer;
+  answer.mCode = aCode;
+  answer.mReason = std::move(aReason);
+  answer.mRetryAfterMs = std::clamp<TimeMs>(
+    ExpectedWait(aAdmission, aAllowance, aAdmission.mQueue.size()), 50, 30000);
+  answer.mLoad = OwnLoad(aAdmission, aOptions, aAllowance);
+  return answer;
+}
+
+std::string ReasonOf(ErrorCode aCode)
+{
+  switch (aCode) {
+    case ErrorCode::ColdLimit:
+      return "the backend server is warming up and at its allowance";
+    case ErrorCode::MemoryLimit:
+      return "the tokens held leave too little memory";
+    default:
+      return "the backend server is at its allowance";
+  }
+}
+
+// Start-time fair queueing over the customers: a customer's next request is
+// due after its previous ones, divided by its weight.
+double TagOf(Admission& aAdmission, const AdmissionRequest& aRequest)
+{
+  double& last = aAdmission.mTags[aRequest.mCustomer];
+  double tag = std::max(aAdmission.mVirtualTime, last);
+  last =
+    tag + static_cast<double>(aRequest.mInputTokens + aRequest.mOutputTokens) /
+            std::max(1e-6, aRequest.mWeight);
+  return tag;
+}
+
+bool Before(const QueuedRequest& aLeft, const QueuedRequest& aRight)
+{
+  if (aLeft.mRequest.mPriority != aRight.mRequest.mPriority) {
+    return aLeft.mRequest.mPriority > aRight.mRequest.mPriority;
+  }
+  return aLeft.mTag < aRight.mTag;
+}
+
+} // namespace
+
+LoadHint OwnLoad(const Admission& aAdmission,
+                 const AdmissionOptions& aOptions,
+                 int aAllowance)
+{
+  return { static_cast<int>(aAdmission.mRunning.size()),
+           static_cast<int>(aAdmission.mQueue.size()),
+           aAllowance,
+           aAdmission.mTokensHeld,
+           aOptions.mTokenCapacity };
+}
+
+AdmissionAnswer Admit(Admission& aAdmission,
+                      const AdmissionOptions& aOptions,
+                      int aAllowance,
+                      bool aCold,
+                      const AdmissionRequest& aRequest,
+                      TimeMs aNowMs,
+                      AdmissionChanges& aChanges)
+{
+  auto refuse = [&](ErrorCode aCode, std::string aReason) {
+    return Refuse(aAdmission, aOptions, aAllowance, aCode, std::move(aReason));
+  };
+  // 1. What can never run here, or not any more.
+  if (aAdmission.mDraining) {
+    return refuse(ErrorCode::Draining, "the agent is leaving");
+  }
+  if (aRequest.mDeadlineMs <= aNowMs) {
+    return refuse(ErrorCode::DeadlineExceeded, "the deadline has passed");
+  }
+  if (aOptions.mCheckMemory && aOptions.mTokenCapacity > 0 &&
+      aRequest.mInputTokens + aRequest.mOutputTokens > FillLimit(aOptions)) {
+    return refuse(ErrorCode::MemoryLimit,
+                  "the request needs more memory than the backend server has");
+  }
+
+  // 2. Start at once when nothing of the same or a higher rank waits.
+  auto cannot = CannotStart(aAdmission, aOptions, aAllowance, aCold, aRequest);
+  bool waitsBehind =
+    std::any_of(aAdmission.mQueue.begin(),
+                aAdmission.mQueue.end(),
+                [&](const QueuedRequest& aQueued) {
+                  return aQueued.mRequest.mPriority >= aRequest.mPriority;
+                });
+  if (!cannot && !waitsBehind) {
+    Start(aAdmission, aRequest, aNowMs);
+    AdmissionAnswer answer;
+    answer.mAdmitted = Admitted::Started;
+    answer.mLoad = OwnLoad(aAdmission, aOptions, aAllowance);
+    return answer;
+  }
+  ErrorCode code = cannot.value_or(ErrorCode::Overloaded);
+
+  // 3. Queue only where waiting can help: not at a cold backend server, whose
+  // few places are better left to requests that others cannot take, and not
+  // when the turn comes after the deadline.
+  if (!aRequest.mMayQueue || code == ErrorCode::ColdLimit) {
+    return refuse(code, ReasonOf(code));
+  }
+  std::size_t ahead = static_cast<std::size_t>(
+    std::count_if(aAdmission.mQueue.begin(),
+                  aAdmission.mQueue.end(),
+                  [&](const QueuedRequest& aQueued) {
+                    return aQueued.mRequest.mPriority >= aRequest.mPriority;
+                  }));
+  if (aNowMs + ExpectedWait(aAdmission, aAllowance, ahead) >
+      aRequest.mDeadlineMs) {
+    return refuse(code, ReasonOf(code) + ", the deadline comes first");
+  }
+  QueuedRequest queued{ aRequest, aNowMs, 0, 0 };
+  if (static_cast<int>(aAdmission.mQueue.size()) >= aOptions.mMaxQueue) {
+    if (aAdmission.mQueue.empty() ||
+        aAdmission.mQueue.back().mRequest.mPriority >= aRequest.mPriority) {
+      return refuse(code, ReasonOf(code) + ", the queue is full");
+    }
+    std::string pushedOut = aAdmission.mQueue.back().mRequest.mId;
+    aAdmission.mQueue.pop_back();
+    aChanges.mRefused.push_back(
+      { pushedOut,
+        refuse(ErrorCode::Overloaded,
+               "a request of higher priority took the place in the queue") });
+  }
+  queued.mTag = TagOf(aAdmission, aRequest);
+  aAdmission.mQueue.insert(
+    std::upper_bound(
+      aAdmission.mQueue.begin(), aAdmission.mQueue.end(), queued, Before),
+    queued);
+  AdmissionAnswer answer;
+  answer.mAdmitted = Admitted::Queued;
+  answer.mLoad = OwnLoad(aAdmission, aOptions, aAllowance);
+  return answer;
+}
+
+std::vector<std::string> OnGenerated(Admission& aAdmission,
+                                     const AdmissionOptions& aOptions,
+                                     std::string_view aId,
+                                     std::int64_t aGenerated)
+{
+  std::vector<std::string> cancelled;
+  auto found = aAdmission.mRunning.find(std::string(aId));
+  if (found == aAdmission.mRunning.end()) {
+    return cancelled;
+  }
+  auto& running = found->second;
+  std::int64_t before = HeldBy(running);
+  running.mGenerated = std::max(running.mGenerated, aGenerated);
+  aAdmission.mTokensHeld += HeldBy(running) - before;
+  while (aOptions.mCheckMemory && aOptions.mTokenCapacity > 0 &&
+         aAdmission.mTokensHeld > aOptions.mTokenCapacity) {
+    auto victim = std::min_element(
+      aAdmission.mRunning.begin(),
+      aAdmission.mRunning.end(),
+      [](const auto& aLeft, const auto& aRight) {
+        if (aLeft.second.mPriority != aRight.second.mPriority) {
+          return aLeft.second.mPriority < aRight.second.mPriority;
+        }
+        return aLeft.second.mStartedMs > aRight.second.mStartedMs;
+      });
+    aAdmission.mTokensHeld -= HeldBy(victim->second);
+    cancelled.push_back(victim->first);
+    aAdmission.mRunning.erase(victim);
+  }
+  return cancelled;
+}
+
+void OnInputCounted(Admission& aAdmission,
+                    std::string_view aId,
+                    std::int64_t aInputTokens)
+{
+  auto found = aAdmission.mRunning.find(std::string(aId));
+  if (found != aAdmission.mRunning.end()) {
+    std::int64_t before = HeldBy(found->second);
+    found->second.mInputTokens = aInputTokens;
+    aAdmission.mTokensHeld += HeldBy(found->second) - before;
+  }
+}
+
+void OnLeft(Admission& aAdmission, std::string_view aId, TimeMs aNowMs)
+{
+  auto found = aAdmission.mRunning.find(std::string(aId));
+  if (found == aAdmission.mRunning.end()) {
+    return;
+  }
+  aAdmission.mServiceMs +=
+    kServiceRate * (static_cast<double>(aNowMs - found->second.mStartedMs) -
+                    aAdmission.mServiceMs);
+  aAdmission.mTokensHeld -= HeldBy(found->second);
+  aAdmission.mRunning.erase(found);
+}
+
+bool CancelQueued(Admission& aAdmission, std::string_view aId)
+{
+  return std::erase_if(aAdmission.mQueue, [&](const QueuedRequest& aQueued) {
+           return aQueued.mRequest.mId == aId;
+         }) > 0;
+}
+
+AdmissionChanges PollAdmission(Admission& aAdmission,
+                               const AdmissionOptions& aOptions,
+                               int aAllowance,
+                               bool aCold,
+                               TimeMs aNowMs)
+{
+  AdmissionChanges changes;
+  // 1. Refuse what cannot run any more.
+  auto& queue = aAdmission.mQueue;
+  for (auto place = queue.begin(); place != queue.end();) {
+    bool late = place->mRequest.mDeadlineMs <= aNowMs;
+    if (!late && !aAdmission.mDraining) {
+      ++place;
+      continue;
+    }
+    std::string id = place->mRequest.mId;
+    place = queue.erase(place);
+    changes.mRefused.push_back(
+      { id,
+        Refuse(aAdmission,
+               aOptions,
+               aAllowance,
+               late ? ErrorCode::DeadlineExceeded : ErrorCode::Draining,
+               late ? "the deadline passed in the queue"
+                    : "the agent is leaving") });
+  }
+
+  // 2. Start in order. A request that does not fit lets smaller ones pass a
+  // bounded number of times, so that it neither blocks nor starves.
+  for (auto place = queue.begin(); place != queue.end();) {
+    if (CannotStart(aAdmission, aOptions, aAllowance, aCold, place->mRequest)) {
+      if (place->mBypassed >= aOptions.mMaxBypass) {
+        break;
+      }
+      ++place;
+      continue;
+    }
+    for (auto passed = queue.begin(); passed != place; ++passed) {
+      ++passed->mBypassed;
+    }
+    aAdmission.mVirtualTime = std::max(aAdmission.mVirtualTime, place->mTag);
+    Start(aAdmission, place->mRequest, aNowMs);
+    changes.mStarted.push_back(std::move(place->mRequest));
+    place = queue.erase(place);
+  }
+
+  // 3. Tags of customers without recent work carry no information.
+  if (queue.empty() && aAdmission.mTags.size() > 1024) {
+    aAdmission.mTags.clear();
+  }
+  return changes;
+}
+
+} // namespace savory
--- /dev/null
+++ b/core/src/warmup.cpp
@@ -0,0 +1,122 @@
+#include "savory/core/warmup.h"
+
+#include <algorithm>
+
+namespace savory {
+
+namespace {
+
+// Part of the time to first token that does not depend on the input, in
+// tokens. It keeps short prompts from looking slow per token.
+constexpr double kBaseTokens = 500;
+
+// Weight of a new sample in the learned time.
+constexpr double kLearningRate = 0.1;
+
+double PerToken(std::int64_t aInputTokens, TimeMs aElapsedMs)
+{
+  return static_cast<double>(aElapsedMs) /
+         (kBaseTokens +
+          static_cast<double>(std::max<std::int64_t>(0, aInputTokens)));
+}
+
+} // namespace
+
+int Allowance(const Warmup& aWarmup, const WarmupOptions& aOptions)
+{
+  if (!aOptions.mEnabled) {
+    return aOptions.mFull;
+  }
+  int cold = std::clamp(aOptions.mCold, 1, std::max(1, aOptions.mFull));
+  return std::clamp(aWarmup.mAllowance, cold, std::max(cold, aOptions.mFull));
+}
+
+bool IsCold(const Warmup& aWarmup, const WarmupOptions& aOptions)
+{
+  return Allowance(aWarmup, aOptions) < aOptions.mFull;
+}
+
+void ResetWarmup(Warmup& aWarmup, std::string_view aCause)
+{
+  aWarmup.mAllowance = 0;
+  aWarmup.mDoneInRound = 0;
+  aWarmup.mSlowRun = 0;
+  ++aWarmup.mGeneration;
+  aWarmup.mCause = aCause;
+}
+
+bool OnIncarnation(Warmup& aWarmup, std::string_view aIncarnation)
+{
+  if (aWarmup.mIncarnation == aIncarnation) {
+    return false;
+  }
+  bool first = aWarmup.mIncarnation.empty();
+  aWarmup.mIncarnation = aIncarnation;
+  if (!first) {
+    ResetWarmup(aWarmup, "new incarnation of the backend server");
+  }
+  return !first;
+}
+
+bool LooksCold(const Warmup& aWarmup,
+               const WarmupOptions& aOptions,
+               std::int64_t aInputTokens,
+               TimeMs aElapsedMs)
+{
+  return aWarmup.mSamples >= aOptions.mMinSamples &&
+         PerToken(aInputTokens, aElapsedMs) >
+           aOptions.mVerySlowFactor * aWarmup.mLearned;
+}
+
+bool OnFirstToken(Warmup& aWarmup,
+                  const WarmupOptions& aOptions,
+                  int aGeneration,
+                  std::int64_t aInputTokens,
+                  TimeMs aElapsedMs)
+{
+  if (aGeneration != aWarmup.mGeneration) {
+    return false;
+  }
+  double sample = PerToken(aInputTokens, aElapsedMs);
+  bool cold = IsCold(aWarmup, aOptions);
+  bool known = aWarmup.mSamples >= aOptions.mMinSamples;
+  bool slow = known && sample > aOptions.mSlowFactor * aWarmup.mLearned;
+  if (!slow) {
+    // Times of a cold backend server would raise what counts as ordinary.
+    if (!cold || !known) {
+      aWarmup.mLearned =
+        aWarmup.mSamples == 0
+          ? sample
+          : aWarmup.mLearned + kLearningRate * (sample - aWarmup.mLearned);
+      ++aWarmup.mSamples;
+    }
+    aWarmup.mSlowRun = 0;
+    return false;
+  }
+  ++aWarmup.mSlowRun;
+  // One very slow answer, or several slow ones in a row, show a cold start
+  // that the backend server did not announce. While it is known to be cold,
+  // slow answers are expected.
+  if (!cold && (aWarmup.mSlowRun >= aOptions.mSlowInRow ||
+                LooksCold(aWarmup, aOptions, aInputTokens, aElapsedMs))) {
+    ResetWarmup(aWarmup, "time to first token of a cold backend server");
+    return true;
+  }
+  return false;
+}
+
+void OnCompleted(Warmup& aWarmup,
+                 const WarmupOptions& aOptions,
+                 int aGeneration)
+{
+  if (aGeneration != aWarmup.mGeneration) {
+    return;
+  }
+  int allowance = Allowance(aWarmup, aOptions);
+  if (++aWarmup.mDoneInRound >= allowance) {
+    aWarmup.mDoneInRound = 0;
+    aWarmup.mAllowance = std::min(allowance * 2, aOptions.mFull);
+  }
+}
+
+} // namespace savory
