Add the choice of model and version

Cause: the entry needs a plan for each request, a decision after each step, and one permission check that entry and agent share.

Change: ratings.h keeps mergeable rating counts by class and version, with second steps of a cascade counted apart. cascade.h plans the cheapest step or two-step cascade that meets the target on a cautious estimate within the deadline, and decides after a step. permission.h holds MayRun and the version choice of sessions.

Ruled out: one pass rate for a version as first and as second step, because a request that failed once is harder than the average of its class.

Conclusion: interface for the entry process; tests show promises 1, 2 and 3 failing when their check is taken away.

--- /dev/null
+++ b/core/include/savory/core/ratings.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "savory/core/types.h"
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <tuple>
+#include <utility>
+
+namespace savory {
+
+enum class SizeClass
+{
+  Short,
+  Middle,
+  Long,
+};
+
+inline constexpr std::array<EnumName<SizeClass>, 3> kSizeClassNames{ {
+  { SizeClass::Short, "short" },
+  { SizeClass::Middle, "middle" },
+  { SizeClass::Long, "long" },
+} };
+
+// Estimated input tokens up to which a request is short or middle.
+inline constexpr std::int64_t kShortTokens = 256;
+inline constexpr std::int64_t kMiddleTokens = 2048;
+
+// The class of a request, for which pass rates are learned separately.
+struct RequestClass
+{
+  SizeClass mSize = SizeClass::Short;
+  bool mPhotographs = false;
+};
+
+inline constexpr int kClassCount = 6;
+
+RequestClass ClassOf(std::int64_t aInputTokens, bool aPhotographs);
+
+// The number of a class, in [0, kClassCount).
+int ClassIndex(const RequestClass& aClass);
+
+// "short", or "short with photographs".
+std::string ClassText(const RequestClass& aClass);
+
+// What a rating counts for: the class of the request, the "model@version" that
+// answered, and for a second step the "model@version" whose answer failed.
+// Second steps are counted apart because a request that failed once is harder
+// than the average of its class.
+struct RatingKey
+{
+  int mClass = 0;
+  std::string mVersion;
+  std::string mAfter;
+
+  bool operator<(const RatingKey& aOther) const
+  {
+    return std::tie(mClass, mVersion, mAfter) <
+           std::tie(aOther.mClass, aOther.mVersion, aOther.mAfter);
+  }
+};
+
+struct RatingCounts
+{
+  std::int64_t mPassed = 0;
+  std::int64_t mFailed = 0;
+
+  bool operator==(const RatingCounts&) const = default;
+};
+
+std::int64_t TotalOf(const RatingCounts& aCounts);
+
+using RatingCells = std::map<RatingKey, RatingCounts>;
+
+// The process that counted: an entry's host name and incarnation.
+using RatingWriter = std::pair<std::string, std::int64_t>;
+
+// Ratings of all entries. Only the writer of a row adds to it, and its counts
+// never decrease, so that merging by the larger value is exact whatever the
+// order and repetition of messages. `mTotals` is the sum of all rows.
+struct RatingTable
+{
+  std::map<RatingWriter, RatingCells> mRows;
+  RatingCells mTotals;
+};
+
+// Adds one rating to the row of its writer.
+void AddRating(RatingTable& aTable,
+               const RatingWriter& aWriter,
+               const RatingKey& aKey,
+               bool aPassed);
+
+// Takes over the rows of another table. A counter never decreases.
+void MergeRatings(RatingTable& aTable, const RatingTable& aOther);
+
+// Keeps the rows with the most ratings, at most `aRows`, and the row `aOwn`.
+// Bounds the memory that replaced entries leave behind.
+void TrimRatings(RatingTable& aTable,
+                 std::size_t aRows,
+                 const RatingWriter& aOwn);
+
+// The sum over all entries for one key.
+RatingCounts CountsOf(const RatingTable& aTable, const RatingKey& aKey);
+
+// The sum over all classes of the first steps of a "model@version".
+RatingCounts FirstStepCounts(const RatingTable& aTable,
+                             std::string_view aVersion);
+
+// A list of rows {host, incarnation, cells: [[class, version, after, passed,
+// failed]]}.
+nlohmann::json RatingsToJson(const RatingTable& aTable);
+
+// Reads what RatingsToJson writes; the error says what is wrong.
+tl::expected<RatingTable, std::string> RatingsFromJson(
+  const nlohmann::json& aDocument);
+
+// "model@version".
+std::string VersionText(std::string_view aModel, std::string_view aVersion);
+
+} // namespace savory
--- /dev/null
+++ b/core/src/permission.cpp
@@ -0,0 +1,169 @@
+#include "savory/core/permission.h"
+
+#include "savory/core/identity.h"
+#include "savory/core/ratings.h"
+
+#include <algorithm>
+
+namespace savory {
+
+namespace {
+
+// The oldest version that takes new work and that the customer may use.
+const Version* OldestServing(const Configuration& aConfig,
+                             const Customer& aCustomer,
+                             const Model& aModel,
+                             const SafetyChecks& aChecks)
+{
+  for (const auto& version : aModel.mVersions) {
+    if (version.mState == VersionState::Serving && !MayRun(aConfig,
+                                                           aCustomer,
+                                                           aModel.mName,
+                                                           version.mName,
+                                                           WorkKind::New,
+                                                           aChecks)) {
+      return &version;
+    }
+  }
+  return nullptr;
+}
+
+// The model of a session that neither carries nor names one.
+const Model* DefaultSessionModel(const Configuration& aConfig,
+                                 const Customer& aCustomer)
+{
+  const Model* best = nullptr;
+  for (const auto& model : aConfig.mModels) {
+    if (SessionVersion(model, aCustomer) &&
+        (!best || model.mQuality > best->mQuality)) {
+      best = &model;
+    }
+  }
+  return best;
+}
+
+tl::expected<SessionChoice, ErrorCode> ChooseUnbound(
+  const Configuration& aConfig,
+  const Customer& aCustomer,
+  std::string_view aModel,
+  const SafetyChecks& aChecks)
+{
+  const Model* model = aModel.empty() ? DefaultSessionModel(aConfig, aCustomer)
+                                      : FindModel(aConfig, aModel);
+  if (!model) {
+    return tl::unexpected(aModel.empty() ? ErrorCode::NotAllowed
+                                         : ErrorCode::UnknownModel);
+  }
+  const Version* version =
+    aChecks.mSessionPin ? SessionVersion(*model, aCustomer)
+                        : OldestServing(aConfig, aCustomer, *model, aChecks);
+  if (!version) {
+    bool allowed =
+      std::any_of(model->mVersions.begin(),
+                  model->mVersions.end(),
+                  [&](const Version& aVersion) {
+                    return IsAllowed(aCustomer, model->mName, aVersion.mName);
+                  });
+    return tl::unexpected(allowed ? ErrorCode::VersionWithdrawn
+                                  : ErrorCode::NotAllowed);
+  }
+  return SessionChoice{ .mModel = model->mName,
+                        .mVersion = version->mName,
+                        .mReason = "session without a binding: oldest version "
+                                   "of " +
+                                   model->mName + " in service" };
+}
+
+} // namespace
+
+std::optional<ErrorCode> MayRun(const Configuration& aConfig,
+                                const Customer& aCustomer,
+                                std::string_view aModel,
+                                std::string_view aVersion,
+                                WorkKind aKind,
+                                const SafetyChecks& aChecks)
+{
+  const Model* model = FindModel(aConfig, aModel);
+  if (!model) {
+    return ErrorCode::UnknownModel;
+  }
+  if (aChecks.mPermission && !IsAllowed(aCustomer, aModel, aVersion)) {
+    return ErrorCode::NotAllowed;
+  }
+  if (!aChecks.mVersionState) {
+    return std::nullopt;
+  }
+  const Version* version = FindVersion(*model, aVersion);
+  if (!version || version->mState == VersionState::Withdrawn) {
+    return ErrorCode::VersionWithdrawn;
+  }
+  if (version->mState == VersionState::Draining && aKind == WorkKind::New) {
+    return ErrorCode::VersionWithdrawn;
+  }
+  return std::nullopt;
+}
+
+const Version* SessionVersion(const Model& aModel, const Customer& aCustomer)
+{
+  for (const auto& version : aModel.mVersions) {
+    if ((version.mState == VersionState::Serving ||
+         version.mState == VersionState::Draining) &&
+        IsAllowed(aCustomer, aModel.mName, version.mName)) {
+      return &version;
+    }
+  }
+  return nullptr;
+}
+
+tl::expected<SessionChoice, ErrorCode> ChooseForSession(
+  const Configuration& aConfig,
+  const Customer& aCustomer,
+  std::string_view aSession,
+  std::string_view aModel,
+  bool aStrict,
+  const SafetyChecks& aChecks)
+{
+  // 1. A session without a binding.
+  auto binding = ReadSession(aConfig, aSession);
+  if (!binding) {
+    return ChooseUnbound(aConfig, aCustomer, aModel, aChecks);
+  }
+  SessionChoice choice;
+  choice.mModel = binding->mModel;
+  choice.mVersion = binding->mVersion;
+  choice.mSigned = true;
+  std::string bound = VersionText(choice.mModel, choice.mVersion);
+  const Model* model = FindModel(aConfig, choice.mModel);
+  if (!model) {
+    return tl::unexpected(ErrorCode::UnknownModel);
+  }
+  // 2. The session keeps its version unless that was withdrawn.
+  auto refusal = MayRun(aConfig,
+                        aCustomer,
+                        choice.mModel,
+                        choice.mVersion,
+                        WorkKind::Session,
+                        aChecks);
+  if (!refusal && aChecks.mSessionPin) {
+    choice.mReason = "session keeps " + bound;
+    return choice;
+  }
+  if (refusal && *refusal != ErrorCode::VersionWithdrawn) {
+    return tl::unexpected(*refusal);
+  }
+  // 3. Withdrawal takes precedence over the session.
+  if (aStrict) {
+    return tl::unexpected(ErrorCode::SessionVersionWithdrawn);
+  }
+  const Version* serving = OldestServing(aConfig, aCustomer, *model, aChecks);
+  if (!serving) {
+    return tl::unexpected(ErrorCode::VersionWithdrawn);
+  }
+  choice.mVersion = serving->mName;
+  choice.mMoved = true;
+  choice.mReason = "session moved from " + bound + ", withdrawn, to " +
+                   VersionText(choice.mModel, choice.mVersion);
+  return choice;
+}
+
+} // namespace savory
--- /dev/null
+++ b/tests/core/test_permission.cpp
@@ -0,0 +1,221 @@
+#include "savory/core/cascade.h"
+#include "savory/core/identity.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace savory;
+
+namespace {
+
+Configuration TwoVersions()
+{
+  Configuration config;
+  config.mSessionSecret = "secret";
+  config.mModels = {
+    { .mName = "small",
+      .mVersions = { { "v1", VersionState::Serving, 0 },
+                     { "v2", VersionState::Candidate, 0.5 } } },
+    { .mName = "large", .mVersions = { { "v1", VersionState::Serving, 0 } } },
+  };
+  config.mCustomers.resize(2);
+  config.mCustomers[0].mAllowed = { "small", "large" };
+  config.mCustomers[1].mAllowed = { "small@v1" };
+  config.mPresets = { { .mName = "ordinary" } };
+  config.mPresetInForce = "ordinary";
+  return config;
+}
+
+// Plans and follows cascades of customer "one" under every preset and a random
+// fate of each step. Returns how many steps it was not permitted to use.
+int ForbiddenSteps(const SafetyChecks& aChecks)
+{
+  Configuration config = TwoVersions();
+  const Customer& customer = config.mCustomers[1];
+  CascadeOptions options;
+  options.mExplorationShare = 0.2;
+  options.mChecks = aChecks;
+  std::mt19937_64 random(11);
+  int forbidden = 0;
+  auto count = [&](const Step& aStep) {
+    forbidden += IsAllowed(customer, aStep.mModel, aStep.mVersion) ? 0 : 1;
+  };
+  for (int i = 0; i < 3000; ++i) {
+    config.mPresets[0].mGiveWay = static_cast<GiveWay>(i % 3);
+    PlanInput input;
+    input.mRemainingMs = 1000;
+    input.mStream = i % 5 == 0;
+    input.mRatingUp = i % 7 != 0;
+    auto plan = PlanRequest(config, customer, {}, input, options, random);
+    BOOST_REQUIRE(plan.has_value());
+    for (const auto& step : plan->mSteps) {
+      count(step);
+    }
+    // A retry after the planned versions failed, and a step whose successor
+    // is not available.
+    for (const auto& step : plan->mSteps) {
+      input.mExcluded.push_back(VersionText(step.mModel, step.mVersion));
+    }
+    if (auto retry =
+          PlanRequest(config, customer, {}, input, options, random)) {
+      count(retry->mSteps[0]);
+    }
+    plan->mSteps.resize(2, { "large", "v1" });
+    auto next =
+      DecideAfterStep(config, customer, {}, *plan, false, input, options);
+    if (next.mAction == AfterStep::Escalate) {
+      count(next.mNext);
+    }
+  }
+  return forbidden;
+}
+
+// Withdraws the version of a planned second step between the steps. Returns
+// how often the withdrawn version is run all the same.
+int WithdrawnSteps(const SafetyChecks& aChecks)
+{
+  CascadeOptions options;
+  options.mChecks = aChecks;
+  std::mt19937_64 random(12);
+  int withdrawn = 0;
+  for (int i = 0; i < 100; ++i) {
+    Configuration config = TwoVersions();
+    config.mModels[1].mVersions[0].mState = VersionState::Withdrawn;
+    const Customer& customer = config.mCustomers[0];
+    PlanInput input;
+    input.mRemainingMs = 1000;
+    Plan plan;
+    plan.mSteps = { { "small", "v2" }, { "large", "v1" } };
+    auto next =
+      DecideAfterStep(config, customer, {}, plan, false, input, options);
+    withdrawn +=
+      next.mAction == AfterStep::Escalate && next.mNext.mModel == "large" ? 1
+                                                                          : 0;
+    auto fresh = PlanRequest(config, customer, {}, input, options, random);
+    for (const auto& step : fresh->mSteps) {
+      withdrawn += step.mModel == "large" ? 1 : 0;
+    }
+  }
+  return withdrawn;
+}
+
+// Follows signed sessions and sessions of the caller's own id through the
+// stages of a roll-out, asking a different entry each time. Returns how often
+// one of them changes its version.
+int SessionChanges(const SafetyChecks& aChecks)
+{
+  Configuration config = TwoVersions();
+  const Customer& customer = config.mCustomers[0];
+  std::vector<std::string> sessions{ "chosen-by-caller" };
+  for (std::uint64_t nonce = 0; nonce < 20; ++nonce) {
+    sessions.push_back(
+      SignSession(config, { "small", nonce % 2 ? "v1" : "v2" }, nonce));
+  }
+  int changes = 0;
+  auto versions = [&] {
+    std::vector<std::string> all;
+    for (const auto& session : sessions) {
+      auto choice =
+        ChooseForSession(config, customer, session, "small", false, aChecks);
+      all.push_back(choice ? choice->mVersion : "refused");
+    }
+    return all;
+  };
+  auto before = versions();
+  auto compare = [&] {
+    auto now = versions();
+    for (std::size_t i = 0; i < now.size(); ++i) {
+      changes += now[i] == before[i] ? 0 : 1;
+    }
+  };
+  for (double share : { 0.01, 0.05, 0.25, 0.5, 1.0 }) {
+    config.mModels[0].mVersions[1].mShare = share;
+    compare();
+  }
+  config.mModels[0].mVersions[1].mState = VersionState::Serving;
+  compare();
+  config.mModels[0].mVersions[0].mState = VersionState::Draining;
+  compare();
+  return changes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(permission)
+
+// Guards against a step, retry or escalation on a version that the customer
+// may not use (guarantee 1); without the check the test would see it.
+BOOST_AUTO_TEST_CASE(every_step_of_every_preset_is_permitted)
+{
+  BOOST_TEST(ForbiddenSteps({}) == 0);
+  BOOST_TEST(ForbiddenSteps({ .mPermission = false }) > 0);
+}
+
+// Guards against a session id that carries its customer to a version that
+// another customer may use (guarantee 1).
+BOOST_AUTO_TEST_CASE(a_session_gives_no_permission)
+{
+  Configuration config = TwoVersions();
+  const Customer& one = config.mCustomers[1];
+  std::string session = SignSession(config, { "small", "v2" }, 1);
+  auto choice = ChooseForSession(config, one, session, "", false);
+  BOOST_REQUIRE(!choice.has_value());
+  BOOST_TEST((choice.error() == ErrorCode::NotAllowed));
+  BOOST_TEST(!ChooseForSession(config, one, "mine", "large", false));
+  BOOST_TEST(
+    ChooseForSession(config, one, session, "", false, { .mPermission = false })
+      .has_value());
+}
+
+// Guards against work that reaches a version after its withdrawal, as when it
+// is withdrawn between two steps of a request (guarantee 2).
+BOOST_AUTO_TEST_CASE(a_withdrawn_version_receives_no_step)
+{
+  BOOST_TEST(WithdrawnSteps({}) == 0);
+  BOOST_TEST(WithdrawnSteps({ .mVersionState = false }) > 0);
+}
+
+// Guards against a session that changes its version when the weights of a
+// roll-out change (guarantee 3).
+BOOST_AUTO_TEST_CASE(sessions_keep_their_version_through_a_roll_out)
+{
+  BOOST_TEST(SessionChanges({}) == 0);
+  BOOST_TEST(SessionChanges({ .mSessionPin = false }) > 0);
+}
+
+// Guards against two entries that map the first requests of one session to
+// different versions, even when they know different stages of a roll-out.
+BOOST_AUTO_TEST_CASE(first_requests_at_two_entries_agree)
+{
+  bool held = rc::check([](const std::string& aSession) {
+    Configuration one = TwoVersions();
+    Configuration two = TwoVersions();
+    two.mModels[0].mVersions[1].mShare =
+      static_cast<double>(*rc::gen::inRange(0, 101)) / 100;
+    auto left = ChooseForSession(one, one.mCustomers[0], aSession, "", false);
+    auto right = ChooseForSession(two, two.mCustomers[0], aSession, "", false);
+    RC_ASSERT(left && right);
+    RC_ASSERT(left->mModel == right->mModel);
+    RC_ASSERT(left->mVersion == right->mVersion);
+  });
+  BOOST_TEST(held);
+}
+
+// Guards against a session that stays on a withdrawn version, and against a
+// strict caller whose session is moved silently.
+BOOST_AUTO_TEST_CASE(a_session_moves_only_on_withdrawal)
+{
+  Configuration config = TwoVersions();
+  const Customer& all = config.mCustomers[0];
+  std::string session = SignSession(config, { "small", "v2" }, 1);
+  config.mModels[0].mVersions[1].mState = VersionState::Withdrawn;
+  auto moved = ChooseForSession(config, all, session, "", false);
+  BOOST_REQUIRE(moved.has_value());
+  BOOST_TEST(moved->mMoved);
+  BOOST_TEST(moved->mVersion == "v1");
+  auto strict = ChooseForSession(config, all, session, "", true);
+  BOOST_REQUIRE(!strict.has_value());
+  BOOST_TEST((strict.error() == ErrorCode::SessionVersionWithdrawn));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
