--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -22,16 +22,14 @@
 Agent::Listen()
 {
   mListener = std::make_unique<InnerListener>(
-    mNode.mLoop, [this](const std::shared_ptr<InnerStream>& aStream) {
-      OnStream(aStream);
-    });
+    mNode.mLoop,
+    [this](const std::shared_ptr<InnerStream>& aStream) { OnStream(aStream); });
   Endpoint& inner = mNode.mSettings.mInner;
   inner.mPort = mListener->Listen(inner.mAddress, inner.mPort);
   if (inner.mPort == 0) {
     return false;
   }
-  mReportTimer =
-    Timer::Every(mNode.mLoop, kReportMs, [this] { ReportNow(); });
+  mReportTimer = Timer::Every(mNode.mLoop, kReportMs, [this] { ReportNow(); });
   mPollTimer = Timer::Every(mNode.mLoop, kPollMs, [this] { PollBackend(); });
   PollBackend();
   return true;
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -44,16 +44,19 @@
 };
 
 // Serve one stream of an entry to its end.
-void StartAgentRun(Agent& aAgent, const std::shared_ptr<InnerStream>& aStream);
-void StartAgentCall(Agent& aAgent, const std::shared_ptr<InnerStream>& aStream);
+void
+StartAgentRun(Agent& aAgent, const std::shared_ptr<InnerStream>& aStream);
+void
+StartAgentCall(Agent& aAgent, const std::shared_ptr<InnerStream>& aStream);
 
 // Sends a refusal and ends the stream.
-void Refuse(Agent& aAgent,
-            InnerStream& aStream,
-            ErrorCode aCode,
-            Ran aRan,
-            const std::string& aReason,
-            TimeMs aRetryAfterMs,
-            const std::string& aHint = "");
+void
+Refuse(Agent& aAgent,
+       InnerStream& aStream,
+       ErrorCode aCode,
+       Ran aRan,
+       const std::string& aReason,
+       TimeMs aRetryAfterMs,
+       const std::string& aHint = "");
 
 } // namespace savory
--- a/router/src/agent_call.cpp
+++ b/router/src/agent_call.cpp
@@ -1,5 +1,7 @@
 #include "agent.h"
 
+#include "savory/net/http_server.h"
+
 namespace savory {
 
 namespace {
@@ -70,8 +72,7 @@
 AgentCall::Decide()
 {
   const Node& node = mAgent.mNode;
-  if (!node.mConfig ||
-      mCall.mFrom.mRevision < node.mConfig->mRevision) {
+  if (!node.mConfig || mCall.mFrom.mRevision < node.mConfig->mRevision) {
     Refuse(mAgent,
            *mStream,
            node.mConfig ? ErrorCode::ConfigOlder : ErrorCode::NoConfiguration,
--- a/router/src/agent_run.cpp
+++ b/router/src/agent_run.cpp
@@ -1,5 +1,7 @@
 #include "agent.h"
 
+#include "savory/net/http_server.h"
+
 #include <algorithm>
 
 namespace savory {
@@ -110,8 +112,7 @@
     return;
   }
   const Customer* customer = FindCustomer(*node.mConfig, mRequest.mCustomer);
-  if (!customer ||
-      !IsAllowed(*customer, mRequest.mModel, mRequest.mVersion)) {
+  if (!customer || !IsAllowed(*customer, mRequest.mModel, mRequest.mVersion)) {
     RefuseRun(ErrorCode::NotAllowed,
               "the customer may not use " + mRequest.mModel + "@" +
                 mRequest.mVersion);
@@ -211,8 +212,8 @@
 {
   mExchange.reset();
   if (!mAccepted) {
-    bool reached = aResult.has_value() ||
-                   aResult.error() != HttpErrorCode::NotConnected;
+    bool reached =
+      aResult.has_value() || aResult.error() != HttpErrorCode::NotConnected;
     Refuse(mAgent,
            *mStream,
            ErrorCode::BackendFailed,
--- a/router/src/entry.cpp
+++ b/router/src/entry.cpp
@@ -18,6 +18,7 @@
 Entry::Entry(Node& aNode)
   : mNode(aNode)
   , mLinks(aNode)
+  , mStore(aNode.mLoop, aNode.mHttp, aNode.mSettings.mStore)
 {
 }
 
@@ -63,11 +64,22 @@
     });
 }
 
+// Reads the configuration from the store and puts a newer one in force.
 void
 Entry::PollConfiguration()
 {
-  HttpCall call;
-  (void)call;
+  mStore.Read(
+    "cfg/document",
+    [this](const tl::expected<std::optional<StoreEntry>, StoreError>& aEntry) {
+      if (!aEntry || !*aEntry) {
+        return;
+      }
+      auto document = nlohmann::json::parse((*aEntry)->mValue, nullptr, false);
+      if (!mNode.mConfig || document.value("revision", std::int64_t(0)) >
+                              mNode.mConfig->mRevision) {
+        AdoptDocument(mNode, document, "store");
+      }
+    });
 }
 
 void
--- a/router/src/entry.h
+++ b/router/src/entry.h
@@ -4,6 +4,7 @@
 #include "caller_api.h"
 #include "node.h"
 #include "savory/net/http_server.h"
+#include "savory/platform/store.h"
 
 #include <memory>
 #include <set>
@@ -23,6 +24,7 @@
 
   Node& mNode;
   AgentLinks mLinks;
+  StoreClient mStore;
   // Calls under way, for the drain and the state dump.
   std::set<const void*> mCalls;
 
@@ -43,16 +45,18 @@
 };
 
 // Handles one model call to its end.
-void StartModelCall(Entry& aEntry,
-                    const CallerContext& aContext,
-                    const HttpRequest& aRequest,
-                    const std::shared_ptr<HttpReply>& aReply);
+void
+StartModelCall(Entry& aEntry,
+               const CallerContext& aContext,
+               const HttpRequest& aRequest,
+               const std::shared_ptr<HttpReply>& aReply);
 
 // Handles one call of a plain service to its end.
-void StartServiceCall(Entry& aEntry,
-                      const CallerContext& aContext,
-                      const Service& aService,
-                      const HttpRequest& aRequest,
-                      const std::shared_ptr<HttpReply>& aReply);
+void
+StartServiceCall(Entry& aEntry,
+                 const CallerContext& aContext,
+                 const Service& aService,
+                 const HttpRequest& aRequest,
+                 const std::shared_ptr<HttpReply>& aReply);
 
 } // namespace savory
--- a/router/src/main.cpp
+++ b/router/src/main.cpp
@@ -41,8 +41,7 @@
     return kExitCannotListen;
   }
   Stopper stopper{ aNode, [&] { process.Drain(); } };
-  SignalWatch terminate(
-    aNode.mLoop, SIGTERM, [&] { stopper.OnSignal(); });
+  SignalWatch terminate(aNode.mLoop, SIGTERM, [&] { stopper.OnSignal(); });
   SignalWatch interrupt(aNode.mLoop, SIGINT, [&] { stopper.OnSignal(); });
   LogEvent(Event::ProcessStarted,
            { { "role", std::string(NameOf(kRoleNames, aNode.mSettings.mRole)) },
--- a/router/src/model_call.cpp
+++ b/router/src/model_call.cpp
@@ -105,14 +105,11 @@
 
   // 3. The deadline, and the end of the caller's connection.
   auto self = shared_from_this();
-  mDeadline =
-    Timer::After(mEntry.mNode.mLoop, mContext.mDeadlineMs, [self] {
-      self->Leave();
-      self->Fail({ ErrorCode::DeadlineExceeded,
-                   "the deadline has passed",
-                   Ran::Ran,
-                   0 });
-    });
+  mDeadline = Timer::After(mEntry.mNode.mLoop, mContext.mDeadlineMs, [self] {
+    self->Leave();
+    self->Fail(
+      { ErrorCode::DeadlineExceeded, "the deadline has passed", Ran::Ran, 0 });
+  });
   mReply->mOnClosed = [self] {
     self->Leave();
     self->mDeadline.Cancel();
@@ -129,9 +126,9 @@
   std::string wanted = mModel + "@" + mVersion;
   for (const auto& [address, link] : mEntry.mLinks.All()) {
     const Report& report = link.mReport;
-    bool serves = std::find(report.mVersions.begin(),
-                            report.mVersions.end(),
-                            wanted) != report.mVersions.end();
+    bool serves =
+      std::find(report.mVersions.begin(), report.mVersions.end(), wanted) !=
+      report.mVersions.end();
     bool tried =
       std::find(mTried.begin(), mTried.end(), address) != mTried.end();
     if (!link.mConnection || !serves || tried || report.mLeaving ||
@@ -205,10 +202,9 @@
   mExchange->mOnEnd = [self](const AnswerEnd& aEnd) { self->OnEnd(aEnd); };
   mExchange->mOnBroken = [self](bool) {
     self->Leave();
-    self->mLastError = { ErrorCode::BackendFailed,
-                         "the agent was lost",
-                         Ran::Unknown,
-                         100 };
+    self->mLastError = {
+      ErrorCode::BackendFailed, "the agent was lost", Ran::Unknown, 100
+    };
     if (self->mReply->IsStarted()) {
       self->Fail(self->mLastError);
     } else {
--- a/router/src/service_call.cpp
+++ b/router/src/service_call.cpp
@@ -203,9 +203,7 @@
     self->mAnswer += aBytes;
   };
   mExchange->mOnEnd = [self](const AnswerEnd& aEnd) { self->OnEnd(aEnd); };
-  mExchange->mOnBroken = [self](bool aAccepted) {
-    self->OnBroken(aAccepted);
-  };
+  mExchange->mOnBroken = [self](bool aAccepted) { self->OnBroken(aAccepted); };
 }
 
 // The agent was lost. An idempotent call goes to another one; any other may
--- /dev/null
+++ b/tests/process/fleet.py
@@ -0,0 +1,272 @@
+"""Starts stand-ins and the shipped binaries on loopback, for process tests."""
+
+import base64
+import hashlib
+import http.client
+import json
+import os
+import re
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+
+def request(address, method, target, body=None, headers=None, timeout=15):
+    """Makes one HTTP request; returns status, headers (lower case) and body."""
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        if isinstance(body, (dict, list)):
+            body = json.dumps(body)
+        connection.request(method, target, body=body, headers=headers or {})
+        response = connection.getresponse()
+        data = response.read()
+        return (
+            response.status,
+            {name.lower(): value for name, value in response.getheaders()},
+            data,
+        )
+    finally:
+        connection.close()
+
+
+def wait_until(check, what, seconds=15):
+    """Waits until check() is true; the bound is generous against a busy machine."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            value = check()
+            if value:
+                return value
+        except (OSError, http.client.HTTPException, ValueError, KeyError):
+            pass
+        time.sleep(0.03)
+    raise AssertionError("not reached within %d s: %s" % (seconds, what))
+
+
+class Process:
+    """A started program; its standard error is read into `log`."""
+
+    def __init__(self, name, arguments, environment=None):
+        self.name = name
+        self.log = []
+        self.process = subprocess.Popen(
+            arguments,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            env={**os.environ, **(environment or {})},
+        )
+        self.thread = threading.Thread(target=self._read, daemon=True)
+        self.thread.start()
+
+    def _read(self):
+        for line in self.process.stderr:
+            self.log.append(line.rstrip())
+
+    def event(self, number):
+        """The fields of the first log event with a number, or None."""
+        for line in self.log:
+            found = re.search(r"\] E%d \S+ ?(.*)" % number, line)
+            if found:
+                return dict(re.findall(r'(\S+?)=("[^"]*"|\S*)', found.group(1)))
+        return None
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def kill(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+    def terminate(self, seconds=40):
+        self.process.terminate()
+        return self.process.wait(seconds)
+
+
+class Fleet:
+    """Stand-ins of one deployment with entries and agents before them."""
+
+    def __init__(self, binaries, deployment="gulfway", engines=3, services=3,
+                 entries=3, engine_options=None, rating=False):
+        self.binaries = binaries
+        self.config = json.load(
+            open(os.path.join(ROOT, "docs", "examples", deployment + ".json"))
+        )
+        self.zones = [zone["name"] for zone in self.config["zones"]]
+        self.region = self.config["zones"][0]["region"]
+        self.service_name = self.config["services"][0]["name"]
+        self.pool = self.config["fencing_pools"][0]
+        self.customers = [c["name"] for c in self.config["customers"]]
+        self.engine_options = engine_options or []
+        self.processes = []
+        self.entries = []
+        self.agents = []
+        self.engines = []
+        self.services = []
+        self.rating = None
+        self.store = self._standin("store")
+        self.hosts = self._standin("hosts")
+        if rating:
+            self.rating = self._standin("rating", *rating)
+        self.ctl("init", self._config_file(self.config))
+        serves = []
+        for model in self.config["models"]:
+            for version in model["versions"]:
+                serves += ["--serves", "%s@%s" % (model["name"], version["name"])]
+        for index in range(engines):
+            engine = self._standin("engine", *serves, *self.engine_options)
+            self.engines.append(engine)
+            self.start_agent("runner-%d" % index, engine, "engine", self.pool,
+                             self.zones[index % len(self.zones)])
+        for index in range(services):
+            service = self._standin("service")
+            self.services.append(service)
+            self.start_agent("%s-%d" % (self.service_name, index), service,
+                             "service", self.service_name,
+                             self.zones[index % len(self.zones)])
+        for index in range(entries):
+            self.start_entry("entry-%d" % index, self.zones[index % len(self.zones)])
+        self.publish_hosts()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, trace):
+        if kind is not None:
+            for process in self.entries + self.agents:
+                print("--- log of", process.name)
+                print("\n".join(process.log[-15:]))
+        self.close()
+
+    def close(self):
+        for process in self.processes:
+            process.kill()
+
+    def _config_file(self, config):
+        file = tempfile.NamedTemporaryFile("w", suffix=".json", delete=False)
+        json.dump(config, file)
+        file.close()
+        return file.name
+
+    def _standin(self, kind, *options):
+        process = Process(
+            kind,
+            [os.path.join(self.binaries, "standin"), kind,
+             "--listen", "127.0.0.1:0", *options],
+        )
+        self.processes.append(process)
+        line = process.process.stdout.readline()
+        process.address = line.split()[1]
+        return process
+
+    def _start(self, role, name, zone, *options):
+        process = Process(
+            name,
+            [os.path.join(self.binaries, "savorystream"), role,
+             "--host", name, "--zone", zone, "--region", self.region,
+             "--store", self.store.address, "--hosts", self.hosts.address,
+             *options],
+        )
+        self.processes.append(process)
+        started = wait_until(lambda: process.event(101), name + " has started")
+        process.role = role
+        process.zone = zone
+        process.listen = started["listen"]
+        process.inner = started["inner"]
+        process.admin = started["admin"]
+        process.leaving = False
+        return process
+
+    def start_entry(self, name, zone):
+        options = ["--rating", self.rating.address] if self.rating else []
+        entry = self._start("entry", name, zone, *options)
+        self.entries.append(entry)
+        return entry
+
+    def start_agent(self, name, backend, kind, pool, zone):
+        agent = self._start("agent", name, zone, "--backend", backend.address,
+                            "--backend-kind", kind, "--pool", pool)
+        agent.backend = backend
+        agent.kind = kind
+        agent.pool = pool
+        self.agents.append(agent)
+        return agent
+
+    def publish_hosts(self):
+        hosts = [
+            {"name": process.name, "role": process.role, "zone": process.zone,
+             "inner": process.inner, "admin": process.admin,
+             "state": "leaving" if process.leaving else "live"}
+            for process in self.entries + self.agents
+        ]
+        status, _, body = request(self.hosts.address, "PUT", "/hosts",
+                                  {"hosts": hosts})
+        assert status == 200, body
+
+    def fault(self, standin, **switches):
+        status, _, body = request(standin.address, "POST", "/fault", switches)
+        assert status == 200, body
+
+    def seen(self, standin):
+        return json.loads(request(standin.address, "GET", "/seen")[2])
+
+    def ctl(self, *arguments, check=True):
+        """Runs savoryctl; returns its exit code and output."""
+        result = subprocess.run(
+            [os.path.join(self.binaries, "savoryctl"), *arguments],
+            env={**os.environ, "SAVORY_STORE": self.store.address,
+                 "SAVORY_HOSTS": self.hosts.address,
+                 "SAVORY_OPERATOR_TOKEN": "operator-token"},
+            capture_output=True, text=True, timeout=60,
+        )
+        if check:
+            assert result.returncode == 0, result.stdout + result.stderr
+        return result.returncode, result.stdout + result.stderr
+
+    def chat(self, entry, customer=None, prompt="Which lens?", model="auto",
+             headers=None, stream=False, max_tokens=16, timeout=40):
+        """One model call of a customer; returns status, headers and body."""
+        customer = customer or self.customers[0]
+        body = {"model": model, "stream": stream, "max_tokens": max_tokens,
+                "messages": [{"role": "user", "content": prompt}]}
+        return request(
+            entry.listen, "POST", "/v1/chat/completions", body,
+            {"Authorization": "Bearer key-" + customer,
+             "Content-Type": "application/json", **(headers or {})},
+            timeout=timeout,
+        )
+
+    def call(self, entry, method, path, body=None, key=None, customer=None,
+             headers=None, timeout=40):
+        """One call of the plain service of the deployment."""
+        customer = customer or self.customers[0]
+        sent = {"Authorization": "Bearer key-" + customer, **(headers or {})}
+        if key:
+            sent["Idempotency-Key"] = key
+        return request(entry.listen, method, "/%s%s" % (self.service_name, path),
+                       body, sent, timeout=timeout)
+
+    def wait_ready(self):
+        """Waits until each entry serves a model call and a lookup."""
+        for entry in self.entries:
+            wait_until(lambda: self.chat(entry)[0] == 200,
+                       entry.name + " serves a model call")
+            wait_until(lambda: self.call(entry, "GET", "/stock")[0] == 200,
+                       entry.name + " serves a lookup")
+
+
+def hash_key(text):
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def decode(value):
+    return base64.b64decode(value).decode()
+
+
+SIGSTOP, SIGCONT, SIGKILL = signal.SIGSTOP, signal.SIGCONT, signal.SIGKILL
