--- a/net/include/savory/net/http_client.h
+++ b/net/include/savory/net/http_client.h
@@ -63,6 +63,7 @@
   std::string mTarget = "/";
   Headers mHeaders;
   std::string mBody;
+  // The limit of the whole call; 0 means none.
   TimeMs mTimeoutMs = 5000;
   std::size_t mMaxBytes = 8 * 1024 * 1024;
   // Keeps the connection for later calls. A kept connection that the server
@@ -82,6 +83,7 @@
 
   // Ends the call without a result; neither callback runs afterwards.
   void Cancel();
+  bool IsDone() const { return mDone; }
   // Stops or resumes reading the answer, for back-pressure.
   void PauseReading(bool aPause);
 
--- a/net/src/http_client.cpp
+++ b/net/src/http_client.cpp
@@ -19,6 +19,9 @@
 
 constexpr std::size_t kMaxIdleConnections = 256;
 
+// Ten years: evhttp has no value for an absent limit.
+constexpr time_t kNoLimitS = 10l * 365 * 86400;
+
 evhttp_cmd_type
 MethodType(std::string_view aName)
 {
@@ -296,12 +299,17 @@
                aCall.mBody.size());
   exchange->mRequest = request;
 
-  // 3. The time limit of the whole call.
-  exchange->mTimeout =
-    Timer::After(mLoop, aCall.mTimeoutMs, [raw = exchange.get()] {
-      auto keep = raw->mSelf;
-      raw->Finish(tl::unexpected(HttpErrorCode::Timeout));
-    });
+  // 3. The time limit of the whole call. The limit on silence that evhttp has
+  // of its own, 50 s by default, must not end the call earlier.
+  timeval silence{ kNoLimitS, 0 };
+  evhttp_connection_set_timeout_tv(exchange->mConnection, &silence);
+  if (aCall.mTimeoutMs > 0) {
+    exchange->mTimeout =
+      Timer::After(mLoop, aCall.mTimeoutMs, [raw = exchange.get()] {
+        auto keep = raw->mSelf;
+        raw->Finish(tl::unexpected(HttpErrorCode::Timeout));
+      });
+  }
 
   // 4. Sent in the next turn of the loop, after the caller set its callbacks.
   Defer(mLoop, [exchange, request, aCall] {
--- a/tests/standins/store.cpp
+++ b/tests/standins/store.cpp
@@ -127,7 +127,10 @@
       return;
     }
     if (mFault.value("refuse", false)) {
-      throw StoreFault(14, 503, "the store is not available");
+      throw StoreFault(8, 429, "etcdserver: too many requests");
+    }
+    if (mFault.value("unavailable", false)) {
+      throw StoreFault(14, 503, "etcdserver: request timed out");
     }
     if (aRequest.mMethod != "POST" || !aRequest.mPath.starts_with("/v3/")) {
       throw StoreFault(5, 404, "Not Found");
--- a/tests/standins/store.h
+++ b/tests/standins/store.h
@@ -9,7 +9,8 @@
 namespace savory {
 
 // An in-memory store that speaks the etcd v3 JSON mapping. Faults: down,
-// refuse, slow_ms, lose_answers (count), lose_prefix, split_watch.
+// refuse (429, no effect), unavailable (503), slow_ms, lose_answers (count),
+// lose_prefix, split_watch.
 class StoreStandin : public Standin
 {
 public:
