Add the record of non-idempotent keys

Cause: a call that must run at most once needs a decision that holds when its owner, the store or a witness fails at any step.

Ruled out: an unconditional batch write that is repeated under a new sequence number after a lost answer, because a late arrival of the first one would then count twice; "not run" from memory alone, because an owner that was cut off cannot know that no other agent has taken over.

--- /dev/null
+++ b/core/src/record_json.cpp
@@ -0,0 +1,372 @@
+#include "savory/core/record.h"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace savory {
+
+using nlohmann::json;
+
+namespace {
+
+// Field names, quotes and numbers of an item, rounded up.
+constexpr std::size_t kItemOverhead = 240;
+constexpr std::size_t kHeaderOverhead = 10;
+
+std::size_t
+Base64Bytes(std::size_t aBytes)
+{
+  return (aBytes + 2) / 3 * 4;
+}
+
+// Bodies and header values may hold any bytes, which JSON text cannot.
+std::string
+ToBase64(const std::string& aBytes)
+{
+  std::string text(Base64Bytes(aBytes.size()) + 1, '\0');
+  int size =
+    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                    reinterpret_cast<const unsigned char*>(aBytes.data()),
+                    static_cast<int>(aBytes.size()));
+  text.resize(static_cast<std::size_t>(size));
+  return text;
+}
+
+// Throws json::exception-free; an empty result with aFailed set is an error.
+std::string
+FromBase64(const std::string& aText, bool& aFailed)
+{
+  if (aText.empty()) {
+    return {};
+  }
+  std::string bytes(aText.size(), '\0');
+  int size =
+    EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                    reinterpret_cast<const unsigned char*>(aText.data()),
+                    static_cast<int>(aText.size()));
+  std::size_t padding = 0;
+  while (padding < 2 && aText.size() > padding &&
+         aText[aText.size() - 1 - padding] == '=') {
+    ++padding;
+  }
+  if (size < 0 || aText.size() % 4 != 0) {
+    aFailed = true;
+    return {};
+  }
+  bytes.resize(static_cast<std::size_t>(size) - padding);
+  // The decoder skips white space; only the canonical text is accepted.
+  aFailed = aFailed || ToBase64(bytes) != aText;
+  return bytes;
+}
+
+// Reads the fields of one object and remembers the first fault.
+struct Fields
+{
+  const json& mObject;
+  std::string& mFault;
+
+  const json* Find(const char* aName)
+  {
+    if (!mObject.is_object()) {
+      Fault("not an object");
+      return nullptr;
+    }
+    auto found = mObject.find(aName);
+    if (found == mObject.end()) {
+      Fault(std::string(aName) + " is missing");
+      return nullptr;
+    }
+    return &*found;
+  }
+
+  void Fault(const std::string& aReason)
+  {
+    if (mFault.empty()) {
+      mFault = aReason;
+    }
+  }
+
+  std::string Text(const char* aName)
+  {
+    const json* value = Find(aName);
+    if (value == nullptr || !value->is_string()) {
+      Fault(std::string(aName) + " must be a string");
+      return {};
+    }
+    return value->get<std::string>();
+  }
+
+  std::uint64_t Unsigned(const char* aName)
+  {
+    const json* value = Find(aName);
+    if (value == nullptr || !value->is_number_unsigned()) {
+      Fault(std::string(aName) + " must be a non-negative integer");
+      return 0;
+    }
+    return value->get<std::uint64_t>();
+  }
+
+  std::int64_t Count(const char* aName)
+  {
+    std::uint64_t value = Unsigned(aName);
+    if (value > static_cast<std::uint64_t>(
+                  std::numeric_limits<std::int64_t>::max() / 2)) {
+      Fault(std::string(aName) + " is out of range");
+      return 0;
+    }
+    return static_cast<std::int64_t>(value);
+  }
+
+  bool Flag(const char* aName)
+  {
+    const json* value = Find(aName);
+    if (value == nullptr || !value->is_boolean()) {
+      Fault(std::string(aName) + " must be true or false");
+      return false;
+    }
+    return value->get<bool>();
+  }
+
+  const json& List(const char* aName)
+  {
+    static const json kEmpty = json::array();
+    const json* value = Find(aName);
+    if (value == nullptr || !value->is_array()) {
+      Fault(std::string(aName) + " must be a list");
+      return kEmpty;
+    }
+    return *value;
+  }
+};
+
+json
+AgentJson(const AgentName& aAgent)
+{
+  return { { "host", aAgent.mHost }, { "incarnation", aAgent.mIncarnation } };
+}
+
+AgentName
+ParseAgent(const json& aDocument, std::string& aFault)
+{
+  Fields fields{ aDocument, aFault };
+  return { .mHost = fields.Text("host"),
+           .mIncarnation = fields.Count("incarnation") };
+}
+
+Claim
+ReadClaim(const json& aDocument, std::string& aFault)
+{
+  Fields fields{ aDocument, aFault };
+  Claim claim{ .mCustomer = fields.Text("customer"),
+               .mKey = fields.Text("key"),
+               .mFingerprint = fields.Unsigned("fingerprint"),
+               .mRequestId = fields.Text("request"),
+               .mEpoch = fields.Count("epoch"),
+               .mAttempt = fields.Count("attempt"),
+               .mClaimedMs = fields.Count("claimed_ms") };
+  if (claim.mKey.empty()) {
+    fields.Fault("key must not be empty");
+  }
+  return claim;
+}
+
+json
+OutcomeJson(const Outcome& aOutcome)
+{
+  json headers = json::array();
+  for (const auto& [name, value] : aOutcome.mHeaders) {
+    headers.push_back({ ToBase64(name), ToBase64(value) });
+  }
+  return { { "status", aOutcome.mStatus },
+           { "headers", std::move(headers) },
+           { "body", ToBase64(aOutcome.mBody) },
+           { "kept", aOutcome.mKept } };
+}
+
+std::shared_ptr<const Outcome>
+ReadOutcome(const json& aDocument, std::string& aFault)
+{
+  Fields fields{ aDocument, aFault };
+  auto outcome = std::make_shared<Outcome>();
+  std::int64_t status = fields.Count("status");
+  if (status < 100 || status > 999) {
+    fields.Fault("status is out of range");
+    status = 0;
+  }
+  outcome->mStatus = static_cast<int>(status);
+  bool failed = false;
+  for (const auto& row : fields.List("headers")) {
+    if (!row.is_array() || row.size() != 2 || !row[0].is_string() ||
+        !row[1].is_string()) {
+      fields.Fault("headers must hold pairs of strings");
+      break;
+    }
+    std::string name = FromBase64(row[0].get_ref<const std::string&>(), failed);
+    std::string value =
+      FromBase64(row[1].get_ref<const std::string&>(), failed);
+    outcome->mHeaders.emplace_back(std::move(name), std::move(value));
+  }
+  outcome->mBody = FromBase64(fields.Text("body"), failed);
+  outcome->mKept = fields.Flag("kept");
+  if (failed) {
+    fields.Fault("a base64 text is malformed");
+  }
+  return outcome;
+}
+
+json
+ItemJson(const RecordItem& aItem)
+{
+  json item = ToJson(aItem.mClaim);
+  item["kind"] = NameOf(kRecordItemKindNames, aItem.mKind);
+  if (aItem.mOutcome) {
+    item["outcome"] = OutcomeJson(*aItem.mOutcome);
+  }
+  return item;
+}
+
+RecordItem
+ReadItem(const json& aDocument, std::string& aFault)
+{
+  Fields fields{ aDocument, aFault };
+  RecordItem item;
+  auto kind = ValueOf(kRecordItemKindNames, fields.Text("kind"));
+  if (!kind) {
+    fields.Fault("kind has no such value");
+    return item;
+  }
+  item.mKind = *kind;
+  item.mClaim = ReadClaim(aDocument, aFault);
+  if (item.mKind == RecordItemKind::Outcome) {
+    const json* outcome = fields.Find("outcome");
+    if (outcome != nullptr) {
+      item.mOutcome = ReadOutcome(*outcome, aFault);
+    }
+  }
+  return item;
+}
+
+} // namespace
+
+json
+ToJson(const SlotStatus& aStatus)
+{
+  json witnesses = json::array();
+  for (const auto& witness : aStatus.mWitnesses) {
+    witnesses.push_back(AgentJson(witness));
+  }
+  return { { "owner", AgentJson(aStatus.mOwner) },
+           { "epoch", aStatus.mEpoch },
+           { "change", aStatus.mChange },
+           { "witnesses", std::move(witnesses) },
+           { "clean", aStatus.mClean },
+           { "incomplete_until_ms", aStatus.mIncompleteUntilMs } };
+}
+
+json
+ToJson(const Claim& aClaim)
+{
+  return { { "customer", aClaim.mCustomer },
+           { "key", aClaim.mKey },
+           { "fingerprint", aClaim.mFingerprint },
+           { "request", aClaim.mRequestId },
+           { "epoch", aClaim.mEpoch },
+           { "attempt", aClaim.mAttempt },
+           { "claimed_ms", aClaim.mClaimedMs } };
+}
+
+json
+ToJson(const RecordBatch& aBatch)
+{
+  json items = json::array();
+  for (const auto& item : aBatch.mItems) {
+    items.push_back(ItemJson(item));
+  }
+  return { { "epoch", aBatch.mEpoch },
+           { "sequence", aBatch.mSequence },
+           { "written_ms", aBatch.mWrittenMs },
+           { "items", std::move(items) } };
+}
+
+tl::expected<SlotStatus, RecordError>
+ParseSlotStatus(std::string_view aText)
+{
+  json document = json::parse(aText, nullptr, false);
+  std::string fault;
+  Fields fields{ document, fault };
+  SlotStatus status;
+  if (const json* owner = fields.Find("owner")) {
+    status.mOwner = ParseAgent(*owner, fault);
+  }
+  status.mEpoch = fields.Count("epoch");
+  status.mChange = fields.Count("change");
+  for (const auto& row : fields.List("witnesses")) {
+    status.mWitnesses.push_back(ParseAgent(row, fault));
+  }
+  status.mClean = fields.Flag("clean");
+  status.mIncompleteUntilMs = fields.Count("incomplete_until_ms");
+  if (status.mEpoch < 1) {
+    fields.Fault("epoch is out of range");
+  }
+  if (!status.mWitnesses.empty() && status.mWitnesses.size() != 2) {
+    fields.Fault("witnesses must be none or two");
+  }
+  if (!fault.empty()) {
+    return tl::unexpected(RecordError{ fault });
+  }
+  return status;
+}
+
+tl::expected<Claim, RecordError>
+ParseClaim(const json& aDocument)
+{
+  std::string fault;
+  Claim claim = ReadClaim(aDocument, fault);
+  if (!fault.empty()) {
+    return tl::unexpected(RecordError{ fault });
+  }
+  return claim;
+}
+
+tl::expected<RecordBatch, RecordError>
+ParseRecordBatch(std::string_view aText)
+{
+  json document = json::parse(aText, nullptr, false);
+  std::string fault;
+  Fields fields{ document, fault };
+  RecordBatch batch{ .mEpoch = fields.Count("epoch"),
+                     .mSequence = fields.Count("sequence"),
+                     .mWrittenMs = fields.Count("written_ms"),
+                     .mItems = {} };
+  for (const auto& row : fields.List("items")) {
+    batch.mItems.push_back(ReadItem(row, fault));
+    if (!fault.empty()) {
+      break;
+    }
+  }
+  if (!fault.empty()) {
+    return tl::unexpected(RecordError{ fault });
+  }
+  return batch;
+}
+
+std::size_t
+EncodedBytes(const RecordItem& aItem)
+{
+  // A character of a name or key may be escaped by a second one, and one of a
+  // customer's name by six.
+  std::size_t bytes = kItemOverhead + 6 * aItem.mClaim.mCustomer.size() +
+                      2 * aItem.mClaim.mKey.size() +
+                      2 * aItem.mClaim.mRequestId.size();
+  if (aItem.mOutcome) {
+    bytes += Base64Bytes(aItem.mOutcome->mBody.size());
+    for (const auto& [name, value] : aItem.mOutcome->mHeaders) {
+      bytes +=
+        Base64Bytes(name.size()) + Base64Bytes(value.size()) + kHeaderOverhead;
+    }
+  }
+  return bytes;
+}
+
+} // namespace savory
