Measure the cascade against policies that know the pass rates

The bound knows the true rates per class; the oracle knows each outcome.

Ruled out: sampled quality per window as the target line. A policy that just meets the target falls below it in many windows by chance, so the line uses the expected quality of the chosen steps and the sampled share is shown apart.

--- /dev/null
+++ b/bench/workload.cpp
@@ -0,0 +1,185 @@
+#include "workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace savory::bench {
+
+namespace {
+
+constexpr std::array<Micros, kModelCount> kInputCost{ 1, 4, 15 };
+constexpr std::array<Micros, kModelCount> kOutputCost{ 4, 16, 60 };
+constexpr std::array<double, kModelCount> kQuality{ 0.78, 0.9, 0.97 };
+// Milliseconds for each output token and for a thousand input tokens.
+constexpr std::array<double, kModelCount> kOutputMs{ 6, 9, 16 };
+constexpr std::array<double, kModelCount> kPrefillMs{ 60, 100, 200 };
+constexpr double kTokenSpread = 0.3;
+constexpr double kMsPerHour = 3600000;
+
+// The load factor at a time: 1 at night, the peak at 13:00.
+double LoadAt(const Workload& aWorkload, TimeMs aAtMs)
+{
+  double hour = static_cast<double>(aAtMs) / kMsPerHour;
+  double wave = std::sin(std::numbers::pi * (hour - 7) / 12);
+  return 1 + (aWorkload.mPeakLoad - 1) * std::max(0.0, wave);
+}
+
+} // namespace
+
+const std::vector<Workload>& Deployments()
+{
+  using enum SizeClass;
+  static const std::vector<Workload> kDeployments{
+    // Quick gear questions, summaries of lending records, damage reports from
+    // long inspection histories.
+    { "gulfway",
+      { { { Short, false },
+          0.55,
+          80,
+          120,
+          { 0.93, 0.955, 0.98 },
+          { 0.945, 0.955, 0.98 } },
+        { { Middle, false },
+          0.30,
+          900,
+          300,
+          { 0.82, 0.93, 0.97 },
+          { 0.86, 0.93, 0.97 } },
+        { { Long, false },
+          0.15,
+          6000,
+          700,
+          { 0.62, 0.86, 0.955 },
+          { 0.68, 0.86, 0.955 } } },
+      1.5 },
+    // Short bench questions, lume and lacquer assessments with and without
+    // photographs, long dossiers with photographs.
+    { "bengal",
+      { { { Short, false },
+          0.40,
+          70,
+          90,
+          { 0.95, 0.965, 0.985 },
+          { 0.94, 0.965, 0.985 } },
+        { { Middle, false },
+          0.20,
+          800,
+          250,
+          { 0.80, 0.92, 0.965 },
+          { 0.84, 0.92, 0.965 } },
+        { { Middle, true },
+          0.25,
+          1500,
+          250,
+          { 0.55, 0.88, 0.96 },
+          { 0.60, 0.88, 0.96 } },
+        { { Long, true },
+          0.15,
+          9000,
+          600,
+          { 0.40, 0.78, 0.945 },
+          { 0.48, 0.78, 0.945 } } },
+      1.4 },
+  };
+  return kDeployments;
+}
+
+Configuration BenchConfiguration()
+{
+  Configuration config;
+  Customer customer;
+  customer.mName = "bench";
+  for (std::size_t i = 0; i < kModelCount; ++i) {
+    Model model;
+    model.mName = kModelNames[i];
+    model.mInputCost = kInputCost[i];
+    model.mOutputCost = kOutputCost[i];
+    model.mQuality = kQuality[i];
+    model.mVersions = { { "v1", VersionState::Serving, 0 } };
+    config.mModels.push_back(model);
+    customer.mAllowed.push_back(model.mName);
+  }
+  config.mCustomers.push_back(customer);
+  config.mPresets = { { "ordinary", 0.9, 30000, GiveWay::Cost, 0, 2 } };
+  config.mPresetInForce = "ordinary";
+  return config;
+}
+
+std::vector<BenchRequest> MakeRequests(const Workload& aWorkload,
+                                       std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  std::uniform_real_distribution<> uniform(0, 1);
+  std::exponential_distribution<> gap(kRequestsPerSecond / 1000);
+  std::lognormal_distribution<> spread(0, kTokenSpread);
+  std::vector<double> weights;
+  for (const auto& truth : aWorkload.mClasses) {
+    weights.push_back(truth.mWeight);
+  }
+  std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+  std::vector<BenchRequest> requests;
+  double at = gap(random);
+  for (; at < static_cast<double>(kDayMs); at += gap(random)) {
+    BenchRequest request;
+    request.mAtMs = static_cast<TimeMs>(at);
+    request.mTruth = &aWorkload.mClasses[pick(random)];
+    request.mInputTokens = std::lround(request.mTruth->mInputTokens);
+    request.mOutputTokens =
+      std::lround(request.mTruth->mOutputTokens * spread(random));
+    request.mStream = uniform(random) < kStreamShare;
+    request.mLate = uniform(random) < kLateRatings;
+    request.mWrong = uniform(random) < kWrongRatings;
+    bool common = uniform(random) < kCommonDifficulty;
+    double shared = uniform(random);
+    double load = LoadAt(aWorkload, request.mAtMs);
+    const auto& rates = TrueRates(*request.mTruth, request.mAtMs);
+    for (std::size_t i = 0; i < kModelCount; ++i) {
+      double own = uniform(random);
+      request.mPasses[i] = (common ? shared : own) < rates[i];
+      request.mCost[i] =
+        static_cast<double>(kInputCost[i] * request.mInputTokens +
+                            kOutputCost[i] * request.mOutputTokens);
+      request.mStepMs[i] = static_cast<TimeMs>(
+        load *
+        (kPrefillMs[i] * static_cast<double>(request.mInputTokens) / 1000 +
+         kOutputMs[i] * static_cast<double>(request.mOutputTokens)));
+    }
+    requests.push_back(request);
+  }
+  return requests;
+}
+
+const std::array<double, kModelCount>& TrueRates(const ClassTruth& aTruth,
+                                                 TimeMs aAtMs)
+{
+  return aAtMs < kNewVersionMs ? aTruth.mBefore : aTruth.mAfter;
+}
+
+double TrueQuality(const std::array<double, kModelCount>& aRates,
+                   int aFirst,
+                   int aSecond,
+                   bool aDeliverLate)
+{
+  double first = aRates[static_cast<std::size_t>(aFirst)];
+  if (aSecond < 0) {
+    return first;
+  }
+  double second = aRates[static_cast<std::size_t>(aSecond)];
+  // 1. Both pass, and only the second passes.
+  double both = kCommonDifficulty * std::min(first, second) +
+                (1 - kCommonDifficulty) * first * second;
+  double onlySecond = second - both;
+  // 2. A rating escalates failed answers, and passed ones when it is wrong.
+  double rated = first * (1 - kWrongRatings) + both * kWrongRatings +
+                 onlySecond * (1 - kWrongRatings);
+  double late = aDeliverLate ? first : second;
+  return rated * (1 - kLateRatings) + late * kLateRatings;
+}
+
+bool RatingUp(TimeMs aAtMs)
+{
+  return aAtMs < kOutageFromMs || aAtMs >= kOutageToMs;
+}
+
+} // namespace savory::bench
