Add the roll-out state machine

Cause: a bad version has to be stopped by its ratings, by any process.

Change: rollout.h has the sequential test on merged totals, five stages that end by evidence, decisions as new configuration values, the bound on answers that await a rating, and a CUSUM watch after the roll-out.

Ruled out: a new test at each stage, which would multiply the false stops by the number of stages.

--- /dev/null
+++ b/tests/core/test_rollout.cpp
@@ -0,0 +1,198 @@
+#include "savory/core/rollout.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+
+using namespace savory;
+
+namespace {
+
+const std::string kModel = "small";
+
+Configuration Prepared()
+{
+  Configuration config;
+  config.mRevision = 7;
+  Model model;
+  model.mName = kModel;
+  model.mVersions = { { "v1", VersionState::Serving, 0 },
+                      { "v2", VersionState::Withdrawn, 0 } };
+  config.mModels.push_back(model);
+  return config;
+}
+
+// One fresh rating of the candidate and of a predecessor that fails at 5%.
+void AddRatings(RatingTable& aTable,
+                const RatingWriter& aWriter,
+                double aFails,
+                std::mt19937_64& aRandom)
+{
+  std::bernoulli_distribution fails(aFails);
+  AddRating(aTable, aWriter, { 0, "small@v2", "" }, !fails(aRandom));
+}
+
+RatingTable Predecessor()
+{
+  RatingTable table;
+  for (int i = 0; i < 4000; ++i) {
+    AddRating(table, { "old", 1 }, { 0, "small@v1", "" }, i % 20 != 0);
+  }
+  return table;
+}
+
+struct Outcome
+{
+  Configuration mConfig;
+  int mRatings = 0;
+};
+
+// Runs a roll-out to its end. After each `aHandOver` ratings another process
+// goes on, which knows the configuration and the gossiped counts only.
+Outcome RunRollout(double aFails, std::uint64_t aSeed, int aHandOver)
+{
+  std::mt19937_64 random(aSeed);
+  Outcome outcome{ *StartRollout(Prepared(), kModel, "v1", "v2"), 0 };
+  RatingTable table = Predecessor();
+  std::int64_t incarnation = 1;
+  while (!outcome.mConfig.mRollouts.empty()) {
+    AddRatings(table, { "entry", incarnation }, aFails, random);
+    ++outcome.mRatings;
+    if (outcome.mRatings % aHandOver == 0) {
+      table = *RatingsFromJson(RatingsToJson(table));
+      ++incarnation;
+    }
+    auto decision = DecideRollout(outcome.mConfig.mRollouts[0], table, true);
+    auto next = ApplyRollout(outcome.mConfig, kModel, decision.mAction);
+    outcome.mConfig = next ? *next : outcome.mConfig;
+  }
+  return outcome;
+}
+
+bool Stopped(const Outcome& aOutcome)
+{
+  return aOutcome.mConfig.mModels[0].mVersions[1].mState ==
+         VersionState::Withdrawn;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(rollout)
+
+// Guards against a test whose error rates are not those stated.
+BOOST_AUTO_TEST_CASE(error_rates_hold_over_seeds)
+{
+  constexpr int kRuns = 1000;
+  int falseStops = 0;
+  int misses = 0;
+  double ratings = 0;
+  for (int seed = 0; seed < kRuns; ++seed) {
+    auto base = static_cast<std::uint64_t>(seed);
+    falseStops += Stopped(RunRollout(0.05, base, 1 << 30)) ? 1 : 0;
+    Outcome bad = RunRollout(0.10, base + 5000, 1 << 30);
+    misses += Stopped(bad) ? 0 : 1;
+    ratings += bad.mRatings;
+  }
+  RolloutOptions stated;
+  stated.mFalseStop = 0.01;
+  double mean = MeanRatingsUntilStop(MakeTest(0.05, stated), stated);
+  BOOST_TEST_MESSAGE("false stops " << falseStops << ", misses " << misses
+                                    << ", ratings " << ratings / kRuns
+                                    << ", Wald " << mean);
+  BOOST_TEST(falseStops <= kRuns / 100);
+  // Three standard deviations above 5%.
+  BOOST_TEST(misses <= kRuns * 0.07);
+  BOOST_TEST(ratings / kRuns <= 1.3 * mean);
+}
+
+// Guards against a roll-out that starts again or stops for ever when the
+// process that drove it is replaced.
+BOOST_AUTO_TEST_CASE(another_process_continues_with_the_same_result)
+{
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    Outcome alone = RunRollout(0.08, seed, 1 << 30);
+    Outcome handedOver = RunRollout(0.08, seed, 7);
+    BOOST_TEST(alone.mRatings == handedOver.mRatings);
+    BOOST_TEST(alone.mConfig.mRevision == handedOver.mConfig.mRevision);
+    BOOST_TEST(Stopped(alone) == Stopped(handedOver));
+  }
+}
+
+// Guards against stages that are skipped, versions in the wrong state at the
+// end, and a decision that brings back what an operator withdrew.
+BOOST_AUTO_TEST_CASE(stages_follow_the_ramp_to_either_end)
+{
+  auto config = *StartRollout(Prepared(), kModel, "v1", "v2");
+  BOOST_TEST(!StartRollout(config, kModel, "v1", "v2"));
+  Configuration withdrawn = *WithdrawVersion(config, kModel, "v2");
+  BOOST_TEST(withdrawn.mRollouts.empty());
+  withdrawn.mRollouts = config.mRollouts;
+  BOOST_TEST(!ApplyRollout(withdrawn, kModel, RolloutAction::Finish));
+  for (std::size_t stage = 0; stage + 1 < kStageShares.size(); ++stage) {
+    BOOST_TEST(config.mModels[0].mVersions[1].mShare == kStageShares[stage]);
+    BOOST_TEST(config.mRevision == 8 + static_cast<int>(stage));
+    BOOST_TEST(!ApplyRollout(config, kModel, RolloutAction::Continue));
+    config = *ApplyRollout(config, kModel, RolloutAction::NextStage);
+  }
+  auto stopped = *ApplyRollout(config, kModel, RolloutAction::Stop);
+  BOOST_TEST(
+    (stopped.mModels[0].mVersions[1].mState == VersionState::Withdrawn));
+  BOOST_TEST((stopped.mModels[0].mVersions[0].mState == VersionState::Serving));
+  auto done = *ApplyRollout(config, kModel, RolloutAction::Finish);
+  BOOST_TEST((done.mModels[0].mVersions[1].mState == VersionState::Serving));
+  BOOST_TEST((done.mModels[0].mVersions[0].mState == VersionState::Draining));
+  BOOST_TEST(done.mRollouts.empty());
+  // The finished version turns bad: its predecessor serves again.
+  auto back = *WithdrawVersion(done, kModel, "v2");
+  BOOST_TEST((back.mModels[0].mVersions[0].mState == VersionState::Serving));
+  BOOST_TEST(!WithdrawVersion(back, kModel, "v1"));
+}
+
+// Guards against a candidate that advances, or receives work without limit,
+// while nothing rates its answers.
+BOOST_AUTO_TEST_CASE(no_ratings_no_progress)
+{
+  auto config = *StartRollout(Prepared(), kModel, "v1", "v2");
+  const Rollout& rollout = config.mRollouts[0];
+  RatingTable table = Predecessor();
+  BOOST_TEST(
+    (DecideRollout(rollout, table, false).mAction == RolloutAction::Pause));
+  BOOST_TEST(
+    (DecideRollout(rollout, {}, true).mAction == RolloutAction::Pause));
+  BOOST_TEST(
+    (DecideRollout(rollout, table, true).mAction == RolloutAction::Continue));
+  BOOST_TEST(MayTakeCandidate(rollout, 7, 1, true));
+  BOOST_TEST(!MayTakeCandidate(rollout, 8, 1, true));
+  BOOST_TEST(!MayTakeCandidate(rollout, 2, 4, true));
+  BOOST_TEST(MayTakeCandidate(rollout, 0, 100, true));
+  BOOST_TEST(!MayTakeCandidate(rollout, 0, 1, false));
+}
+
+// Guards against a version that turns bad after its roll-out unnoticed, and
+// against alarms on a good one.
+BOOST_AUTO_TEST_CASE(a_version_that_turns_bad_is_noticed)
+{
+  int falseAlarms = 0;
+  double delay = 0;
+  constexpr int kRuns = 50;
+  for (std::uint64_t seed = 0; seed < kRuns; ++seed) {
+    std::mt19937_64 random(seed);
+    RegressionWatch watch;
+    RatingCounts counts;
+    auto observe = [&](double aFails) {
+      bool failed = std::bernoulli_distribution(aFails)(random);
+      (failed ? counts.mFailed : counts.mPassed) += 1;
+      return ObserveVersion(watch, counts, 0.05);
+    };
+    for (int i = 0; i < 20000; ++i) {
+      falseAlarms += observe(0.05) ? 1 : 0;
+    }
+    do {
+      delay += 1;
+    } while (!observe(0.10));
+  }
+  BOOST_TEST(falseAlarms == 0);
+  BOOST_TEST(delay / kRuns <= 1.1 * MeanDetectionDelay(0.05));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
