--- a/bench/results.cpp
+++ b/bench/results.cpp
@@ -1,5 +1,6 @@
 #include "results.h"
 
+#include "plot.h"
 #include "savory/core/identity.h"
 
 #include <algorithm>
@@ -104,6 +105,13 @@
       lines.back()["bound"] = *line.mBound;
     }
   }
+  for (const auto& plot : aResults.mPlots) {
+    std::ofstream svg(aFolder + "/" + plot.mName + ".svg");
+    svg << PlotToSvg(plot);
+    if (!svg.good()) {
+      return false;
+    }
+  }
   std::ofstream file(aFolder + "/results.json");
   file << json{ { "lines", lines }, { "signature", aResults.mSignature } }.dump(
             2)
