Explore choices that can lower the cost

Cause: the least rated version was explored as a single step, so that the second steps of cheap cascades were never rated.

Change: an exploration takes the cheapest choice below the picked cost whose quality may still meet the target, and the least rated version only when there is none.

--- a/bench/bench_cascade.cpp
+++ b/bench/bench_cascade.cpp
@@ -218,7 +218,7 @@
     };
     bool deliverLate = decide(std::nullopt);
     if (!decide(rating)) {
-      Rate(aRequest, *plan, 1, false);
+      Rate(aRequest, *plan, 1, plan->mExploration);
     }
     mDecisions.push_back(static_cast<char>('a' + first * kModelCount + second));
     return CarryOut(aRequest, first, second, deliverLate);
--- a/core/src/cascade.cpp
+++ b/core/src/cascade.cpp
@@ -16,6 +16,9 @@
 // that answers after a failed step.
 constexpr double kAfterPriorRatings = 10;
 
+// Margins between mean and cautious estimate that an exploration adds.
+constexpr double kOptimism = 2;
+
 // A version that one model contributes to a plan.
 struct Candidate
 {
@@ -311,9 +314,29 @@
   return { Least(aChoices, any, faster), "nothing is in time, fastest" };
 }
 
-// The choice that tries the least rated candidate.
-Choice ExplorationChoice(const std::vector<Candidate>& aCandidates)
+// The choice that an exploration tries: the cheapest one that costs less than
+// the pick and may meet the target for all that is known of it, because only
+// such a choice can lower the cost. Without one, the least rated candidate.
+Choice ExplorationChoice(const std::vector<Choice>& aChoices,
+                         const Choice& aPicked,
+                         const std::vector<Candidate>& aCandidates,
+                         double aTarget,
+                         TimeMs aRemainingMs)
 {
+  const Choice* promising = Least(
+    aChoices,
+    [&](const Choice& aChoice) {
+      double margin = aChoice.mQuality - aChoice.mCautious;
+      return aChoice.mCost < aPicked.mCost &&
+             aChoice.mExpectedMs <= aRemainingMs &&
+             aChoice.mQuality + kOptimism * margin >= aTarget;
+    },
+    [](const Choice& aLeft, const Choice& aRight) {
+      return aLeft.mCost < aRight.mCost;
+    });
+  if (promising) {
+    return *promising;
+  }
   auto least =
     std::min_element(aCandidates.begin(),
                      aCandidates.end(),
@@ -472,11 +495,12 @@
   bool explore = aInput.mRatingUp && candidates.size() > 1 &&
                  draw < aOptions.mExplorationShare;
   if (explore) {
-    Choice trial = ExplorationChoice(candidates);
+    Choice trial = ExplorationChoice(
+      choices, choice, candidates, preset.mQualityTarget, aInput.mRemainingMs);
     explore = trial.mExpectedMs <= aInput.mRemainingMs;
     if (explore) {
       choice = trial;
-      picked.mWhy = "exploration of the least rated";
+      picked.mWhy = "exploration";
     }
   }
   // 4. The plan and its explanation.
