Add config_store, config_sync, membership, explain and metrics

Cause: the processes need the configuration's layout in the store, its adoption, the member table, the decision log and the metrics before they can be wired.

Change: five core modules without I/O. The head holds the newest 16 operation ids and references a value with the others, up to 4,096: with all of them in the head each watcher would receive them once a change. Section keys include the revision that they were written for, so that a collection never deletes a value that a later change writes again. Gossip sends one byte a row as digest and one byte a row as beat.

The beats of more than half of the entries must be younger than 3 s, and three fixed pulls a second need about log3(410) = 5.5 hops of half a second.

Test: the metrics' text and the bounds of series and explanations are tested. config_store, config_sync and membership compile and have no tests yet.

--- /dev/null
+++ b/core/include/savory/core/config_sync.h
@@ -0,0 +1,243 @@
+#pragma once
+
+#include "savory/core/config_store.h"
+#include "savory/core/membership.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savory {
+
+// Parts of the mechanism that tests take away to show that a check fails
+// without them. Every process runs with all of them.
+struct SyncOptions
+{
+  bool mOnlyNewer = true;
+  bool mMajorityAtStart = true;
+  bool mRefuseStale = true;
+  bool mRefuseOlder = true;
+};
+
+// The age of the last known state of the head beyond which an entry refuses
+// new work. It is the bound of 9 s by which a process that is cut off stops.
+inline constexpr TimeMs kFreshMs = 9000;
+
+// The length of a watch on the head, and the time after which a read of the
+// head is taken as failed.
+inline constexpr TimeMs kWatchMs = 1000;
+inline constexpr TimeMs kStoreTimeoutMs = 1000;
+
+// An entry that does not watch reads the head itself when its last known state
+// is older than the first, and then once in each of the second.
+inline constexpr TimeMs kProbeAgeMs = 5500;
+inline constexpr TimeMs kProbeEveryMs = 2000;
+
+// How long a call of the store that was answered counts as reaching it.
+inline constexpr TimeMs kReachMs = 4000;
+
+// Time between pulls from one source, and between pushes to one agent.
+inline constexpr TimeMs kPullEveryMs = 300;
+inline constexpr TimeMs kPullTimeoutMs = 1500;
+inline constexpr TimeMs kPushEveryMs = 1500;
+
+// Revisions of which a process keeps the document, to send only differences.
+inline constexpr std::size_t kKeptDocuments = 24;
+
+// The last confirmed revision of a member. `mAtMs` is when it was heard.
+struct Confirmation
+{
+  std::int64_t mIncarnation = 0;
+  std::int64_t mRevision = 0;
+  TimeMs mAtMs = 0;
+};
+
+// A state of the head that is known: at `mAtMs` no revision above `mRevision`
+// was accepted.
+struct VerifiedHead
+{
+  std::int64_t mRevision = 0;
+  TimeMs mAtMs = 0;
+};
+
+// A configuration as a document, and the patches to it from older ones.
+struct KeptDocument
+{
+  std::int64_t mRevision = 0;
+  nlohmann::json mDocument;
+  std::map<std::int64_t, nlohmann::json> mPatches;
+};
+
+// A call of the store that has no answer yet.
+struct PendingCall
+{
+  std::int64_t mCall = 0;
+  TimeMs mSentMs = 0;
+  TimeMs mTimeoutMs = 0;
+};
+
+// What a process knows of the configuration. `mVerifiedMs` is the latest time
+// at which the configuration in force was the newest for certain;
+// `mStoreFailed` says that the last call of the store failed.
+struct ConfigSync
+{
+  SyncOptions mOptions;
+  Role mRole = Role::Entry;
+  Configuration mConfig;
+  std::optional<TimeMs> mVerifiedMs;
+  std::deque<VerifiedHead> mPending;
+  std::deque<KeptDocument> mKept;
+  std::int64_t mLastCall = 0;
+  std::optional<PendingCall> mHeadCall;
+  std::optional<PendingCall> mSectionCall;
+  std::optional<Head> mWantedHead;
+  std::optional<TimeMs> mStoreOkMs;
+  TimeMs mNextProbeMs = 0;
+  bool mStoreFailed = false;
+  std::string mPullFrom;
+  TimeMs mPullSentMs = -kPullTimeoutMs;
+  bool mPullWhole = false;
+  std::map<std::string, Confirmation> mConfirmed;
+  std::map<std::string, TimeMs> mPushedMs;
+  std::map<std::string, std::int64_t> mStartAnswers;
+  TimeMs mNextStartMs = 0;
+};
+
+// What the process is to do. WatchHead reads the head, answered when its
+// revision exceeds `mRevision` or after `mWaitMs`. Pull and Push send
+// `mDocument` to a host as the request or the answer of /config. Adopted tells
+// that a revision is in force. `mCall` is given back with a store's answer.
+struct SyncAction
+{
+  enum class Kind
+  {
+    WatchHead,
+    ReadSections,
+    Pull,
+    Push,
+    Adopted,
+  };
+
+  Kind mKind = Kind::WatchHead;
+  std::int64_t mCall = 0;
+  std::string mHost;
+  std::vector<std::string> mKeys;
+  std::int64_t mRevision = 0;
+  TimeMs mWaitMs = 0;
+  nlohmann::json mDocument;
+};
+
+using SyncActions = std::vector<SyncAction>;
+
+// Makes the calls that are due. A failed store leaves an entry without a
+// configuration to ask the listed entries: it pulls from the one with the
+// newest once more than half of the list have answered that they have one.
+// Answers without a configuration do not count, because after a restart of
+// most of the fleet they would let a single lagging entry decide.
+SyncActions TickSync(ConfigSync& aSync,
+                     const FleetView& aView,
+                     const std::vector<std::string>& aListed,
+                     TimeMs aNowMs);
+
+// Takes the text of the head that a WatchHead gave, or nothing when there is no
+// head. The answer of a call that timed out is ignored: the time that it
+// verifies is that of its request.
+SyncActions OnHead(ConfigSync& aSync,
+                   std::int64_t aCall,
+                   const std::optional<std::string>& aText,
+                   TimeMs aNowMs);
+
+// Takes the values of a ReadSections in the order of its keys.
+SyncActions OnSections(ConfigSync& aSync,
+                       std::int64_t aCall,
+                       const std::vector<std::optional<std::string>>& aValues,
+                       TimeMs aNowMs);
+
+// Takes a call of the store that failed.
+void OnStoreFailed(ConfigSync& aSync, std::int64_t aCall);
+
+// Takes the revision that any message of a peer told. Pulls from the peer when
+// it is newer. `aUrgent` is set when a request waits for the configuration.
+SyncActions OnPeerRevision(ConfigSync& aSync,
+                           const Sender& aPeer,
+                           bool aUrgent,
+                           TimeMs aNowMs);
+
+// Takes the state of the head that a gossip answer told: at `aAtMs` on the own
+// clock nothing above the peer's revision was accepted.
+void OnPeerVerified(ConfigSync& aSync, std::int64_t aRevision, TimeMs aAtMs);
+
+// Answers a pull: a document that holds the revision and, if that is newer, a
+// JSON patch from the known revision, or the sections that differ.
+nlohmann::json AnswerPull(ConfigSync& aSync, const nlohmann::json& aRequest);
+
+// Takes the answer of a pull, or a push, from a host. A document that does not
+// lead from the own revision to the one it names leads to a pull of the whole.
+SyncActions OnPullAnswer(ConfigSync& aSync,
+                         const std::string& aHost,
+                         const nlohmann::json& aAnswer,
+                         TimeMs aNowMs);
+void OnPullFailed(ConfigSync& aSync, const std::string& aHost);
+
+// Pushes the configuration to agents that have an older one, by the last
+// reports. The caller names the agents that this entry answers for.
+SyncActions PushToAgents(ConfigSync& aSync,
+                         const std::vector<std::string>& aAgents,
+                         TimeMs aNowMs);
+
+// Whether this process has had a recent answer of the store.
+bool ReachesStore(const ConfigSync& aSync, TimeMs aNowMs);
+
+enum class Freshness
+{
+  Fresh,
+  StoreOutage,
+  Stale,
+  None,
+};
+
+inline constexpr std::array<EnumName<Freshness>, 4> kFreshnessNames{ {
+  { Freshness::Fresh, "fresh" },
+  { Freshness::StoreOutage, "store_outage" },
+  { Freshness::Stale, "stale" },
+  { Freshness::None, "none" },
+} };
+
+// Whether an entry may take new work on its configuration.
+Freshness JudgeFreshness(const ConfigSync& aSync,
+                         const FleetView& aView,
+                         TimeMs aNowMs);
+
+// What a receiver does with work of a sender that has a revision in force.
+enum class SenderJudgement
+{
+  Accept,
+  PullFirst,
+  RefuseOlder,
+  RefuseNoConfiguration,
+};
+
+SenderJudgement JudgeSender(const ConfigSync& aSync, std::int64_t aRevision);
+
+// What goes into the own gossip messages. `aAgents` are the agents that this
+// entry answers for.
+GossipStatus StatusOf(const ConfigSync& aSync,
+                      const std::vector<std::string>& aAgents,
+                      TimeMs aNowMs);
+
+// Keeps what a member has in force. A message of an older incarnation and a
+// lower revision of the same one are ignored.
+void NoteConfirmed(ConfigSync& aSync, const Sender& aPeer, TimeMs aNowMs);
+void ForgetMember(ConfigSync& aSync, const std::string& aHost);
+
+// The members that have not confirmed a revision, of those expected to; empty
+// when it is in force everywhere.
+std::vector<std::string> Unconfirmed(const ConfigSync& aSync,
+                                     const std::vector<std::string>& aExpected,
+                                     std::int64_t aRevision);
+
+} // namespace savory
--- /dev/null
+++ b/core/src/config_store.cpp
@@ -0,0 +1,568 @@
+#include "savory/core/config_store.h"
+
+#include "savory/core/identity.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace savory {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t kRevisionDigits = 12;
+constexpr std::size_t kHashDigits = 32;
+
+constexpr std::array<const char*, 4> kControlFields{
+  "rollouts",
+  "session_secret",
+  "operator_token_hash",
+  "fencing_pools",
+};
+
+std::string_view SectionName(std::size_t aIndex)
+{
+  return kSectionNames[aIndex].mName;
+}
+
+bool IsHex(std::string_view aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](char aDigit) {
+    return (aDigit >= '0' && aDigit <= '9') || (aDigit >= 'a' && aDigit <= 'f');
+  });
+}
+
+bool IsSectionKey(std::string_view aKey)
+{
+  return aKey.size() == kSectionPrefix.size() + kRevisionDigits + kHashDigits &&
+         aKey.starts_with(kSectionPrefix) &&
+         IsHex(aKey.substr(kSectionPrefix.size()));
+}
+
+// The revision that a section key was made for.
+std::int64_t BaseOf(std::string_view aKey)
+{
+  std::string_view digits = aKey.substr(kSectionPrefix.size(), kRevisionDigits);
+  std::int64_t base = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), base, 16);
+  return base;
+}
+
+json MarksJson(const std::vector<OperationMark>& aMarks)
+{
+  json list = json::array();
+  for (const auto& mark : aMarks) {
+    list.push_back({ mark.mId, mark.mRevision });
+  }
+  return list;
+}
+
+// Reads marks, which must ascend by revision; throws on another shape.
+std::vector<OperationMark> ParseMarks(const json& aList, std::size_t aMost)
+{
+  std::vector<OperationMark> marks;
+  if (!aList.is_array() || aList.size() > aMost) {
+    throw json::other_error::create(501, "not a list of marks", &aList);
+  }
+  for (const auto& item : aList) {
+    OperationMark mark{ item.at(0).get<std::string>(),
+                        item.at(1).get<std::int64_t>() };
+    if (mark.mId.size() > kMaxOperationIdBytes ||
+        (!marks.empty() && marks.back().mRevision >= mark.mRevision)) {
+      throw json::other_error::create(501, "marks out of order", &aList);
+    }
+    marks.push_back(std::move(mark));
+  }
+  return marks;
+}
+
+// A copy of a document in which lists of named objects are objects by name and
+// other lists are their text, so that each leaf has a stable path.
+json ByName(const json& aValue)
+{
+  if (aValue.is_object()) {
+    json result = json::object();
+    for (const auto& [key, item] : aValue.items()) {
+      result[key] = ByName(item);
+    }
+    return result;
+  }
+  if (!aValue.is_array()) {
+    return aValue;
+  }
+  bool named = !aValue.empty() &&
+               std::all_of(aValue.begin(), aValue.end(), [](const json& aItem) {
+                 return aItem.is_object() &&
+                        (aItem.contains("name") ||
+                         (aItem.contains("model") && aItem.contains("to")));
+               });
+  if (!named) {
+    return aValue.empty() ? json::object() : json(aValue.dump());
+  }
+  json result = json::object();
+  for (const auto& item : aValue) {
+    std::string name = item.contains("name") ? item["name"].get<std::string>()
+                                             : item["model"].get<std::string>();
+    result[name] = ByName(item);
+  }
+  return result;
+}
+
+// Whether one path is the other or leads to it.
+bool Overlaps(const std::string& aLeft, const std::string& aRight)
+{
+  const auto& [shorter, longer] = std::minmax(
+    aLeft, aRight, [](const std::string& aOne, const std::string& aOther) {
+      return aOne.size() < aOther.size();
+    });
+  return longer.starts_with(shorter) &&
+         (longer.size() == shorter.size() || longer[shorter.size()] == '/');
+}
+
+void Finish(Change& aChange,
+            ChangeState aState,
+            std::vector<std::string> aReasons = {})
+{
+  aChange.mState = aState;
+  aChange.mStep = ChangeStep::Done;
+  aChange.mReasons = std::move(aReasons);
+}
+
+// Ends the change when its id is among the marks.
+bool FinishIfMarked(Change& aChange, const std::vector<OperationMark>& aMarks)
+{
+  for (const auto& mark : aMarks) {
+    if (mark.mId == aChange.mId) {
+      aChange.mRevision = mark.mRevision;
+      Finish(aChange, ChangeState::Accepted);
+      return true;
+    }
+  }
+  return false;
+}
+
+// Makes the section values and the head that put the wanted configuration in
+// place of the one that was read.
+void PrepareWrite(Change& aChange)
+{
+  Head head = aChange.mHead;
+  aChange.mEntries.clear();
+  for (std::size_t i = 0; i < kSectionCount; ++i) {
+    auto section = static_cast<Section>(i);
+    std::string text = SectionText(aChange.mWanted, section);
+    if (head.mRevision > 0 && text == SectionText(aChange.mBase, section)) {
+      continue;
+    }
+    head.mSections[i] = SectionKey(aChange.mHead.mRevision, text);
+    aChange.mEntries.emplace_back(head.mSections[i], std::move(text));
+  }
+  // The full marks of the head move to the value of the older ones.
+  if (head.mRecent.size() >= kHeadOperations) {
+    std::vector<OperationMark> marks = aChange.mOlder;
+    marks.insert(marks.end(), head.mRecent.begin(), head.mRecent.end());
+    std::size_t most = kMaxOperations - kHeadOperations;
+    if (marks.size() > most) {
+      marks.erase(marks.begin(),
+                  marks.end() - static_cast<std::ptrdiff_t>(most));
+    }
+    std::string text = OperationsText(marks);
+    head.mOperations = SectionKey(aChange.mHead.mRevision, text);
+    aChange.mEntries.emplace_back(head.mOperations, std::move(text));
+    head.mRecent.clear();
+  }
+  head.mRevision += 1;
+  head.mPreset = aChange.mWanted.mPresetInForce;
+  head.mRecent.push_back({ aChange.mId, head.mRevision });
+  aChange.mNewHead = ToText(head);
+  aChange.mPreparedFor = aChange.mHeadText;
+  aChange.mStep =
+    aChange.mEntries.empty() ? ChangeStep::SwapHead : ChangeStep::WriteSections;
+}
+
+// Applies the mutation to the configuration that was read, unless a racing
+// change touched the same fields since the first read.
+void ApplyMutation(Change& aChange, Configuration aRead)
+{
+  if (aChange.mHasBase) {
+    std::vector<std::string> reasons;
+    auto wanted = ChangedPaths(aChange.mBase, aChange.mWanted);
+    for (const auto& raced : ChangedPaths(aChange.mBase, aRead)) {
+      if (std::any_of(
+            wanted.begin(), wanted.end(), [&](const std::string& aPath) {
+              return Overlaps(aPath, raced);
+            })) {
+        reasons.push_back(raced + " was changed at the same time");
+      }
+    }
+    if (!reasons.empty()) {
+      Finish(aChange, ChangeState::Conflict, std::move(reasons));
+      return;
+    }
+  }
+  // The head moved on without this change, so no earlier swap can take effect.
+  aChange.mMaySwap = false;
+  aChange.mBase = std::move(aRead);
+  aChange.mHasBase = true;
+  aChange.mWanted = aChange.mBase;
+  aChange.mMutation(aChange.mWanted);
+  aChange.mWanted.mRevision = aChange.mHead.mRevision + 1;
+  std::vector<std::string> faults;
+  for (const auto& fault : ValidateConfiguration(aChange.mWanted)) {
+    faults.push_back(fault.mPath + ": " + fault.mReason);
+  }
+  if (!faults.empty()) {
+    Finish(aChange, ChangeState::Invalid, std::move(faults));
+    return;
+  }
+  if (aChange.mHead.mRevision > 0 &&
+      ChangedPaths(aChange.mBase, aChange.mWanted).empty()) {
+    aChange.mRevision = aChange.mHead.mRevision;
+    Finish(aChange, ChangeState::Unchanged);
+    return;
+  }
+  PrepareWrite(aChange);
+}
+
+void OnHeadRead(Change& aChange, const std::optional<std::string>& aText)
+{
+  std::int64_t before = aChange.mHead.mRevision;
+  bool same =
+    !aChange.mNewHead.empty() && aText.value_or("") == aChange.mPreparedFor;
+  if (same) {
+    // The swap did not take effect so far, but may still be under way: the
+    // same swap again has the same outcome whichever arrives first.
+    aChange.mStep = ChangeStep::SwapHead;
+    return;
+  }
+  Head head;
+  if (aText) {
+    auto parsed = ParseHead(*aText);
+    if (!parsed) {
+      Finish(aChange, ChangeState::Corrupt, { parsed.error().mReason });
+      return;
+    }
+    head = std::move(*parsed);
+  }
+  aChange.mHead = std::move(head);
+  aChange.mHeadText = aText.value_or("");
+  if (FinishIfMarked(aChange, aChange.mHead.mRecent)) {
+    return;
+  }
+  if (aChange.mMaySwap &&
+      aChange.mHead.mRevision - before >
+        static_cast<std::int64_t>(kMaxOperations - kHeadOperations)) {
+    Finish(aChange,
+           ChangeState::Unknown,
+           { "more changes went by than the store remembers" });
+    return;
+  }
+  if (!aChange.mHead.mOperations.empty()) {
+    aChange.mStep = ChangeStep::ReadOperations;
+    return;
+  }
+  aChange.mOlder.clear();
+  if (aChange.mHead.mRevision == 0) {
+    ApplyMutation(aChange, Configuration{});
+    return;
+  }
+  aChange.mStep = ChangeStep::ReadSections;
+}
+
+} // namespace
+
+std::string SectionText(const Configuration& aConfig, Section aSection)
+{
+  json document = ToJson(aConfig);
+  if (aSection != Section::Control) {
+    return document.at(std::string(NameOf(kSectionNames, aSection))).dump();
+  }
+  json control = json::object();
+  for (const char* field : kControlFields) {
+    if (document.contains(field)) {
+      control[field] = document[field];
+    }
+  }
+  return control.dump();
+}
+
+std::string SectionKey(std::int64_t aBase, std::string_view aText)
+{
+  char digits[kRevisionDigits + 8];
+  std::snprintf(
+    digits, sizeof digits, "%012llx", static_cast<unsigned long long>(aBase));
+  return std::string(kSectionPrefix) + digits +
+         Sha256Hex(aText).substr(0, kHashDigits);
+}
+
+bool IsKeyOf(std::string_view aKey, std::string_view aText)
+{
+  return IsSectionKey(aKey) && SectionKey(BaseOf(aKey), aText) == aKey;
+}
+
+std::string ToText(const Head& aHead)
+{
+  json sections = json::object();
+  for (std::size_t i = 0; i < kSectionCount; ++i) {
+    sections[std::string(SectionName(i))] = aHead.mSections[i];
+  }
+  return json{
+    { "revision", aHead.mRevision },
+    { "sections", sections },
+    { "preset", aHead.mPreset },
+    { "recent", MarksJson(aHead.mRecent) },
+    { "operations", aHead.mOperations }
+  }.dump();
+}
+
+tl::expected<Head, StoreValueError> ParseHead(std::string_view aText)
+{
+  try {
+    json document = json::parse(aText);
+    Head head;
+    head.mRevision = document.at("revision").get<std::int64_t>();
+    head.mPreset = document.at("preset").get<std::string>();
+    head.mRecent = ParseMarks(document.at("recent"), kHeadOperations);
+    head.mOperations = document.at("operations").get<std::string>();
+    for (std::size_t i = 0; i < kSectionCount; ++i) {
+      head.mSections[i] = document.at("sections")
+                            .at(std::string(SectionName(i)))
+                            .get<std::string>();
+      if (!IsSectionKey(head.mSections[i])) {
+        return tl::unexpected(StoreValueError{
+          "head: " + std::string(SectionName(i)) + " has no section key" });
+      }
+    }
+    if (head.mRevision < 1 ||
+        (!head.mOperations.empty() && !IsSectionKey(head.mOperations))) {
+      return tl::unexpected(
+        StoreValueError{ "head: bad revision or operations key" });
+    }
+    return head;
+  } catch (const json::exception& error) {
+    return tl::unexpected(
+      StoreValueError{ std::string("head: ") + error.what() });
+  }
+}
+
+std::string OperationsText(const std::vector<OperationMark>& aMarks)
+{
+  return MarksJson(aMarks).dump();
+}
+
+tl::expected<std::vector<OperationMark>, StoreValueError> ParseOperations(
+  std::string_view aText)
+{
+  try {
+    return ParseMarks(json::parse(aText), kMaxOperations);
+  } catch (const json::exception& error) {
+    return tl::unexpected(
+      StoreValueError{ std::string("operations: ") + error.what() });
+  }
+}
+
+tl::expected<Configuration, StoreValueError> JoinSections(
+  const Head& aHead,
+  const std::vector<std::string>& aTexts)
+{
+  if (aTexts.size() != kSectionCount) {
+    return tl::unexpected(StoreValueError{ "sections are missing" });
+  }
+  json document = { { "revision", aHead.mRevision },
+                    { "preset_in_force", aHead.mPreset } };
+  for (std::size_t i = 0; i < kSectionCount; ++i) {
+    const std::string& key = aHead.mSections[i];
+    if (!IsKeyOf(key, aTexts[i])) {
+      return tl::unexpected(StoreValueError{
+        std::string(SectionName(i)) + " does not hash to its key " + key });
+    }
+    json section = json::parse(aTexts[i], nullptr, false);
+    if (static_cast<Section>(i) == Section::Control && section.is_object()) {
+      document.update(section);
+    } else {
+      document[std::string(SectionName(i))] = std::move(section);
+    }
+  }
+  auto config = ParseConfiguration(document);
+  if (!config) {
+    const ConfigError& first = config.error().front();
+    return tl::unexpected(
+      StoreValueError{ first.mPath + ": " + first.mReason });
+  }
+  return *config;
+}
+
+std::vector<std::string> GarbageKeys(const Head& aHead,
+                                     const std::vector<std::string>& aListed,
+                                     std::int64_t aKeep)
+{
+  std::set<std::string_view> used(aHead.mSections.begin(),
+                                  aHead.mSections.end());
+  used.insert(aHead.mOperations);
+  std::vector<std::string> garbage;
+  for (const auto& key : aListed) {
+    if (IsSectionKey(key) && !used.contains(key) &&
+        BaseOf(key) < aHead.mRevision - aKeep) {
+      garbage.push_back(key);
+    }
+  }
+  return garbage;
+}
+
+std::vector<std::string> ChangedPaths(const Configuration& aFrom,
+                                      const Configuration& aTo)
+{
+  json from = ToJson(aFrom);
+  json to = ToJson(aTo);
+  from.erase("revision");
+  to.erase("revision");
+  from = ByName(from).flatten();
+  to = ByName(to).flatten();
+  std::vector<std::string> paths;
+  for (const auto& [path, value] : from.items()) {
+    auto found = to.find(path);
+    if (found == to.end() || *found != value) {
+      paths.push_back(path);
+    }
+  }
+  for (const auto& [path, value] : to.items()) {
+    if (!from.contains(path)) {
+      paths.push_back(path);
+    }
+  }
+  return paths;
+}
+
+Change StartChange(std::string aId, Mutation aMutation)
+{
+  Change change;
+  change.mId = std::move(aId);
+  change.mMutation = std::move(aMutation);
+  return change;
+}
+
+Change StartFirstConfiguration(std::string aId, Configuration aConfig)
+{
+  return StartChange(std::move(aId),
+                     [config = std::move(aConfig)](Configuration& aTarget) {
+                       if (aTarget.mRevision == 0) {
+                         aTarget = config;
+                       }
+                     });
+}
+
+std::optional<StoreCall> NextCall(const Change& aChange)
+{
+  StoreCall call;
+  switch (aChange.mStep) {
+    case ChangeStep::ReadHead:
+      call.mKeys = { std::string(kHeadKey) };
+      return call;
+    case ChangeStep::ReadOperations:
+      call.mKeys = { aChange.mHead.mOperations };
+      return call;
+    case ChangeStep::ReadSections:
+      call.mKeys.assign(aChange.mHead.mSections.begin(),
+                        aChange.mHead.mSections.end());
+      return call;
+    case ChangeStep::WriteSections:
+      call.mKind = StoreCall::Kind::Write;
+      call.mEntries = aChange.mEntries;
+      return call;
+    case ChangeStep::SwapHead:
+      call.mKind = StoreCall::Kind::SwapHead;
+      call.mExpected = aChange.mPreparedFor;
+      call.mValue = aChange.mNewHead;
+      return call;
+    default:
+      return std::nullopt;
+  }
+}
+
+void OnAnswer(Change& aChange, const StoreAnswer& aAnswer)
+{
+  bool lost = aAnswer.mStatus == StoreAnswer::Status::Lost;
+  switch (aChange.mStep) {
+    case ChangeStep::ReadHead:
+      if (!lost && aAnswer.mValues.size() == 1) {
+        OnHeadRead(aChange, aAnswer.mValues[0]);
+      }
+      return;
+    case ChangeStep::ReadOperations: {
+      if (lost || aAnswer.mValues.size() != 1) {
+        return;
+      }
+      // A value that is gone was superseded since the head was read.
+      if (!aAnswer.mValues[0]) {
+        aChange.mStep = ChangeStep::ReadHead;
+        return;
+      }
+      auto marks = ParseOperations(*aAnswer.mValues[0]);
+      if (!marks) {
+        Finish(aChange, ChangeState::Corrupt, { marks.error().mReason });
+        return;
+      }
+      aChange.mOlder = std::move(*marks);
+      if (!FinishIfMarked(aChange, aChange.mOlder)) {
+        aChange.mStep = ChangeStep::ReadSections;
+      }
+      return;
+    }
+    case ChangeStep::ReadSections: {
+      if (lost) {
+        return;
+      }
+      std::vector<std::string> texts;
+      for (const auto& value : aAnswer.mValues) {
+        if (!value) {
+          aChange.mStep = ChangeStep::ReadHead;
+          return;
+        }
+        texts.push_back(*value);
+      }
+      auto config = JoinSections(aChange.mHead, texts);
+      if (!config) {
+        Finish(aChange, ChangeState::Corrupt, { config.error().mReason });
+        return;
+      }
+      ApplyMutation(aChange, std::move(*config));
+      return;
+    }
+    case ChangeStep::WriteSections:
+      if (!lost) {
+        aChange.mStep = ChangeStep::SwapHead;
+        aChange.mMaySwap = true;
+      }
+      return;
+    case ChangeStep::SwapHead:
+      aChange.mMaySwap = true;
+      if (aAnswer.mStatus == StoreAnswer::Status::Ok) {
+        aChange.mRevision = aChange.mHead.mRevision + 1;
+        Finish(aChange, ChangeState::Accepted);
+      } else {
+        aChange.mStep = ChangeStep::ReadHead;
+      }
+      return;
+    case ChangeStep::Done:
+      return;
+  }
+}
+
+void GiveUp(Change& aChange)
+{
+  if (aChange.mState != ChangeState::Running) {
+    return;
+  }
+  if (aChange.mMaySwap || aChange.mStep == ChangeStep::SwapHead) {
+    Finish(aChange, ChangeState::Unknown, { "the store does not answer" });
+  } else {
+    Finish(aChange,
+           ChangeState::Conflict,
+           { "the store does not answer; nothing was changed" });
+  }
+}
+
+} // namespace savory
