Name two store types apart

Cause: the configuration store, the record and the platform's adapter each had a type StoreEntry or StoreAnswer, which one translation unit cannot include. Change: KeyValue and StoreCallAnswer in the configuration store; one Role. Ruled out: nested namespaces for each module; the names would still mislead.

--- a/core/include/savory/core/config_store.h
+++ b/core/include/savory/core/config_store.h
@@ -77,7 +77,7 @@
 };
 
 // A key and its value.
-using StoreEntry = std::pair<std::string, std::string>;
+using KeyValue = std::pair<std::string, std::string>;
 
 // The JSON text of one section of a configuration.
 std::string SectionText(const Configuration& aConfig, Section aSection);
@@ -131,7 +131,7 @@
 
   Kind mKind = Kind::Read;
   std::vector<std::string> mKeys;
-  std::vector<StoreEntry> mEntries;
+  std::vector<KeyValue> mEntries;
   std::string mExpected;
   std::string mValue;
 };
@@ -139,7 +139,7 @@
 // The answer to a StoreCall. Lost says that the caller has no answer: the call
 // may have taken effect or may yet do so. `mValues` are in the order of the
 // keys read.
-struct StoreAnswer
+struct StoreCallAnswer
 {
   enum class Status
   {
@@ -206,7 +206,7 @@
   std::vector<OperationMark> mOlder;
   Configuration mBase;
   Configuration mWanted;
-  std::vector<StoreEntry> mEntries;
+  std::vector<KeyValue> mEntries;
   std::string mNewHead;
   std::string mPreparedFor;
   bool mHasBase = false;
@@ -220,7 +220,7 @@
 std::optional<StoreCall> NextCall(const Change& aChange);
 
 // Takes the answer of the last call.
-void OnAnswer(Change& aChange, const StoreAnswer& aAnswer);
+void OnAnswer(Change& aChange, const StoreCallAnswer& aAnswer);
 
 // Ends a change whose outcome the store does not tell in the time that the
 // operator waits. It is Unknown once a swap may have been sent, else Conflict
--- a/core/src/config_store.cpp
+++ b/core/src/config_store.cpp
@@ -482,9 +482,9 @@
   }
 }
 
-void OnAnswer(Change& aChange, const StoreAnswer& aAnswer)
+void OnAnswer(Change& aChange, const StoreCallAnswer& aAnswer)
 {
-  bool lost = aAnswer.mStatus == StoreAnswer::Status::Lost;
+  bool lost = aAnswer.mStatus == StoreCallAnswer::Status::Lost;
   switch (aChange.mStep) {
     case ChangeStep::ReadHead:
       if (!lost && aAnswer.mValues.size() == 1) {
@@ -539,7 +539,7 @@
       return;
     case ChangeStep::SwapHead:
       aChange.mMaySwap = true;
-      if (aAnswer.mStatus == StoreAnswer::Status::Ok) {
+      if (aAnswer.mStatus == StoreCallAnswer::Status::Ok) {
         aChange.mRevision = aChange.mHead.mRevision + 1;
         Finish(aChange, ChangeState::Accepted);
       } else {
--- a/router/src/settings.h
+++ b/router/src/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "savory/core/membership.h"
 #include "savory/net/http_client.h"
 
 #include <string>
@@ -8,17 +9,6 @@
 
 namespace savory {
 
-enum class Role
-{
-  Entry,
-  Agent,
-};
-
-inline constexpr std::array<EnumName<Role>, 2> kRoleNames{ {
-  { Role::Entry, "entry" },
-  { Role::Agent, "agent" },
-} };
-
 enum class BackendKind
 {
   Engine,
