Name the candidates of an explanation apart from the balancer's

Cause: explain.h and balancer.h both defined Candidate, which entry code includes together. Change: DecisionCandidate. Ruled out: one shared struct; the balancer's carries what the choice needs, the log's a text. No functional change; builds.

--- a/core/include/savory/core/explain.h
+++ b/core/include/savory/core/explain.h
@@ -26,7 +26,7 @@
 
 // A model, version or backend server that a decision looked at, with its score
 // and why it met its fate. Lower scores are better.
-struct Candidate
+struct DecisionCandidate
 {
   std::string mName;
   CandidateFate mFate = CandidateFate::Considered;
@@ -43,7 +43,7 @@
   std::int64_t mRevision = 0;
   std::string mOutcome;
   std::string mReason;
-  std::vector<Candidate> mCandidates;
+  std::vector<DecisionCandidate> mCandidates;
 };
 
 // What a process remembers of one request. `mTruncated` counts decisions and
