Bring the configuration through gossip, store and pushes

Change: Fleet carries out core/config_sync and core/membership over the inner streams and the store; agents take differences and ask for what they lack. Entries refuse new work with config_stale, and with a key they say unknown. Ruled out: a whole document to each agent on each change; at a change a second and 64 agents that is far above 5 KB a second.

--- a/ctl/src/main.cpp
+++ b/ctl/src/main.cpp
@@ -1,4 +1,5 @@
 #include "savory/core/config.h"
+#include "savory/core/config_store.h"
 #include "savory/net/log.h"
 #include "savory/platform/store.h"
 
@@ -9,6 +10,46 @@
 
 using namespace savory;
 
+namespace {
+
+// Carries out the next call of a change, until it is done.
+void
+Step(StoreClient& aStore, Change& aChange, sigc::slot<void()> aDone)
+{
+  auto call = NextCall(aChange);
+  if (!call) {
+    aDone();
+    return;
+  }
+  auto answer = [&aStore, &aChange, aDone](const StoreCallAnswer& aAnswer) {
+    OnAnswer(aChange, aAnswer);
+    Step(aStore, aChange, aDone);
+  };
+  if (call->mKind == StoreCall::Kind::Read) {
+    answer({ StoreCallAnswer::Status::Ok,
+             std::vector<std::optional<std::string>>(call->mKeys.size()) });
+    return;
+  }
+  StoreTransaction transaction;
+  for (const auto& [key, value] : call->mEntries) {
+    transaction.mPuts.push_back({ key, value, 0 });
+  }
+  if (call->mKind == StoreCall::Kind::SwapHead) {
+    transaction.mConditions.push_back({ std::string(kHeadKey), 0 });
+    transaction.mPuts.push_back({ std::string(kHeadKey), call->mValue, 0 });
+  }
+  aStore.Commit(transaction,
+                [answer](const tl::expected<StoreCommit, StoreError>& aCommit) {
+                  answer({ !aCommit ? StoreCallAnswer::Status::Lost
+                           : aCommit->mSucceeded
+                             ? StoreCallAnswer::Status::Ok
+                             : StoreCallAnswer::Status::Mismatch,
+                           {} });
+                });
+}
+
+} // namespace
+
 int
 main(int aCount, char** aArguments)
 {
@@ -33,14 +74,11 @@
   EventLoop loop;
   HttpClient http(loop);
   StoreClient client(http, *ParseEndpoint(store));
-  int exitCode = 1;
-  StoreTransaction transaction;
-  transaction.mPuts.push_back({ "cfg/document", document.dump(), 0 });
-  client.Commit(transaction,
-                [&](const tl::expected<StoreCommit, StoreError>& aCommit) {
-                  exitCode = aCommit && aCommit->mSucceeded ? 0 : 1;
-                  loop.Stop();
-                });
+  Change change = StartFirstConfiguration("init", *config);
+  Step(client, change, [&] { loop.Stop(); });
   loop.Run();
-  return exitCode;
+  for (const auto& reason : change.mReasons) {
+    std::fprintf(stderr, "%s\n", reason.c_str());
+  }
+  return change.mState == ChangeState::Accepted ? 0 : 1;
 }
--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -26,6 +26,7 @@
 bool
 Agent::Listen()
 {
+  mSync.mRole = Role::Agent;
   mListener = std::make_unique<InnerListener>(
     mNode.mLoop,
     [this](const std::shared_ptr<InnerStream>& aStream) { OnStream(aStream); });
@@ -115,18 +116,39 @@
     aStream->Send(FrameType::Head, Encode(MakeReport()));
   } else if (aStream->Path() == "/config") {
     aStream->mOnFrame = [this, aStream](const Frame& aFrame) {
-      auto document = DecodeDocument(aFrame.mPayload);
-      if (document && document->contains("config") &&
-          AdoptDocument(mNode, (*document)["config"], aStream->PeerAddress())) {
-        ReportNow();
-      }
-      aStream->Finish();
+      OnConfig(aStream, aFrame);
     };
   } else {
     aStream->Cancel();
   }
 }
 
+// Takes a configuration that an entry brings. When it is a difference to one
+// that this agent lacks, the stream carries back what to send instead.
+void
+Agent::OnConfig(const std::shared_ptr<InnerStream>& aStream,
+                const Frame& aFrame)
+{
+  auto document = DecodeDocument(aFrame.mPayload);
+  if (!document) {
+    aStream->Cancel();
+    return;
+  }
+  auto actions =
+    OnPullAnswer(mSync, aStream->PeerAddress(), *document, mNode.mLoop.NowMs());
+  for (const auto& action : actions) {
+    if (action.mKind == SyncAction::Kind::Pull) {
+      aStream->Send(FrameType::Head, EncodeDocument(action.mDocument));
+    } else if (action.mKind == SyncAction::Kind::Adopted &&
+               AdoptConfiguration(mNode, mSync.mConfig)) {
+      ReportNow();
+    }
+  }
+  if (actions.empty() || actions[0].mKind != SyncAction::Kind::Pull) {
+    aStream->Finish();
+  }
+}
+
 void
 Agent::Drain()
 {
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -2,6 +2,7 @@
 
 #include "admin.h"
 #include "node.h"
+#include "savory/core/config_sync.h"
 #include "savory/core/wire.h"
 #include "savory/net/inner.h"
 #include "savory/platform/backend.h"
@@ -35,10 +36,13 @@
 
 private:
   void OnStream(const std::shared_ptr<InnerStream>& aStream);
+  void OnConfig(const std::shared_ptr<InnerStream>& aStream,
+                const Frame& aFrame);
   void PollBackend();
   nlohmann::json State() const;
 
   Admin mAdmin;
+  ConfigSync mSync;
   std::unique_ptr<InnerListener> mListener;
   std::set<std::shared_ptr<InnerStream>> mSubscribers;
   Timer mReportTimer;
--- a/router/src/agent_links.cpp
+++ b/router/src/agent_links.cpp
@@ -22,11 +22,6 @@
   : mNode(aNode)
 {
   mMaintain = Timer::Every(mNode.mLoop, kMaintainMs, [this] { Maintain(); });
-  mNode.mConfigChanged.connect([this] {
-    for (auto& [address, link] : mLinks) {
-      PushConfiguration(link);
-    }
-  });
 }
 
 void
@@ -85,7 +80,6 @@
     }
   };
   Subscribe(aAddress);
-  PushConfiguration(aLink);
 }
 
 // Opens the stream on which the agent sends its reports.
@@ -110,9 +104,6 @@
     report->mAddress = aAddress;
     target->mReport = *report;
     target->mReportedMs = mNode.mLoop.NowMs();
-    if (report->mFrom.mRevision < SenderOf(mNode).mRevision) {
-      PushConfiguration(*target);
-    }
     mOnReport.emit(target->mReport);
   };
   link->mReports->Send(
@@ -122,28 +113,6 @@
                      { "revision", SenderOf(mNode).mRevision } }));
 }
 
-// Brings the configuration to an agent, once for each revision and connection.
-void
-AgentLinks::PushConfiguration(AgentLink& aLink)
-{
-  if (!aLink.mConnection || !mNode.mConfig ||
-      aLink.mPushedRevision >= mNode.mConfig->mRevision) {
-    return;
-  }
-  auto stream = aLink.mConnection->Open("/config");
-  if (!stream) {
-    return;
-  }
-  aLink.mPushedRevision = mNode.mConfig->mRevision;
-  Sender sender = SenderOf(mNode);
-  stream->Send(FrameType::Head,
-               EncodeDocument({ { "from", sender.mHost },
-                                { "incarnation", sender.mIncarnation },
-                                { "revision", sender.mRevision },
-                                { "config", ToJson(*mNode.mConfig) } }));
-  stream->Finish();
-}
-
 // Connects again where due, and ends links that have gone silent.
 void
 AgentLinks::Maintain()
--- a/router/src/agent_links.h
+++ b/router/src/agent_links.h
@@ -25,8 +25,7 @@
   TimeMs mRetryAtMs = 0;
 };
 
-// Keeps an entry connected to its agents, receives their reports and brings
-// them the configuration in force.
+// Keeps an entry connected to its agents and receives their reports.
 class AgentLinks
 {
 public:
@@ -48,7 +47,6 @@
 private:
   void Connect(const std::string& aAddress, AgentLink& aLink);
   void Subscribe(const std::string& aAddress);
-  void PushConfiguration(AgentLink& aLink);
   void Maintain();
 
   Node& mNode;
--- a/router/src/caller_api.cpp
+++ b/router/src/caller_api.cpp
@@ -170,6 +170,12 @@
   return context;
 }
 
+Ran
+RanOfRefusal(const CallerContext& aContext)
+{
+  return aContext.mKey.empty() ? Ran::NotRun : Ran::Unknown;
+}
+
 tl::expected<ChatRequest, CallerError>
 ParseChatRequest(const std::string& aBody)
 {
--- a/router/src/caller_api.h
+++ b/router/src/caller_api.h
@@ -49,6 +49,11 @@
 tl::expected<CallerContext, CallerError>
 ReadContext(Node& aNode, const HttpRequest& aRequest);
 
+// What a refusal before any agent was asked may say. "Not run" speaks for the
+// key, and an earlier attempt through another entry may have run.
+Ran
+RanOfRefusal(const CallerContext& aContext);
+
 // A model call in the chat-completions convention, as far as the router reads
 // it. Token counts are estimates: four bytes of text a token, a fixed number
 // for each image.
--- a/router/src/entry.cpp
+++ b/router/src/entry.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr TimeMs kHostsPollMs = 1000;
-constexpr TimeMs kConfigPollMs = 1000;
 constexpr std::string_view kModelPath = "/v1/chat/completions";
 
 } // namespace
@@ -19,11 +17,12 @@
   : mNode(aNode)
   , mLinks(aNode)
   , mStore(aNode.mHttp, aNode.mSettings.mStore)
+  , mFleet(aNode, mLinks, mStore)
   , mAdmin(aNode,
            { .mState = [this] { return State(); },
              .mMetrics = [] { return std::string(); },
              .mExplain = [](const std::string&) { return nlohmann::json(); },
-             .mRefresh = [this] { PollConfiguration(); } })
+             .mRefresh = [this] { mFleet.LookAtHead(); } })
 {
 }
 
@@ -53,12 +52,7 @@
   if (listen.mPort == 0 || inner.mPort == 0 || !mAdmin.Listen()) {
     return false;
   }
-  mHostsTimer =
-    Timer::Every(mNode.mLoop, kHostsPollMs, [this] { PollHosts(); });
-  mConfigTimer =
-    Timer::Every(mNode.mLoop, kConfigPollMs, [this] { PollConfiguration(); });
-  PollHosts();
-  PollConfiguration();
+  mFleet.Start();
   return true;
 }
 
@@ -66,7 +60,9 @@
 void
 Entry::OnPeerStream(const std::shared_ptr<InnerStream>& aStream)
 {
-  aStream->Cancel();
+  if (!mFleet.Serve(aStream)) {
+    aStream->Cancel();
+  }
 }
 
 nlohmann::json
@@ -87,41 +83,8 @@
            { "revision", SenderOf(mNode).mRevision },
            { "draining", mNode.mDraining },
            { "calls", mCalls.size() },
-           { "agents", agents } };
-}
-
-void
-Entry::PollHosts()
-{
-  FetchHostList(
-    mNode.mHttp,
-    mNode.mSettings.mHosts,
-    [this](const tl::expected<std::vector<Host>, HostListError>& aHosts) {
-      if (!aHosts) {
-        LogEvent(Event::HostListFailed,
-                 { { "reason", aHosts.error().mReason } });
-        return;
-      }
-      mLinks.SetHosts(*aHosts);
-    });
-}
-
-// Reads the configuration from the store and puts a newer one in force.
-void
-Entry::PollConfiguration()
-{
-  mStore.Read(
-    "cfg/document",
-    [this](const tl::expected<std::optional<StoreEntry>, StoreError>& aEntry) {
-      if (!aEntry || !*aEntry) {
-        return;
-      }
-      auto document = nlohmann::json::parse((*aEntry)->mValue, nullptr, false);
-      if (!mNode.mConfig || document.value("revision", std::int64_t(0)) >
-                              mNode.mConfig->mRevision) {
-        AdoptDocument(mNode, document, "store");
-      }
-    });
+           { "agents", agents },
+           { "fleet", mFleet.State() } };
 }
 
 void
@@ -131,6 +94,7 @@
     return;
   }
   mNode.mDraining = true;
+  mFleet.Leave();
   LogEvent(Event::DrainStarted, { { "calls", std::to_string(mCalls.size()) } });
   mDrainTimer = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
     LogEvent(Event::AbandonedAtStop,
@@ -212,11 +176,22 @@
     SendError(*aReply,
               { ErrorCode::Draining,
                 "this entry is stopping; another will serve the request",
-                context->mKey.empty() ? Ran::NotRun : Ran::Unknown,
+                RanOfRefusal(*context),
                 100 },
               context->mRequestId);
     return;
   }
+  Freshness freshness = mFleet.JudgeNow();
+  if (freshness == Freshness::Stale) {
+    SendError(
+      *aReply,
+      { ErrorCode::ConfigStale,
+        "this entry cannot tell whether its configuration is the newest",
+        RanOfRefusal(*context),
+        500 },
+      context->mRequestId);
+    return;
+  }
   if (aRequest.mPath == kModelPath) {
     if (aRequest.mMethod != "POST") {
       SendError(*aReply,
--- a/router/src/entry.h
+++ b/router/src/entry.h
@@ -3,6 +3,7 @@
 #include "admin.h"
 #include "agent_links.h"
 #include "caller_api.h"
+#include "fleet.h"
 #include "node.h"
 #include "savory/net/http_server.h"
 #include "savory/platform/store.h"
@@ -26,6 +27,7 @@
   Node& mNode;
   AgentLinks mLinks;
   StoreClient mStore;
+  Fleet mFleet;
   // Calls under way, for the drain and the state dump.
   std::set<const void*> mCalls;
 
@@ -36,16 +38,12 @@
   void OnCaller(const HttpRequest& aRequest,
                 const std::shared_ptr<HttpReply>& aReply);
   void ListModels(const HttpRequest& aRequest, HttpReply& aReply);
-  void PollHosts();
-  void PollConfiguration();
   void OnPeerStream(const std::shared_ptr<InnerStream>& aStream);
   nlohmann::json State() const;
 
   Admin mAdmin;
   std::unique_ptr<InnerListener> mInner;
   std::unique_ptr<HttpServer> mCallers;
-  Timer mHostsTimer;
-  Timer mConfigTimer;
   Timer mDrainTimer;
 };
 
--- /dev/null
+++ b/router/src/fleet.cpp
@@ -0,0 +1,482 @@
+#include "fleet.h"
+
+#include "savory/core/balancer.h"
+#include "savory/net/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace savory {
+
+namespace {
+
+constexpr TimeMs kTickMs = 50;
+constexpr TimeMs kHostsPollMs = 1000;
+constexpr TimeMs kRoundPeriodMs = 1000;
+
+// Agents that one entry connects to at most, over all pools.
+constexpr std::size_t kMaxAgents = 256;
+
+// Sends one message on a new stream and gives the first answer, or nothing
+// when the stream ends without one.
+void
+Ask(InnerConnection& aConnection,
+    const std::string& aPath,
+    const nlohmann::json& aDocument,
+    const sigc::slot<void(const nlohmann::json*)>& aAnswer)
+{
+  auto stream = aConnection.Open(aPath);
+  if (!stream) {
+    aAnswer(nullptr);
+    return;
+  }
+  auto answered = std::make_shared<bool>(false);
+  stream->mOnFrame = [aAnswer, answered](const Frame& aFrame) {
+    auto document = DecodeDocument(aFrame.mPayload);
+    if (!*answered && document) {
+      *answered = true;
+      aAnswer(&*document);
+    }
+  };
+  stream->mOnClosed = [aAnswer, answered](bool) {
+    if (!*answered) {
+      aAnswer(nullptr);
+    }
+  };
+  stream->Send(FrameType::Head, EncodeDocument(aDocument));
+  stream->Finish();
+}
+
+EntryRow
+OwnRow(const Node& aNode)
+{
+  EntryRow row;
+  row.mHost = aNode.mSettings.mHost;
+  row.mIncarnation = aNode.mIncarnation;
+  row.mAddress = ToString(aNode.mSettings.mInner);
+  row.mZone = aNode.mSettings.mZone;
+  row.mRegion = aNode.mSettings.mRegion;
+  return row;
+}
+
+} // namespace
+
+Fleet::Fleet(Node& aNode, AgentLinks& aLinks, StoreClient& aStore)
+  : mNode(aNode)
+  , mLinks(aLinks)
+  , mStore(aStore)
+{
+  mSync.mRole = Role::Entry;
+}
+
+void
+Fleet::Start()
+{
+  mMembers = StartMembership(OwnRow(mNode), mNode.mLoop.NowMs());
+  mLinks.mOnReport.connect([this](const Report& aReport) {
+    TimeMs now = mNode.mLoop.NowMs();
+    NoteConfirmed(mSync, aReport.mFrom, now);
+    MergeReport(mMembers, aReport, now);
+    if (aReport.mFrom.mRevision < mSync.mConfig.mRevision) {
+      Perform(PushToAgents(mSync, { aReport.mFrom.mHost }, now));
+    }
+  });
+  mTick = Timer::Every(mNode.mLoop, kTickMs, [this] { Tick(); });
+  mHostsTimer =
+    Timer::Every(mNode.mLoop, kHostsPollMs, [this] { PollHosts(); });
+  PollHosts();
+  Tick();
+}
+
+void
+Fleet::Tick()
+{
+  TimeMs now = mNode.mLoop.NowMs();
+  // 1. Gossip.
+  auto request = TickMembership(
+    mMembers, StatusOf(mSync, AnsweredAgents(), now), now, mNode.mRandom);
+  if (request) {
+    SendGossip(*request);
+  }
+  // 2. Configuration.
+  Perform(
+    TickSync(mSync, ViewFleet(mMembers, now), ListedEntries(mMembers), now));
+  // 3. What other modules publish.
+  if (now >= mNextRoundMs) {
+    mNextRoundMs = now + kRoundPeriodMs;
+    mOnRound.emit();
+  }
+}
+
+void
+Fleet::PollHosts()
+{
+  FetchHostList(
+    mNode.mHttp,
+    mNode.mSettings.mHosts,
+    [this](const tl::expected<std::vector<Host>, HostListError>& aHosts) {
+      if (!aHosts) {
+        LogEvent(Event::HostListFailed,
+                 { { "reason", aHosts.error().mReason } });
+        return;
+      }
+      TakeHosts(*aHosts);
+    });
+}
+
+void
+Fleet::TakeHosts(const std::vector<Host>& aHosts)
+{
+  // 1. The fleet as the list has it.
+  std::vector<HostRow> rows;
+  std::vector<PoolMember> agents;
+  for (const auto& host : aHosts) {
+    const Zone* zone =
+      mNode.mConfig ? FindZone(*mNode.mConfig, host.mZone) : nullptr;
+    std::string region = zone ? zone->mRegion : mNode.mSettings.mRegion;
+    rows.push_back(
+      { .mHost = host.mName,
+        .mRole = host.mRole == HostRole::Entry ? Role::Entry : Role::Agent,
+        .mAddress = ToString(host.mInner),
+        .mZone = host.mZone,
+        .mRegion = region,
+        .mLeaving = host.mState == HostState::Leaving });
+    if (host.mRole == HostRole::Agent) {
+      agents.push_back({ ToString(host.mInner), region });
+    }
+  }
+  MergeHostList(mMembers, rows, mNode.mLoop.NowMs());
+
+  // 2. The agents that this entry uses.
+  auto subset = ChooseSubset(
+    mNode.mSettings.mHost, mNode.mSettings.mRegion, agents, kMaxAgents);
+  std::vector<Host> used;
+  for (const auto& host : aHosts) {
+    bool chosen =
+      std::find(subset.begin(), subset.end(), ToString(host.mInner)) !=
+      subset.end();
+    if (chosen && host.mRole == HostRole::Agent) {
+      used.push_back(host);
+    }
+  }
+  mLinks.SetHosts(used);
+}
+
+// The agents whose confirmation this entry reports: each agent has one entry,
+// by rendezvous hashing over the live entries.
+std::vector<std::string>
+Fleet::AnsweredAgents() const
+{
+  std::vector<std::string> answered;
+  auto entries = LiveEntries(mMembers, "", mNode.mLoop.NowMs());
+  for (const auto& [address, link] : mLinks.All()) {
+    if (link.mConnection && link.mReport.mFrom.mIncarnation != 0 &&
+        RendezvousFirst(entries, link.mHost.mName) == mNode.mSettings.mHost) {
+      answered.push_back(link.mHost.mName);
+    }
+  }
+  return answered;
+}
+
+InnerConnection*
+Fleet::PeerConnection(const std::string& aAddress)
+{
+  auto& connection = mPeers[aAddress];
+  if (!connection || !connection->IsOpen()) {
+    auto endpoint = ParseEndpoint(aAddress);
+    if (!endpoint) {
+      return nullptr;
+    }
+    connection = InnerConnection::Connect(mNode.mLoop, *endpoint);
+  }
+  return connection.get();
+}
+
+void
+Fleet::SendGossip(const GossipRequest& aRequest)
+{
+  InnerConnection* connection = PeerConnection(aRequest.mAddress);
+  if (!connection) {
+    return;
+  }
+  TimeMs sent = mNode.mLoop.NowMs();
+  Ask(*connection,
+      "/gossip",
+      aRequest.mDocument,
+      [this, sent](const nlohmann::json* aAnswer) {
+        if (!aAnswer) {
+          return;
+        }
+        TimeMs now = mNode.mLoop.NowMs();
+        auto news = MergeGossipAnswer(mMembers, *aAnswer, sent, now);
+        if (!news) {
+          return;
+        }
+        Sender peer{ news->mHost, news->mIncarnation, news->mStatus.mRevision };
+        Perform(OnPeerRevision(mSync, peer, false, now));
+        if (news->mStatus.mVerifiedAge) {
+          OnPeerVerified(
+            mSync, news->mStatus.mRevision, sent - *news->mStatus.mVerifiedAge);
+        }
+      });
+}
+
+bool
+Fleet::Serve(const std::shared_ptr<InnerStream>& aStream)
+{
+  if (aStream->Path() != "/gossip" && aStream->Path() != "/config") {
+    return false;
+  }
+  bool gossip = aStream->Path() == "/gossip";
+  aStream->mOnFrame = [this, aStream, gossip](const Frame& aFrame) {
+    auto document = DecodeDocument(aFrame.mPayload);
+    if (!document) {
+      aStream->Cancel();
+      return;
+    }
+    TimeMs now = mNode.mLoop.NowMs();
+    if (!gossip) {
+      aStream->Send(FrameType::Head,
+                    EncodeDocument(AnswerPull(mSync, *document)));
+      aStream->Finish();
+      return;
+    }
+    GossipNews news;
+    auto answer = AnswerGossip(
+      mMembers, *document, StatusOf(mSync, AnsweredAgents(), now), now, news);
+    if (!answer) {
+      aStream->Cancel();
+      return;
+    }
+    aStream->Send(FrameType::Head, EncodeDocument(*answer));
+    aStream->Finish();
+    Sender peer{ news.mHost, news.mIncarnation, news.mStatus.mRevision };
+    Perform(OnPeerRevision(mSync, peer, false, now));
+  };
+  return true;
+}
+
+void
+Fleet::Perform(const SyncActions& aActions)
+{
+  for (const auto& action : aActions) {
+    switch (action.mKind) {
+      case SyncAction::Kind::WatchHead:
+        WatchHead(action);
+        break;
+      case SyncAction::Kind::ReadSections:
+        ReadSections(action);
+        break;
+      case SyncAction::Kind::Pull:
+        Pull(action);
+        break;
+      case SyncAction::Kind::Push:
+        Push(action);
+        break;
+      case SyncAction::Kind::Adopted: {
+        AdoptConfiguration(mNode, mSync.mConfig);
+        std::vector<std::string> agents;
+        for (const auto& [address, link] : mLinks.All()) {
+          if (link.mConnection) {
+            agents.push_back(link.mHost.mName);
+          }
+        }
+        Perform(PushToAgents(mSync, agents, mNode.mLoop.NowMs()));
+        break;
+      }
+    }
+  }
+}
+
+// Reads the head; when it is not newer and the action may wait, waits for a
+// change of it.
+void
+Fleet::WatchHead(const SyncAction& aAction)
+{
+  mStore.Read(
+    std::string(kHeadKey),
+    [this, action = aAction](
+      const tl::expected<std::optional<StoreEntry>, StoreError>& aEntry) {
+      TimeMs now = mNode.mLoop.NowMs();
+      if (!aEntry) {
+        OnStoreFailed(mSync, action.mCall);
+        return;
+      }
+      if (!*aEntry) {
+        Perform(OnHead(mSync, action.mCall, std::nullopt, now));
+        return;
+      }
+      auto head = ParseHead((*aEntry)->mValue);
+      bool wait =
+        action.mWaitMs > 0 && head && head->mRevision <= action.mRevision;
+      if (wait) {
+        WaitForChange(action, **aEntry, (*aEntry)->mModRevision);
+      } else {
+        Perform(OnHead(mSync, action.mCall, (*aEntry)->mValue, now));
+      }
+    });
+}
+
+void
+Fleet::WaitForChange(const SyncAction& aAction,
+                     const StoreEntry& aHead,
+                     std::int64_t aRevision)
+{
+  auto finish = [this, call = aAction.mCall](const std::string& aText) {
+    if (mWatch) {
+      std::exchange(mWatch, nullptr)->Cancel();
+    }
+    mWatchEnd.Cancel();
+    Perform(OnHead(mSync, call, aText, mNode.mLoop.NowMs()));
+  };
+  mWatchEnd = Timer::After(mNode.mLoop,
+                           aAction.mWaitMs,
+                           [finish, text = aHead.mValue] { finish(text); });
+  mWatch = mStore.Watch(
+    std::string(kHeadKey),
+    aRevision + 1,
+    [finish](const std::vector<StoreEntry>& aEntries) {
+      if (!aEntries.empty()) {
+        finish(aEntries.back().mValue);
+      }
+    },
+    [this, call = aAction.mCall](const StoreError&) {
+      mWatch.reset();
+      mWatchEnd.Cancel();
+      OnStoreFailed(mSync, call);
+    });
+}
+
+void
+Fleet::ReadSections(const SyncAction& aAction)
+{
+  struct Reading
+  {
+    std::vector<std::optional<std::string>> mValues;
+    std::size_t mLeft = 0;
+    bool mFailed = false;
+  };
+  auto reading = std::make_shared<Reading>();
+  reading->mValues.resize(aAction.mKeys.size());
+  reading->mLeft = aAction.mKeys.size();
+  for (std::size_t i = 0; i < aAction.mKeys.size(); ++i) {
+    mStore.Read(
+      aAction.mKeys[i],
+      [this, reading, i, call = aAction.mCall](
+        const tl::expected<std::optional<StoreEntry>, StoreError>& aEntry) {
+        if (!aEntry) {
+          reading->mFailed = true;
+        } else if (*aEntry) {
+          reading->mValues[i] = (*aEntry)->mValue;
+        }
+        if (--reading->mLeft > 0) {
+          return;
+        }
+        if (reading->mFailed) {
+          OnStoreFailed(mSync, call);
+        } else {
+          Perform(
+            OnSections(mSync, call, reading->mValues, mNode.mLoop.NowMs()));
+        }
+      });
+  }
+}
+
+// Asks another entry for its configuration.
+void
+Fleet::Pull(const SyncAction& aAction)
+{
+  auto member = mMembers.mMembers.find(aAction.mHost);
+  InnerConnection* connection =
+    member == mMembers.mMembers.end()
+      ? nullptr
+      : PeerConnection(member->second.mRow.mAddress);
+  if (!connection) {
+    OnPullFailed(mSync, aAction.mHost);
+    return;
+  }
+  Ask(*connection,
+      "/config",
+      aAction.mDocument,
+      [this, host = aAction.mHost](const nlohmann::json* aAnswer) {
+        if (!aAnswer) {
+          OnPullFailed(mSync, host);
+          return;
+        }
+        Perform(OnPullAnswer(mSync, host, *aAnswer, mNode.mLoop.NowMs()));
+      });
+}
+
+// Brings the configuration to an agent. The agent may answer with a pull when
+// the difference does not fit what it has.
+void
+Fleet::Push(const SyncAction& aAction)
+{
+  for (const auto& [address, link] : mLinks.All()) {
+    if (link.mHost.mName != aAction.mHost || !link.mConnection) {
+      continue;
+    }
+    auto stream = link.mConnection->Open("/config");
+    if (!stream) {
+      return;
+    }
+    stream->mOnFrame = [this, stream](const Frame& aFrame) {
+      auto document = DecodeDocument(aFrame.mPayload);
+      if (document) {
+        stream->Send(FrameType::Head,
+                     EncodeDocument(AnswerPull(mSync, *document)));
+      }
+      stream->Finish();
+    };
+    stream->mOnClosed = [](bool) {};
+    stream->Send(FrameType::Head, EncodeDocument(aAction.mDocument));
+    return;
+  }
+}
+
+Freshness
+Fleet::JudgeNow() const
+{
+  TimeMs now = mNode.mLoop.NowMs();
+  return JudgeFreshness(mSync, ViewFleet(mMembers, now), now);
+}
+
+void
+Fleet::LookAtHead()
+{
+  // A watch tells of a change by itself; others read as soon as they may.
+  if (!mWatch) {
+    mSync.mNextProbeMs = 0;
+    Tick();
+  }
+}
+
+void
+Fleet::BringUpToDate(AgentLink& aLink)
+{
+  std::int64_t revision = mSync.mConfig.mRevision;
+  if (aLink.mReport.mFrom.mRevision >= revision ||
+      aLink.mPushedRevision >= revision) {
+    return;
+  }
+  aLink.mPushedRevision = revision;
+  mSync.mPushedMs.erase(aLink.mHost.mName);
+  Perform(PushToAgents(mSync, { aLink.mHost.mName }, mNode.mLoop.NowMs()));
+}
+
+void
+Fleet::Leave()
+{
+  SetLeaving(mMembers, mNode.mLoop.NowMs());
+}
+
+nlohmann::json
+Fleet::State() const
+{
+  TimeMs now = mNode.mLoop.NowMs();
+  return { { "freshness", NameOf(kFreshnessNames, JudgeNow()) },
+           { "reaches_store", ReachesStore(mSync, now) },
+           { "members", ToJson(mMembers, now) } };
+}
+
+} // namespace savory
--- a/router/src/model_call.cpp
+++ b/router/src/model_call.cpp
@@ -178,6 +178,7 @@
   mAddress = address;
   mBackendHost = link->mReport.mFrom.mHost;
   mTried.push_back(address);
+  mEntry.mFleet.BringUpToDate(*link);
   mExchange =
     AgentExchange::Start(*link->mConnection, "/run", Encode(request), mBody);
   if (!mExchange) {
--- a/router/src/service_call.cpp
+++ b/router/src/service_call.cpp
@@ -175,6 +175,7 @@
   mBackendHost = link->mReport.mFrom.mHost;
   mTried.push_back(address);
   mCall.mFrom = SenderOf(mEntry.mNode);
+  mEntry.mFleet.BringUpToDate(*link);
   mExchange =
     AgentExchange::Start(*link->mConnection, "/call", Encode(mCall), mBody);
   if (!mExchange) {
