Admit, warm up and quarantine at the agent

Change: core/admission, warmup and quarantine drive agent_run; a request waits up to 1 s for the entry's configuration; a broken request is answered once the agent knows whether its backend server crashed; reports carry suspects. Ruled out: answering a broken request at once; the entry would send the cause of a crash to the next backend server before the suspicion is known.

--- a/core/include/savory/core/wire.h
+++ b/core/include/savory/core/wire.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "savory/core/quarantine.h"
 #include "savory/core/types.h"
 
 #include <cstdint>
@@ -120,6 +121,8 @@
   int mStatus = 200;
   bool mReplayed = false;
   Headers mHeaders;
+  // The crash of the backend server that ended the request, or 0.
+  std::uint64_t mCrash = 0;
 };
 
 // The last frame of an answer: whether it is whole and what it used. Tokens
@@ -133,6 +136,7 @@
   std::int64_t mInputTokens = 0;
   std::int64_t mOutputTokens = 0;
   Micros mCost = 0;
+  std::uint64_t mCrash = 0;
 };
 
 // A slot of a plain service that an agent owns, with its epoch.
@@ -161,6 +165,7 @@
   std::int64_t mTokensHeld = 0;
   std::int64_t mTokenCapacity = 0;
   std::vector<OwnedSlot> mSlots;
+  std::vector<SuspectRow> mSuspects;
 };
 
 // Codecs of the messages (CBOR). A decoder refuses bytes that are no CBOR map
@@ -186,6 +191,13 @@
 tl::expected<Report, WireError>
 DecodeReport(std::string_view aBytes);
 
+// Suspects as a list of [fingerprint, age in ms, [[crash, isolated, cleared]]].
+// Reading throws nlohmann::json::exception on any other shape.
+nlohmann::json
+SuspectsToJson(const std::vector<SuspectRow>& aRows);
+std::vector<SuspectRow>
+SuspectsFromJson(const nlohmann::json& aRows);
+
 // CBOR of any document, for messages without a type of their own.
 std::string
 EncodeDocument(const nlohmann::json& aDocument);
--- a/core/src/wire.cpp
+++ b/core/src/wire.cpp
@@ -68,6 +68,38 @@
 
 } // namespace
 
+json
+SuspectsToJson(const std::vector<SuspectRow>& aRows)
+{
+  json rows = json::array();
+  for (const auto& row : aRows) {
+    json crashes = json::array();
+    for (const auto& crash : row.mCrashes) {
+      crashes.push_back({ crash.mId, crash.mIsolated, crash.mCleared });
+    }
+    rows.push_back({ row.mFingerprint, row.mAgeMs, crashes });
+  }
+  return rows;
+}
+
+std::vector<SuspectRow>
+SuspectsFromJson(const json& aRows)
+{
+  std::vector<SuspectRow> rows;
+  for (const auto& row : aRows) {
+    SuspectRow suspect;
+    suspect.mFingerprint = row.at(0).get<std::uint64_t>();
+    suspect.mAgeMs = row.at(1).get<TimeMs>();
+    for (const auto& crash : row.at(2)) {
+      suspect.mCrashes.push_back({ crash.at(0).get<std::uint64_t>(),
+                                   crash.at(1).get<bool>(),
+                                   crash.at(2).get<bool>() });
+    }
+    rows.push_back(std::move(suspect));
+  }
+  return rows;
+}
+
 std::string
 EncodeFrame(FrameType aType, std::string_view aPayload)
 {
@@ -236,6 +268,7 @@
   message["status"] = aMessage.mStatus;
   message["replayed"] = aMessage.mReplayed;
   message["headers"] = aMessage.mHeaders;
+  message["crash"] = aMessage.mCrash;
   return ToCbor(message);
 }
 
@@ -254,6 +287,7 @@
       .mStatus = aMessage.value("status", 200),
       .mReplayed = aMessage.value("replayed", false),
       .mHeaders = aMessage.value("headers", Headers()),
+      .mCrash = aMessage.value("crash", std::uint64_t(0)),
     };
   });
 }
@@ -267,7 +301,8 @@
                   { "reason", aMessage.mReason },
                   { "input_tokens", aMessage.mInputTokens },
                   { "output_tokens", aMessage.mOutputTokens },
-                  { "cost", aMessage.mCost } });
+                  { "cost", aMessage.mCost },
+                  { "crash", aMessage.mCrash } });
 }
 
 tl::expected<AnswerEnd, WireError>
@@ -282,6 +317,7 @@
       .mInputTokens = aMessage.value("input_tokens", std::int64_t(0)),
       .mOutputTokens = aMessage.value("output_tokens", std::int64_t(0)),
       .mCost = aMessage.value("cost", Micros(0)),
+      .mCrash = aMessage.value("crash", std::uint64_t(0)),
     };
   });
 }
@@ -306,6 +342,7 @@
   for (const auto& slot : aMessage.mSlots) {
     message["slots"].push_back({ slot.mSlot, slot.mEpoch });
   }
+  message["suspects"] = SuspectsToJson(aMessage.mSuspects);
   return ToCbor(message);
 }
 
@@ -328,11 +365,14 @@
       .mTokensHeld = aMessage.value("held", std::int64_t(0)),
       .mTokenCapacity = aMessage.value("capacity", std::int64_t(0)),
       .mSlots = {},
+      .mSuspects = {},
     };
     for (const auto& slot : aMessage.at("slots")) {
       report.mSlots.push_back(
         { slot.at(0).get<int>(), slot.at(1).get<std::int64_t>() });
     }
+    report.mSuspects =
+      SuspectsFromJson(aMessage.value("suspects", json::array()));
     return report;
   });
 }
--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -1,5 +1,7 @@
 #include "agent.h"
 
+#include "agent_run.h"
+
 #include "savory/net/log.h"
 
 #include <nlohmann/json.hpp>
@@ -17,7 +19,7 @@
   : mNode(aNode)
   , mAdmin(aNode,
            { .mState = [this] { return State(); },
-             .mMetrics = [] { return std::string(); },
+             .mMetrics = [this] { return mMetrics.Text(); },
              .mExplain = [](const std::string&) { return nlohmann::json(); },
              .mRefresh = [] {} })
 {
@@ -36,6 +38,8 @@
     return false;
   }
   mReportTimer = Timer::Every(mNode.mLoop, kReportMs, [this] { ReportNow(); });
+  mQueueTimer = Timer::Every(mNode.mLoop, 100, [this] { PollQueue(); });
+  mNode.mConfigChanged.connect([this] { OnConfigChanged(); });
   mPollTimer = Timer::Every(mNode.mLoop, kPollMs, [this] { PollBackend(); });
   PollBackend();
   return true;
@@ -48,37 +52,227 @@
     mNode.mHttp,
     mNode.mSettings.mBackend,
     [this](const tl::expected<BackendLoad, BackendError>& aLoad) {
-      bool changed = mReachable != aLoad.has_value() ||
-                     (aLoad && aLoad->mInstance != mLoad.mInstance);
-      mReachable = aLoad.has_value();
-      if (aLoad) {
-        mLoad = *aLoad;
-      }
-      if (changed) {
-        ReportNow();
-      }
+      OnLoad(aLoad);
     });
 }
 
+// Takes the load report of the backend server, or its absence.
+void
+Agent::OnLoad(const tl::expected<BackendLoad, BackendError>& aLoad)
+{
+  // 1. A crash: another instance, or none at all.
+  bool changed = mReachable != aLoad.has_value();
+  bool restarted =
+    aLoad && !mLoad.mInstance.empty() && aLoad->mInstance != mLoad.mInstance;
+  TellBroken(restarted || !aLoad);
+  mReachable = aLoad.has_value();
+  if (!aLoad) {
+    if (changed) {
+      LogEvent(Event::BackendLost, { { "reason", aLoad.error().mReason } });
+      ResetWarmup(mWarmup, "not reachable");
+      ReportNow();
+    }
+    return;
+  }
+
+  // 2. The load itself.
+  mLoad = *aLoad;
+  if (OnIncarnation(mWarmup, mLoad.mInstance) || restarted) {
+    LogEvent(
+      Event::BackendCold,
+      { { "cause", mWarmup.mCause },
+        { "instance", mLoad.mInstance },
+        { "allowance", std::to_string(Allowance(mWarmup, WarmupLimits())) } });
+    changed = true;
+  }
+  if (changed) {
+    ReportNow();
+  }
+}
+
+// Tells the requests that broke whether the backend server crashed, and marks
+// them as suspects if so.
+void
+Agent::TellBroken(bool aCrashed)
+{
+  auto broken = std::exchange(mBroken, {});
+  if (broken.empty()) {
+    return;
+  }
+  std::uint64_t crash = 0;
+  if (aCrashed) {
+    crash = CrashId(ToString(mNode.mSettings.mInner), mLoad.mInstance);
+    std::vector<std::uint64_t> fingerprints;
+    for (const auto& run : broken) {
+      fingerprints.push_back(run.mFingerprint);
+    }
+    OnCrash(mQuarantine, {}, crash, fingerprints, mNode.mLoop.NowMs());
+    LogEvent(Event::RequestSuspected,
+             { { "requests", std::to_string(broken.size()) },
+               { "crash", std::to_string(crash) } });
+    ReportNow();
+  }
+  for (const auto& run : broken) {
+    run.mTold(crash);
+  }
+}
+
+void
+Agent::RunBroke(std::uint64_t aFingerprint,
+                const sigc::slot<void(std::uint64_t)>& aTold)
+{
+  mBroken.push_back({ aFingerprint, aTold });
+  if (mBroken.size() == 1) {
+    // Requests of one crash break in the same turn; the question goes out
+    // after all of them.
+    Defer(mNode.mLoop, [this] { PollBackend(); });
+  }
+}
+
+WarmupOptions
+Agent::WarmupLimits() const
+{
+  WarmupOptions options;
+  if (mNode.mConfig && !mNode.mConfig->mModels.empty()) {
+    options.mCold = mNode.mConfig->mModels[0].mColdConcurrency;
+    for (const auto& model : mNode.mConfig->mModels) {
+      options.mCold = std::min(options.mCold, model.mColdConcurrency);
+    }
+  }
+  options.mFull =
+    mLoad.mMaxRunning > 0 ? mLoad.mMaxRunning : mNode.mSettings.mMaxRunning;
+  return options;
+}
+
+AdmissionOptions
+Agent::AdmissionLimits() const
+{
+  AdmissionOptions options;
+  options.mTokenCapacity = mLoad.mTokenCapacity;
+  return options;
+}
+
+AdmissionAnswer
+Agent::AdmitRun(const std::shared_ptr<AgentRun>& aRun,
+                const AdmissionRequest& aRequest)
+{
+  WarmupOptions warmup = WarmupLimits();
+  AdmissionChanges changes;
+  mRuns[aRequest.mId] = aRun;
+  AdmissionAnswer answer = Admit(mAdmission,
+                                 AdmissionLimits(),
+                                 Allowance(mWarmup, warmup),
+                                 IsCold(mWarmup, warmup),
+                                 aRequest,
+                                 mNode.mLoop.NowMs(),
+                                 changes);
+  if (answer.mAdmitted == Admitted::Refused) {
+    mRuns.erase(aRequest.mId);
+  }
+  ApplyChanges(changes);
+  return answer;
+}
+
+void
+Agent::ApplyChanges(const AdmissionChanges& aChanges)
+{
+  for (const auto& refused : aChanges.mRefused) {
+    auto found = mRuns.find(refused.mId);
+    auto run = found == mRuns.end() ? nullptr : found->second.lock();
+    if (run) {
+      run->Reject(refused.mAnswer);
+    }
+    mRuns.erase(refused.mId);
+  }
+  for (const auto& started : aChanges.mStarted) {
+    auto found = mRuns.find(started.mId);
+    auto run = found == mRuns.end() ? nullptr : found->second.lock();
+    if (run) {
+      run->Begin();
+    } else {
+      OnLeft(mAdmission, started.mId, mNode.mLoop.NowMs());
+    }
+  }
+}
+
+void
+Agent::PollQueue()
+{
+  WarmupOptions warmup = WarmupLimits();
+  ApplyChanges(PollAdmission(mAdmission,
+                             AdmissionLimits(),
+                             Allowance(mWarmup, warmup),
+                             IsCold(mWarmup, warmup),
+                             mNode.mLoop.NowMs()));
+}
+
+void
+Agent::RunLeft(const std::string& aId)
+{
+  mRuns.erase(aId);
+  if (!CancelQueued(mAdmission, aId)) {
+    OnLeft(mAdmission, aId, mNode.mLoop.NowMs());
+  }
+  PollQueue();
+}
+
+void
+Agent::RunGenerated(const std::string& aId, std::int64_t aTokens)
+{
+  auto cut = OnGenerated(mAdmission, AdmissionLimits(), aId, aTokens);
+  for (const auto& id : cut) {
+    auto found = mRuns.find(id);
+    auto run = found == mRuns.end() ? nullptr : found->second.lock();
+    mRuns.erase(id);
+    if (run) {
+      run->CutForMemory();
+    }
+  }
+}
+
+bool
+Agent::IsZoneOut() const
+{
+  const Zone* zone =
+    mNode.mConfig ? FindZone(*mNode.mConfig, mNode.mSettings.mZone) : nullptr;
+  return zone && zone->mState == ZoneState::Out;
+}
+
+// A zone that returns has cold caches and cold backend servers.
+void
+Agent::OnConfigChanged()
+{
+  const Zone* zone = FindZone(*mNode.mConfig, mNode.mSettings.mZone);
+  ZoneState state = zone ? zone->mState : ZoneState::In;
+  if (mZoneState == ZoneState::Out && state != ZoneState::Out) {
+    ResetWarmup(mWarmup, "the availability zone returned");
+  }
+  mZoneState = state;
+  PollQueue();
+}
+
 Report
 Agent::MakeReport() const
 {
   const Settings& settings = mNode.mSettings;
+  bool engine = settings.mBackendKind == BackendKind::Engine;
   return {
     .mFrom = SenderOf(mNode),
     .mPool = settings.mPool,
     .mZone = settings.mZone,
     .mAddress = ToString(settings.mInner),
-    .mIsService = settings.mBackendKind == BackendKind::Service,
+    .mIsService = !engine,
     .mLeaving = mNode.mDraining,
     .mReachable = mReachable,
     .mVersions = mLoad.mVersions,
-    .mRunning = static_cast<int>(mCalls.size()),
-    .mQueued = 0,
-    .mAllowance = settings.mMaxRunning,
-    .mTokensHeld = mLoad.mTokensHeld,
+    .mRunning =
+      static_cast<int>(engine ? mAdmission.mRunning.size() : mCalls.size()),
+    .mQueued = static_cast<int>(mAdmission.mQueue.size()),
+    .mAllowance = Allowance(mWarmup, WarmupLimits()),
+    .mTokensHeld = mAdmission.mTokensHeld,
     .mTokenCapacity = mLoad.mTokenCapacity,
     .mSlots = {},
+    .mSuspects = SuspectRows(mQuarantine, mNode.mLoop.NowMs()),
   };
 }
 
@@ -91,7 +285,14 @@
            { "revision", SenderOf(mNode).mRevision },
            { "draining", mNode.mDraining },
            { "reachable", mReachable },
-           { "calls", mCalls.size() } };
+           { "calls", mCalls.size() },
+           { "instance", mLoad.mInstance },
+           { "running", mAdmission.mRunning.size() },
+           { "queued", mAdmission.mQueue.size() },
+           { "tokens_held", mAdmission.mTokensHeld },
+           { "allowance", Allowance(mWarmup, WarmupLimits()) },
+           { "warmup_cause", mWarmup.mCause },
+           { "suspects", mQuarantine.mSuspects.size() } };
 }
 
 void
@@ -156,6 +357,8 @@
     return;
   }
   mNode.mDraining = true;
+  mAdmission.mDraining = true;
+  PollQueue();
   LogEvent(Event::DrainStarted, { { "calls", std::to_string(mCalls.size()) } });
   ReportNow();
   mDrainTimer = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -2,16 +2,34 @@
 
 #include "admin.h"
 #include "node.h"
+#include "savory/core/admission.h"
 #include "savory/core/config_sync.h"
+#include "savory/core/metrics.h"
+#include "savory/core/quarantine.h"
+#include "savory/core/warmup.h"
 #include "savory/core/wire.h"
 #include "savory/net/inner.h"
 #include "savory/platform/backend.h"
 
+#include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace savory {
 
+class AgentRun;
+
+// Why a call is refused before it reaches the backend server.
+struct CallRefusal
+{
+  ErrorCode mCode = ErrorCode::Internal;
+  std::string mReason;
+  TimeMs mRetryAfterMs = 0;
+  std::string mHint;
+};
+
 // The agent role: the only path to one backend server.
 class Agent
 {
@@ -29,24 +47,62 @@
   void CallStarted(const void* aCall);
   void CallEnded(const void* aCall);
 
+  // Decides whether a model call may start now. The run is told by Begin or
+  // Reject when it is queued first.
+  AdmissionAnswer AdmitRun(const std::shared_ptr<AgentRun>& aRun,
+                           const AdmissionRequest& aRequest);
+  // A run left the backend server or the queue.
+  void RunLeft(const std::string& aId);
+  // Takes the tokens that a run has generated so far.
+  void RunGenerated(const std::string& aId, std::int64_t aTokens);
+
+  // A request broke at the backend server. Finds out whether it crashed and
+  // then tells the crash's id, 0 for none.
+  void RunBroke(std::uint64_t aFingerprint,
+                const sigc::slot<void(std::uint64_t)>& aTold);
+
+  WarmupOptions WarmupLimits() const;
+  bool IsZoneOut() const;
+
   Node& mNode;
+  Metrics mMetrics;
   std::set<const void*> mCalls;
   BackendLoad mLoad;
   bool mReachable = false;
+  Warmup mWarmup;
+  Quarantine mQuarantine;
 
 private:
   void OnStream(const std::shared_ptr<InnerStream>& aStream);
   void OnConfig(const std::shared_ptr<InnerStream>& aStream,
                 const Frame& aFrame);
   void PollBackend();
+  void OnLoad(const tl::expected<BackendLoad, BackendError>& aLoad);
+  void TellBroken(bool aCrashed);
+  void ApplyChanges(const AdmissionChanges& aChanges);
+  void PollQueue();
+  void OnConfigChanged();
+  AdmissionOptions AdmissionLimits() const;
   nlohmann::json State() const;
 
+  // A request that broke, until it is known whether the backend server did.
+  struct BrokenRun
+  {
+    std::uint64_t mFingerprint;
+    sigc::slot<void(std::uint64_t)> mTold;
+  };
+
+  Admission mAdmission;
+  std::map<std::string, std::weak_ptr<AgentRun>> mRuns;
+  std::vector<BrokenRun> mBroken;
+  ZoneState mZoneState = ZoneState::In;
   Admin mAdmin;
   ConfigSync mSync;
   std::unique_ptr<InnerListener> mListener;
   std::set<std::shared_ptr<InnerStream>> mSubscribers;
   Timer mReportTimer;
   Timer mPollTimer;
+  Timer mQueueTimer;
   Timer mDrainTimer;
 };
 
--- a/router/src/agent_run.cpp
+++ b/router/src/agent_run.cpp
@@ -1,6 +1,8 @@
-#include "agent.h"
+#include "agent_run.h"
 
+#include "savory/core/permission.h"
 #include "savory/net/http_server.h"
+#include "savory/net/log.h"
 
 #include <algorithm>
 
@@ -13,60 +15,56 @@
 constexpr std::size_t kPauseBytes = 64 * 1024;
 constexpr std::size_t kResumeBytes = 32 * 1024;
 
-// One model call at an agent.
-class AgentRun : public std::enable_shared_from_this<AgentRun>
+// How long a request waits for the configuration that its entry has.
+constexpr TimeMs kConfigWaitMs = 1000;
+
+// Counts the events of a stream, which carry about a token each.
+std::int64_t
+CountEvents(std::string_view aBytes)
 {
-public:
-  AgentRun(Agent& aAgent, const std::shared_ptr<InnerStream>& aStream)
-    : mAgent(aAgent)
-    , mStream(aStream)
-  {
+  std::int64_t count = 0;
+  for (auto at = aBytes.find("data: "); at != std::string_view::npos;
+       at = aBytes.find("data: ", at + 1)) {
+    ++count;
   }
+  return count;
+}
 
-  ~AgentRun()
-  {
-    if (mCounted) {
-      mAgent.CallEnded(this);
-    }
-  }
+} // namespace
 
-  void Listen();
-
-private:
-  void OnFrame(const Frame& aFrame);
-  void Decide();
-  void RefuseRun(ErrorCode aCode, const std::string& aReason);
-  void Dispatch();
-  void OnHeaders(const HttpResponse& aResponse);
-  void OnBody(std::string_view aBytes);
-  void OnDone(const HttpResult& aResult);
-  void End(const AnswerEnd& aEnd);
-
-  Agent& mAgent;
-  std::shared_ptr<InnerStream> mStream;
-  std::shared_ptr<HttpExchange> mExchange;
-  RunRequest mRequest;
-  std::string mBody;
-  bool mHasHead = false;
-  bool mCounted = false;
-  bool mAccepted = false;
-  int mStatus = 0;
-  bool mPaused = false;
-  UsageReader mUsage;
-  std::int64_t mGenerated = 0;
-};
+AgentRun::AgentRun(Agent& aAgent, const std::shared_ptr<InnerStream>& aStream)
+  : mAgent(aAgent)
+  , mStream(aStream)
+  , mArrivedMs(aAgent.mNode.mLoop.NowMs())
+{
+  mAgent.CallStarted(this);
+}
+
+AgentRun::~AgentRun()
+{
+  mConfigConnection.disconnect();
+  LeaveBackend();
+  mAgent.CallEnded(this);
+}
 
 void
 AgentRun::Listen()
 {
   auto self = shared_from_this();
   mStream->mOnFrame = [self](const Frame& aFrame) { self->OnFrame(aFrame); };
-  mStream->mOnClosed = [self](bool) {
-    // The entry has gone or has cancelled: nobody waits for the answer.
-    if (self->mExchange) {
-      std::exchange(self->mExchange, nullptr)->Cancel();
-    }
-  };
+  mStream->mOnClosed = [self](bool) { self->OnStreamClosed(); };
+}
+
+// The entry has gone or has cancelled: nobody waits for the answer.
+void
+AgentRun::OnStreamClosed()
+{
+  mConfigConnection.disconnect();
+  mConfigWait.Cancel();
+  if (mExchange) {
+    std::exchange(mExchange, nullptr)->Cancel();
+  }
+  LeaveBackend();
 }
 
 void
@@ -75,75 +73,182 @@
   if (aFrame.mType == FrameType::Head && !mHasHead) {
     auto request = DecodeRunRequest(aFrame.mPayload);
     if (!request) {
-      RefuseRun(ErrorCode::BadRequest, request.error().mReason);
+      RefuseRun({ ErrorCode::BadRequest, request.error().mReason, 0, {} });
       return;
     }
     mHasHead = true;
     mRequest = *request;
-  } else if (aFrame.mType == FrameType::Body && mHasHead && !mExchange) {
+  } else if (aFrame.mType == FrameType::Body && mHasHead && !mDecided) {
+    // A body longer than a frame comes in several; only the last is shorter.
     mBody += aFrame.mPayload;
-    Decide();
+    if (aFrame.mPayload.size() < kMaxFrameBytes) {
+      mDecided = true;
+      WaitForConfiguration();
+    }
   }
 }
 
-// Checks everything that may refuse the request; each refusal is before the
-// backend server sees anything of it.
+// Decides once the configuration of the entry is in force here too.
 void
-AgentRun::Decide()
+AgentRun::WaitForConfiguration()
 {
-  const Node& node = mAgent.mNode;
-  if (!node.mConfig) {
-    RefuseRun(ErrorCode::NoConfiguration, "the agent has no configuration");
+  const auto& config = mAgent.mNode.mConfig;
+  if (config && config->mRevision >= mRequest.mFrom.mRevision) {
+    Decide();
     return;
   }
-  if (mRequest.mFrom.mRevision < node.mConfig->mRevision) {
-    RefuseRun(ErrorCode::ConfigOlder,
-              "the configuration of the entry is older than " +
-                std::to_string(node.mConfig->mRevision));
-    return;
+  auto self = shared_from_this();
+  mConfigConnection = mAgent.mNode.mConfigChanged.connect([self] {
+    if (self->mAgent.mNode.mConfig->mRevision >=
+        self->mRequest.mFrom.mRevision) {
+      // The slot holds this run and must not be destroyed while it is called.
+      auto keep = self;
+      self->mConfigConnection.disconnect();
+      keep->mConfigWait.Cancel();
+      keep->Decide();
+    }
+  });
+  mConfigWait = Timer::After(mAgent.mNode.mLoop, kConfigWaitMs, [self] {
+    self->mConfigConnection.disconnect();
+    self->RefuseRun({ ErrorCode::NoConfiguration,
+                      "the agent lacks the configuration of the entry",
+                      100,
+                      {} });
+  });
+}
+
+// What forbids the run under the configuration in force, if anything. Made at
+// arrival and again when a queued run starts.
+std::optional<CallRefusal>
+AgentRun::Check() const
+{
+  const Node& node = mAgent.mNode;
+  if (mRequest.mFrom.mRevision < node.mConfig->mRevision && !mAdmitted) {
+    return CallRefusal{ ErrorCode::ConfigOlder,
+                        "the configuration of the entry is older than " +
+                          std::to_string(node.mConfig->mRevision),
+                        50,
+                        {} };
   }
   if (node.mDraining) {
-    RefuseRun(ErrorCode::Draining, "the backend server is leaving");
-    return;
+    return CallRefusal{
+      ErrorCode::Draining, "the backend server is leaving", 100, {}
+    };
   }
-  const Zone* zone = FindZone(*node.mConfig, node.mSettings.mZone);
-  if (zone && zone->mState == ZoneState::Out) {
-    RefuseRun(ErrorCode::ZoneOut, "the availability zone is out");
-    return;
+  if (mAgent.IsZoneOut()) {
+    return CallRefusal{
+      ErrorCode::ZoneOut, "the availability zone is out", 100, {}
+    };
   }
   const Customer* customer = FindCustomer(*node.mConfig, mRequest.mCustomer);
-  if (!customer || !IsAllowed(*customer, mRequest.mModel, mRequest.mVersion)) {
-    RefuseRun(ErrorCode::NotAllowed,
-              "the customer may not use " + mRequest.mModel + "@" +
-                mRequest.mVersion);
-    return;
+  std::optional<ErrorCode> forbidden =
+    customer
+      ? MayRun(*node.mConfig,
+               *customer,
+               mRequest.mModel,
+               mRequest.mVersion,
+               mRequest.mSession.empty() ? WorkKind::New : WorkKind::Session)
+      : ErrorCode::NotAllowed;
+  if (forbidden) {
+    return CallRefusal{ *forbidden,
+                        mRequest.mModel + "@" + mRequest.mVersion +
+                          " may not run for this customer",
+                        0,
+                        {} };
   }
-  const Model* model = FindModel(*node.mConfig, mRequest.mModel);
-  const Version* version =
-    model ? FindVersion(*model, mRequest.mVersion) : nullptr;
-  if (!version || version->mState == VersionState::Withdrawn) {
-    RefuseRun(ErrorCode::VersionWithdrawn,
-              mRequest.mModel + "@" + mRequest.mVersion + " is withdrawn");
+  if (!mAgent.mReachable) {
+    return CallRefusal{
+      ErrorCode::NoBackend, "the backend server is not reachable", 100, {}
+    };
+  }
+  const auto& versions = mAgent.mLoad.mVersions;
+  std::string wanted = mRequest.mModel + "@" + mRequest.mVersion;
+  if (std::find(versions.begin(), versions.end(), wanted) == versions.end()) {
+    return CallRefusal{
+      ErrorCode::ModelNotLoaded, wanted + " is not loaded here", 100, {}
+    };
+  }
+  return std::nullopt;
+}
+
+void
+AgentRun::Decide()
+{
+  if (auto refusal = Check()) {
+    RefuseRun(*refusal);
     return;
   }
-  if (!mAgent.mReachable) {
-    RefuseRun(ErrorCode::NoBackend, "the backend server is not reachable");
+  static std::int64_t counter = 0;
+  mId = mRequest.mRequestId + "/" + std::to_string(mRequest.mStep) + "/" +
+        std::to_string(++counter);
+  const Customer* customer =
+    FindCustomer(*mAgent.mNode.mConfig, mRequest.mCustomer);
+  AdmissionRequest request{
+    .mId = mId,
+    .mCustomer = mRequest.mCustomer,
+    .mInputTokens = mRequest.mInputTokens,
+    .mOutputTokens = mRequest.mOutputTokens,
+    .mPriority = mRequest.mPriority,
+    .mWeight = customer->mWeight,
+    .mDeadlineMs = mArrivedMs + mRequest.mDeadlineMs,
+    .mMayQueue = mRequest.mMayQueue,
+    .mAlone = mRequest.mAlone,
+  };
+  AdmissionAnswer answer = mAgent.AdmitRun(shared_from_this(), request);
+  switch (answer.mAdmitted) {
+    case Admitted::Started:
+      Dispatch();
+      break;
+    case Admitted::Queued:
+      mAdmitted = true;
+      break;
+    case Admitted::Refused:
+      mId.clear();
+      Reject(answer);
+      break;
+  }
+}
+
+void
+AgentRun::Begin()
+{
+  // New work under the configuration in force now, which may be newer than at
+  // the run's arrival.
+  if (auto refusal = Check()) {
+    LeaveBackend();
+    RefuseRun(*refusal);
     return;
   }
   Dispatch();
 }
 
 void
-AgentRun::RefuseRun(ErrorCode aCode, const std::string& aReason)
+AgentRun::Reject(const AdmissionAnswer& aAnswer)
 {
-  Refuse(mAgent, *mStream, aCode, Ran::NotRun, aReason, 100);
+  RefuseRun({ aAnswer.mCode,
+              aAnswer.mReason,
+              aAnswer.mRetryAfterMs,
+              EncodeLoadHint(aAnswer.mLoad) });
+}
+
+void
+AgentRun::RefuseRun(const CallRefusal& aRefusal)
+{
+  Refuse(mAgent,
+         *mStream,
+         aRefusal.mCode,
+         Ran::NotRun,
+         aRefusal.mReason,
+         aRefusal.mRetryAfterMs,
+         aRefusal.mHint);
 }
 
 void
 AgentRun::Dispatch()
 {
-  mCounted = true;
-  mAgent.CallStarted(this);
+  mAdmitted = true;
+  mStartedMs = mAgent.mNode.mLoop.NowMs();
+  mGeneration = mAgent.mWarmup.mGeneration;
   mUsage.mStream = mRequest.mStream;
   HttpCall call;
   call.mServer = mAgent.mNode.mSettings.mBackend;
@@ -152,9 +257,11 @@
   call.mHeaders = { { "Content-Type", "application/json" },
                     { "x-request-id", mRequest.mRequestId },
                     { "x-customer", mRequest.mCustomer },
+                    { "x-priority", std::to_string(mRequest.mPriority) },
                     { "x-model-version", mRequest.mVersion } };
-  call.mBody = mBody;
-  call.mTimeoutMs = mRequest.mDeadlineMs;
+  call.mBody = std::move(mBody);
+  call.mTimeoutMs =
+    std::max<TimeMs>(1, mArrivedMs + mRequest.mDeadlineMs - mStartedMs);
   mExchange = mAgent.mNode.mHttp.Start(call);
   auto self = shared_from_this();
   mExchange->mOnHeaders = [self](const HttpResponse& aResponse) {
@@ -187,9 +294,8 @@
   head.mFrom = SenderOf(mAgent.mNode);
   head.mAccepted = true;
   head.mStatus = mStatus;
-  head.mHeaders = { { "Content-Type",
-                      std::string(
-                        HeaderValue(aResponse.mHeaders, "content-type")) } };
+  head.mHeaders.emplace_back("Content-Type",
+                             HeaderValue(aResponse.mHeaders, "content-type"));
   mStream->Send(FrameType::Head, Encode(head));
 }
 
@@ -199,9 +305,25 @@
   if (!mAccepted) {
     return;
   }
+  if (!mFirstSeen) {
+    mFirstSeen = true;
+    if (mRequest.mStream &&
+        OnFirstToken(mAgent.mWarmup,
+                     mAgent.WarmupLimits(),
+                     mGeneration,
+                     mRequest.mInputTokens,
+                     mAgent.mNode.mLoop.NowMs() - mStartedMs)) {
+      LogEvent(Event::BackendCold, { { "cause", mAgent.mWarmup.mCause } });
+      mAgent.ReportNow();
+    }
+  }
   ReadUsage(mUsage, aBytes);
   mStream->Send(FrameType::Body, aBytes);
-  if (!mPaused && mStream->UnsentBytes() > kPauseBytes) {
+  if (mRequest.mStream) {
+    mGenerated += CountEvents(aBytes);
+    mAgent.RunGenerated(mId, mGenerated);
+  }
+  if (!mPaused && mExchange && mStream->UnsentBytes() > kPauseBytes) {
     mPaused = true;
     mExchange->PauseReading(true);
   }
@@ -211,39 +333,111 @@
 AgentRun::OnDone(const HttpResult& aResult)
 {
   mExchange.reset();
-  if (!mAccepted) {
-    bool reached =
-      aResult.has_value() || aResult.error() != HttpErrorCode::NotConnected;
-    Refuse(mAgent,
-           *mStream,
-           ErrorCode::BackendFailed,
-           reached ? Ran::Unknown : Ran::NotRun,
-           aResult ? "the backend server answered " + std::to_string(mStatus)
-                   : std::string(NameOf(kHttpErrorNames, aResult.error())),
-           100);
+  FinishUsage(mUsage);
+  bool whole =
+    aResult.has_value() && mAccepted && (!mUsage.mStream || mUsage.mSawEnd);
+  if (whole) {
+    AnswerEnd end;
+    end.mComplete = true;
+    end.mRan = Ran::Ran;
+    end.mInputTokens = mUsage.mUsage.mInputTokens;
+    end.mOutputTokens = mUsage.mUsage.mOutputTokens;
+    end.mCost = CostOf(mUsage.mUsage);
+    OnCompleted(mAgent.mWarmup, mAgent.WarmupLimits(), mGeneration);
+    OnRanToEnd(mAgent.mQuarantine, {}, mRequest.mFingerprint);
+    LeaveBackend();
+    SendEnd(end);
     return;
   }
-  AnswerEnd end;
-  FinishUsage(mUsage);
-  end.mComplete = aResult.has_value() && (!mUsage.mStream || mUsage.mSawEnd);
-  end.mRan = Ran::Ran;
-  end.mInputTokens = mUsage.mUsage.mInputTokens;
-  end.mOutputTokens = mUsage.mUsage.mOutputTokens;
-  if (!end.mComplete) {
+  // The backend server broke the request, or crashed. The answer waits until
+  // that is known, so that the entry does not send the cause of a crash to the
+  // next backend server.
+  LeaveBackend();
+  bool reached =
+    aResult.has_value() || aResult.error() != HttpErrorCode::NotConnected;
+  std::string reason =
+    aResult ? "the backend server answered " + std::to_string(mStatus)
+            : std::string(NameOf(kHttpErrorNames, aResult.error()));
+  bool timeout = !aResult && aResult.error() == HttpErrorCode::Timeout;
+  if (!reached || timeout || aResult) {
+    SendBroken(reached, reason, 0);
+    return;
+  }
+  auto self = shared_from_this();
+  mAgent.RunBroke(mRequest.mFingerprint,
+                  [self, reached, reason](std::uint64_t aCrash) {
+                    self->SendBroken(reached, reason, aCrash);
+                  });
+}
+
+void
+AgentRun::SendBroken(bool aReached,
+                     const std::string& aReason,
+                     std::uint64_t aCrash)
+{
+  if (mAccepted) {
+    AnswerEnd end;
     end.mCode = ErrorCode::BackendFailed;
-    end.mReason = "the backend server ended its answer early";
+    end.mRan = Ran::Ran;
+    end.mReason = aReason;
+    end.mCrash = aCrash;
+    end.mOutputTokens = mGenerated;
+    end.mInputTokens = mRequest.mInputTokens;
+    end.mCost = CostOf({ end.mInputTokens, end.mOutputTokens });
+    SendEnd(end);
+    return;
+  }
+  AnswerHead head;
+  head.mFrom = SenderOf(mAgent.mNode);
+  head.mCode = ErrorCode::BackendFailed;
+  head.mRan = aReached ? Ran::Unknown : Ran::NotRun;
+  head.mReason = aReason;
+  head.mRetryAfterMs = 100;
+  head.mCrash = aCrash;
+  mStream->Send(FrameType::Head, Encode(head));
+  mStream->Finish();
+}
+
+void
+AgentRun::CutForMemory()
+{
+  if (mExchange) {
+    std::exchange(mExchange, nullptr)->Cancel();
   }
-  End(end);
+  mId.clear();
+  mAdmitted = false;
+  AnswerEnd end;
+  end.mCode = ErrorCode::MemoryLimit;
+  end.mRan = Ran::Ran;
+  end.mReason = "cut to keep the backend server within its memory";
+  SendEnd(end);
 }
 
 void
-AgentRun::End(const AnswerEnd& aEnd)
+AgentRun::SendEnd(const AnswerEnd& aEnd)
 {
   mStream->Send(FrameType::End, Encode(aEnd));
   mStream->Finish();
 }
 
-} // namespace
+// Tells the admission, once, that the run holds nothing any more.
+void
+AgentRun::LeaveBackend()
+{
+  if (!mId.empty()) {
+    mAgent.RunLeft(std::exchange(mId, {}));
+  }
+}
+
+Micros
+AgentRun::CostOf(const TokenUsage& aUsage) const
+{
+  const auto& config = mAgent.mNode.mConfig;
+  const Model* model = config ? FindModel(*config, mRequest.mModel) : nullptr;
+  return model ? aUsage.mInputTokens * model->mInputCost +
+                   aUsage.mOutputTokens * model->mOutputCost
+               : 0;
+}
 
 void
 StartAgentRun(Agent& aAgent, const std::shared_ptr<InnerStream>& aStream)
