Ask for ratings of steps that are little known

Cause: second steps were rated in 15% of cases, so that the pass rate after a failed step stayed uncertain for hours and dear cascades were used meanwhile.

Change: a plan asks for a rating of its last step's answer until the class has 300 ratings of it.

--- a/bench/bench_cascade.cpp
+++ b/bench/bench_cascade.cpp
@@ -15,6 +15,8 @@
 constexpr double kCostAgainstBestPolicy = 1.10;
 constexpr double kCostAgainstAlwaysBest = 0.5;
 constexpr double kQualityTarget = 0.9;
+// Section 5.6.
+constexpr double kExploredShare = 0.02;
 
 constexpr std::array<std::uint64_t, 5> kSeeds{ 101, 102, 103, 104, 105 };
 constexpr TimeMs kWindowMs = 600000;
@@ -29,6 +31,7 @@
   double mCost = 0;
   double mExpectedQuality = 0;
   bool mPassed = false;
+  bool mExplored = false;
 };
 
 // Sums by window of ten minutes.
@@ -38,6 +41,9 @@
   double mExpected = 0;
   double mPassed = 0;
   double mRequests = 0;
+  double mExplored = 0;
+  std::array<double, kClassCount> mClassExpected{};
+  std::array<double, kClassCount> mClassRequests{};
 };
 
 using Day = std::vector<Window>;
@@ -66,7 +72,8 @@
   const auto& rates = TrueRates(*aRequest.mTruth, aRequest.mAtMs);
   Taken taken{ aRequest.mCost[Index(aFirst)],
                TrueQuality(rates, aFirst, aSecond, aDeliverLate),
-               aRequest.mPasses[Index(aFirst)] };
+               aRequest.mPasses[Index(aFirst)],
+               false };
   bool rated = taken.mPassed != aRequest.mWrong;
   if (aSecond != kNone && (aRequest.mLate ? !aDeliverLate : !rated)) {
     taken.mCost += aRequest.mCost[Index(aSecond)];
@@ -133,6 +140,10 @@
   window.mExpected += aTaken.mExpectedQuality;
   window.mPassed += aTaken.mPassed ? 1 : 0;
   window.mRequests += 1;
+  window.mExplored += aTaken.mExplored ? 1 : 0;
+  auto index = static_cast<std::size_t>(ClassIndex(aRequest.mTruth->mClass));
+  window.mClassExpected[index] += aTaken.mExpectedQuality;
+  window.mClassRequests[index] += 1;
 }
 
 Day RunPolicy(const std::vector<BenchRequest>& aRequests,
@@ -176,6 +187,21 @@
   Taken Handle(const BenchRequest& aRequest)
   {
     Advance(aRequest.mAtMs);
+    Taken taken = Run(aRequest);
+    taken.mExplored = mExplored;
+    return taken;
+  }
+
+  // Mixes all decisions into the signature; the microseconds for a plan.
+  double Finish()
+  {
+    MixDecision(mResults, mDecisions);
+    return mPlanTime.count() * 1e6 / static_cast<double>(mPlans);
+  }
+
+private:
+  Taken Run(const BenchRequest& aRequest)
+  {
     mEntry = (mEntry + 1) % kEntries;
     PlanInput input = InputOf(aRequest);
     auto start = std::chrono::steady_clock::now();
@@ -187,11 +213,12 @@
                             mRandom);
     mPlanTime += std::chrono::steady_clock::now() - start;
     ++mPlans;
+    mExplored = plan->mExploration;
     int first = ModelOf(plan->mSteps[0]);
     int second = plan->mSteps.size() > 1 ? ModelOf(plan->mSteps[1]) : kNone;
     // 1. A single step, rated now and then.
     if (second == kNone) {
-      Rate(aRequest, *plan, 0, plan->mExploration);
+      Rate(aRequest, *plan, 0, plan->mRateAnswer);
       mDecisions.push_back(static_cast<char>('0' + first));
       return CarryOut(aRequest, first, kNone, true);
     }
@@ -218,20 +245,12 @@
     };
     bool deliverLate = decide(std::nullopt);
     if (!decide(rating)) {
-      Rate(aRequest, *plan, 1, plan->mExploration);
+      Rate(aRequest, *plan, 1, plan->mRateAnswer);
     }
     mDecisions.push_back(static_cast<char>('a' + first * kModelCount + second));
     return CarryOut(aRequest, first, second, deliverLate);
   }
 
-  // Mixes all decisions into the signature; the microseconds for a plan.
-  double Finish()
-  {
-    MixDecision(mResults, mDecisions);
-    return mPlanTime.count() * 1e6 / static_cast<double>(mPlans);
-  }
-
-private:
   static int ModelOf(const Step& aStep)
   {
     return static_cast<int>(
@@ -311,6 +330,7 @@
   std::array<RatingTable, kEntries> mTables;
   std::priority_queue<PendingRating> mPending;
   std::size_t mEntry = 0;
+  bool mExplored = false;
   TimeMs mGossipAtMs = 0;
   std::string mDecisions;
   std::chrono::duration<double> mPlanTime{};
@@ -348,6 +368,33 @@
   return below / static_cast<double>(aDay.size() - 1);
 }
 
+// The lowest expected quality of a class over the day after the first window.
+double WorstClass(const Day& aDay)
+{
+  double worst = 1;
+  for (std::size_t index = 0; index < kClassCount; ++index) {
+    double expected = 0;
+    double requests = 0;
+    for (std::size_t i = 1; i < aDay.size(); ++i) {
+      expected += aDay[i].mClassExpected[index];
+      requests += aDay[i].mClassRequests[index];
+    }
+    worst = requests > 0 ? std::min(worst, expected / requests) : worst;
+  }
+  return worst;
+}
+
+double ExploredShare(const Day& aDay)
+{
+  double explored = 0;
+  double requests = 0;
+  for (const auto& window : aDay) {
+    explored += window.mExplored;
+    requests += window.mRequests;
+  }
+  return explored / requests;
+}
+
 // The days of all policies for one deployment and seed.
 using Days = std::map<std::string, Day>;
 
@@ -503,6 +550,16 @@
         Better::Lower,
         kCostAgainstBestPolicy,
         against("best policy", kFrom, kTo));
+    add(" worst class, whole day",
+        "share",
+        Better::Higher,
+        kQualityTarget,
+        [](const Days&, const Day& aDay) { return WorstClass(aDay); });
+    add(" explored",
+        "share",
+        Better::Lower,
+        kExploredShare,
+        [](const Days&, const Day& aDay) { return ExploredShare(aDay); });
     add(" windows sampled below target",
         "share",
         Better::Lower,
--- a/core/include/savory/core/cascade.h
+++ b/core/include/savory/core/cascade.h
@@ -22,6 +22,8 @@
   // Ratings in the class from which a version is used without the rating
   // service.
   std::int64_t mProvenRatings = 30;
+  // Ratings up to which the last step of a plan has its answers rated.
+  std::int64_t mWantedRatings = 300;
   SafetyChecks mChecks;
 };
 
@@ -77,7 +79,9 @@
 };
 
 // The steps of a request, one or two; the second runs only when the rating of
-// the first fails. `mReason` is the text for the explanation.
+// the first fails. `mRateAnswer` asks for a rating of the answer of the last
+// step, which a sample would otherwise get. `mReason` is the text for the
+// explanation.
 struct Plan
 {
   std::vector<Step> mSteps;
@@ -85,6 +89,7 @@
   double mCost = 0;
   TimeMs mExpectedMs = 0;
   bool mExploration = false;
+  bool mRateAnswer = false;
   std::string mReason;
 };
 
--- a/core/src/cascade.cpp
+++ b/core/src/cascade.cpp
@@ -39,6 +39,7 @@
   double mCautious = 0;
   double mCost = 0;
   TimeMs mExpectedMs = 0;
+  std::int64_t mRatings = 0;
 };
 
 PassRate Posterior(double aPrior,
@@ -184,7 +185,8 @@
            .mQuality = aCandidate.mRate.mMean,
            .mCautious = aCandidate.mRate.mCautious,
            .mCost = aCandidate.mCost,
-           .mExpectedMs = aCandidate.mExpectedMs };
+           .mExpectedMs = aCandidate.mExpectedMs,
+           .mRatings = aCandidate.mRate.mRatings };
 }
 
 // Two steps take the time of both and of the rating between them; the second
@@ -206,7 +208,8 @@
            .mCautious = both(aFirst.mRate.mCautious, after.mCautious),
            .mCost = aFirst.mCost + (1 - aFirst.mRate.mMean) * aSecond.mCost,
            .mExpectedMs =
-             aFirst.mExpectedMs + aInput.mRatingMs + aSecond.mExpectedMs };
+             aFirst.mExpectedMs + aInput.mRatingMs + aSecond.mExpectedMs,
+           .mRatings = after.mRatings };
 }
 
 bool MayCascade(const Configuration& aConfig, const PlanInput& aInput)
@@ -509,6 +512,9 @@
              .mCost = choice.mCost,
              .mExpectedMs = choice.mExpectedMs,
              .mExploration = explore,
+             .mRateAnswer =
+               aInput.mRatingUp &&
+               (explore || choice.mRatings < aOptions.mWantedRatings),
              .mReason =
                PlanReason(choice, aInput, preset.mQualityTarget, picked.mWhy) };
   if (choice.mSecond) {
