--- a/bench/bench_limits.cpp
+++ b/bench/bench_limits.cpp
@@ -1,7 +1,87 @@
 #include "benchmarks.h"
+#include "fleet_model.h"
+
+#include <cmath>
 
 namespace savory::bench {
 
-void BenchLimits(Results& /*aResults*/) {}
+namespace {
+
+constexpr std::array<std::uint64_t, 5> kSeeds{ 21, 22, 23, 24, 25 };
+constexpr double kWarmMs = 40000;
+constexpr double kEndMs = 120000;
+
+// The customer that sends four times as much as the others for its weight.
+constexpr std::size_t kGreedy = 9;
+
+// The largest relative distance of a customer's tokens from its share.
+double WorstDeviation(const FleetOptions& aOptions,
+                      const FleetOutcome& aOutcome)
+{
+  double weights = 0;
+  double tokens = 0;
+  for (std::size_t i = 0; i < aOptions.mCustomers.size(); ++i) {
+    weights += aOptions.mCustomers[i].mWeight;
+    tokens += aOutcome.mCustomerTokens[i];
+  }
+  double worst = 0;
+  for (std::size_t i = 0; i < aOptions.mCustomers.size(); ++i) {
+    double fair = tokens * aOptions.mCustomers[i].mWeight / weights;
+    worst = std::max(worst, std::abs(aOutcome.mCustomerTokens[i] / fair - 1));
+  }
+  return worst;
+}
+
+// Three times the capacity, with callers that resend refused requests at once.
+void MeasureOverload(Results& aResults,
+                     const std::string& aName,
+                     FleetOptions aOptions)
+{
+  ScaleRates(aOptions, 3 * RateAtLoad(aOptions, 0.95) / 0.95 / 30);
+  aOptions.mCustomers[kGreedy].mRate *= 4;
+  aOptions.mDurationMs = kEndMs;
+  aOptions.mMaxResends = 40;
+  aOptions.mResendAfterMs = 10;
+  auto goodput = MakeLine("limits." + aName + ".overload_goodput",
+                          "of capacity",
+                          Better::Higher,
+                          0.95,
+                          1);
+  auto fairness = MakeLine("limits." + aName + ".overload_worst_share",
+                           "deviation",
+                           Better::Lower,
+                           0.1,
+                           0);
+  std::vector<double> plainGoodput;
+  std::vector<double> plainFairness;
+  for (auto seed : kSeeds) {
+    auto options = aOptions;
+    options.mSeed = seed;
+    options.mPolicy = Policy::Perfect;
+    double capacity = Fleet(options).Run(kWarmMs).mTokens;
+    options.mPolicy = Policy::Core;
+    auto core = Fleet(options).Run(kWarmMs);
+    MixDecision(aResults, std::to_string(core.mDecisions));
+    goodput.mValues.push_back(core.mTokens / capacity);
+    fairness.mValues.push_back(WorstDeviation(options, core));
+    // Without limits: least reported load and first come, first served.
+    options.mPolicy = Policy::LeastReported;
+    auto plain = Fleet(options).Run(kWarmMs);
+    plainGoodput.push_back(plain.mTokens / capacity);
+    plainFairness.push_back(WorstDeviation(options, plain));
+  }
+  goodput.mBaselines.emplace_back("no_limits", Quantile(plainGoodput, 0.5));
+  fairness.mBaselines.emplace_back("no_limits", Quantile(plainFairness, 0.5));
+  aResults.mLines.push_back(goodput);
+  aResults.mLines.push_back(fairness);
+}
+
+} // namespace
+
+void BenchLimits(Results& aResults)
+{
+  MeasureOverload(aResults, "gulfway", GulfwayFleet(30));
+  MeasureOverload(aResults, "bengal", BengalFleet(30));
+}
 
 } // namespace savory::bench
--- a/core/include/savory/core/balancer.h
+++ b/core/include/savory/core/balancer.h
@@ -42,6 +42,8 @@
   std::size_t mPrefixCapacity = 1 << 16;
   TimeMs mPrefixTtlMs = 600000;
   TimeMs mStaleMs = 5000;
+  TimeMs mRefusalMs = 1000;
+  double mAgentQueue = 0.25;
   TimeMs mZoneStepMs = 5000;
   double mCachedBonus = 1.0;
   double mOtherZonePenalty = 0.02;
@@ -60,7 +62,8 @@
 };
 
 // A backend server behind its agent. Load counts requests and tokens; "others"
-// is what the last report said less this entry's own part at that time.
+// is what the last report said less this entry's own part at that time. The
+// agent refused at the load `mRefusedAt`; 0 when it has not since its report.
 struct BackendRow
 {
   std::string mAddress;
@@ -74,6 +77,8 @@
   int mAllowance = 0;
   int mOthers = 0;
   int mOwn = 0;
+  int mRefusedAt = 0;
+  TimeMs mRefusedMs = 0;
   std::int64_t mOtherTokens = 0;
   std::int64_t mOwnTokens = 0;
   std::int64_t mTokenCapacity = 0;
--- a/core/src/balancer.cpp
+++ b/core/src/balancer.cpp
@@ -149,16 +149,22 @@
   int load = aRow.mOthers + aRow.mOwn;
   if (options.mUseAllowance) {
     // Below the pool's largest allowance a backend server counts as cold and
-    // its allowance is a hard limit. At it, the agent's queue takes as much
-    // again.
+    // its allowance is a hard limit. At it, a part more waits at the agent, so
+    // that a place that becomes free does not stay empty for a round trip.
     bool cold = aRow.mAllowance < aSelection.mPoolAllowance;
     if (cold && load >= aRow.mAllowance) {
       return Unfit::Cold;
     }
-    if (load >= 2 * aRow.mAllowance) {
+    if (load >= (1 + options.mAgentQueue) * aRow.mAllowance) {
       return Unfit::Full;
     }
   }
+  // An agent that refused is not asked again at the same load, or requests
+  // would go back and forth between entry and agent for as long as they wait.
+  if (aRow.mRefusedAt > 0 && load >= aRow.mRefusedAt &&
+      aSelection.mNowMs - aRow.mRefusedMs < options.mRefusalMs) {
+    return Unfit::Full;
+  }
   if (aRow.mTokenCapacity > 0 &&
       aRow.mOtherTokens + aRow.mOwnTokens + aSelection.mRequest.mTokens >
         aRow.mTokenCapacity) {
--- a/core/src/balancer_table.cpp
+++ b/core/src/balancer_table.cpp
@@ -165,6 +165,9 @@
   if (restarted) {
     ++row.mCacheEpoch;
   }
+  if (restarted || aReport.mRunning + aReport.mQueued < row.mRefusedAt) {
+    row.mRefusedAt = 0;
+  }
   row.mIncarnation = aReport.mFrom.mIncarnation;
   row.mLeaving = leaving;
   row.mReachable = aReport.mReachable;
@@ -280,6 +283,8 @@
 {
   if (auto* row = FindRow(aBalancer, aAddress)) {
     SetLoad(*row, aHint, aNowMs);
+    row->mRefusedAt = row->mOthers + row->mOwn;
+    row->mRefusedMs = aNowMs;
   }
 }
 
--- a/core/src/limits.cpp
+++ b/core/src/limits.cpp
@@ -377,12 +377,13 @@
 {
   std::vector<NextRequest> expired;
   for (auto& [name, state] : aLimits.mCustomers) {
-    std::erase_if(state.mQueue, [&](const WaitingRequest& aWaiting) {
-      if (aWaiting.mDeadlineMs > aNowMs) {
-        return false;
+    for (const auto& waiting : state.mQueue) {
+      if (waiting.mDeadlineMs <= aNowMs) {
+        expired.push_back({ name, waiting });
       }
-      expired.push_back({ name, aWaiting });
-      return true;
+    }
+    std::erase_if(state.mQueue, [&](const WaitingRequest& aWaiting) {
+      return aWaiting.mDeadlineMs <= aNowMs;
     });
   }
   return expired;
