--- a/router/src/entry.cpp
+++ b/router/src/entry.cpp
@@ -18,7 +18,7 @@
 Entry::Entry(Node& aNode)
   : mNode(aNode)
   , mLinks(aNode)
-  , mStore(aNode.mLoop, aNode.mHttp, aNode.mSettings.mStore)
+  , mStore(aNode.mHttp, aNode.mSettings.mStore)
 {
 }
 
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -1,7 +1,9 @@
 #include "engine.h"
 #include "hosts.h"
+#include "rating.h"
 #include "service.h"
 #include "store.h"
+#include "weights.h"
 
 #include "savory/net/http_client.h"
 
@@ -107,17 +109,80 @@
   };
 }
 
+Maker
+DeclareRating(TCLAP::CmdLine& aLine)
+{
+  RatingOptions defaults;
+  auto& scores = *new TCLAP::MultiArg<std::string>(
+    "",
+    "score",
+    "MODEL@VERSION[/CLASS]=PASS_RATE, repeatable; CLASS is the word after "
+    "\"class:\" in the prompt",
+    false,
+    "rule",
+    aLine);
+  auto& other = Option<double>(
+    aLine, "other-score", "pass rate without a rule", defaults.mOtherScore);
+  auto& lag =
+    Option<TimeMs>(aLine, "lag-ms", "time until a rating is there", 0);
+  auto& sparsity = Option<double>(
+    aLine, "sparsity", "share of answers that never get a rating", 0);
+  auto& noise =
+    Option<double>(aLine, "noise", "share of ratings that are inverted", 0);
+  auto& seed =
+    Option<std::uint64_t>(aLine, "seed", "of the random draws", defaults.mSeed);
+  return [&](EventLoop& aLoop) {
+    RatingOptions options{ .mScores = {},
+                           .mOtherScore = other.getValue(),
+                           .mLagMs = lag.getValue(),
+                           .mSparsity = sparsity.getValue(),
+                           .mNoise = noise.getValue(),
+                           .mSeed = seed.getValue() };
+    for (const auto& rule : scores.getValue()) {
+      auto equals = rule.rfind('=');
+      options.mScores[rule.substr(0, equals)] =
+        equals == std::string::npos ? 0 : std::stod(rule.substr(equals + 1));
+    }
+    return std::make_unique<RatingStandin>(aLoop, options);
+  };
+}
+
+Maker
+DeclareWeights(TCLAP::CmdLine& aLine)
+{
+  WeightsOptions defaults;
+  auto& names = *new TCLAP::MultiArg<std::string>(
+    "", "name", "NAME=BYTES of weights held, repeatable", false, "rule", aLine);
+  auto& rate = Option<std::int64_t>(
+    aLine, "bytes-per-s", "rate of all reads together", defaults.mBytesPerS);
+  auto& reads = Option<int>(
+    aLine, "max-reads", "reads at once; more get 429", defaults.mMaxReads);
+  return [&](EventLoop& aLoop) {
+    WeightsOptions options{ .mSizes = {},
+                            .mBytesPerS = rate.getValue(),
+                            .mMaxReads = reads.getValue() };
+    for (const auto& rule : names.getValue()) {
+      auto equals = rule.rfind('=');
+      options.mSizes[rule.substr(0, equals)] =
+        equals == std::string::npos ? 0 : std::stoll(rule.substr(equals + 1));
+    }
+    return std::make_unique<WeightsStandin>(aLoop, options);
+  };
+}
+
 struct Subcommand
 {
   std::string_view mName;
   Declare mDeclare;
 };
 
-constexpr std::array<Subcommand, 4> kSubcommands{ {
+constexpr std::array<Subcommand, 6> kSubcommands{ {
   { "store", &DeclareStore },
   { "hosts", &DeclareHosts },
   { "engine", &DeclareEngine },
   { "service", &DeclareService },
+  { "rating", &DeclareRating },
+  { "weights", &DeclareWeights },
 } };
 
 int
--- /dev/null
+++ b/tests/standins/rating.cpp
@@ -0,0 +1,108 @@
+#include "rating.h"
+
+#include <event2/http.h>
+
+namespace savory {
+
+using nlohmann::json;
+
+RatingStandin::RatingStandin(EventLoop& aLoop, const RatingOptions& aOptions)
+  : Standin(aLoop)
+  , mOptions(aOptions)
+  , mRandom(aOptions.mSeed)
+{
+}
+
+json
+RatingStandin::Seen()
+{
+  return { { "answers", mRows.size() }, { "versions", mCounts } };
+}
+
+void
+RatingStandin::Handle(const HttpRequest& aRequest, const Reply& aReply)
+{
+  constexpr std::string_view kPrefix = "/ratings/";
+  if (mFault.value("down", false)) {
+    aReply->Abort();
+  } else if (aRequest.mMethod == "POST" && aRequest.mPath == "/ratings") {
+    json body = json::parse(aRequest.mBody);
+    Rate(body);
+    AnswerRow(body.at("id").get<std::string>(), aReply);
+  } else if (aRequest.mPath.starts_with(kPrefix)) {
+    std::unique_ptr<char, decltype(&std::free)> id(
+      evhttp_uridecode(aRequest.mPath.c_str() + kPrefix.size(), 0, nullptr),
+      &std::free);
+    AnswerRow(id.get(), aReply);
+  } else {
+    Answer(aReply, 404, { { "error", "no such path" } });
+  }
+}
+
+double
+RatingStandin::PassRate(const json& aBody) const
+{
+  if (aBody.at("answer").get<std::string>().starts_with("BAD")) {
+    return 0;
+  }
+  std::string version = aBody.at("model").get<std::string>() + "@" +
+                        aBody.at("version").get<std::string>();
+  std::string prompt = aBody.value("prompt", std::string());
+  constexpr std::string_view kMark = "class:";
+  auto mark = prompt.find(kMark);
+  if (mark != std::string::npos) {
+    auto start = mark + kMark.size();
+    auto end = prompt.find_first_of(" \t\r\n", start);
+    auto found =
+      mOptions.mScores.find(version + "/" + prompt.substr(start, end - start));
+    if (found != mOptions.mScores.end()) {
+      return found->second;
+    }
+  }
+  auto found = mOptions.mScores.find(version);
+  return found == mOptions.mScores.end() ? mOptions.mOtherScore : found->second;
+}
+
+bool
+RatingStandin::Draw(double aProbability)
+{
+  return std::uniform_real_distribution<>(0, 1)(mRandom) < aProbability;
+}
+
+void
+RatingStandin::Rate(const json& aBody)
+{
+  double rate = PassRate(aBody);
+  auto [row, added] =
+    mRows.try_emplace(aBody.at("id").get<std::string>(), Row{});
+  if (!added) {
+    return;
+  }
+  bool passes = Draw(rate);
+  bool inverted = Draw(mFault.value("noise", mOptions.mNoise));
+  row->second = {
+    .mReadyMs = MonotonicMs() + mFault.value("lag_ms", mOptions.mLagMs),
+    .mRated = !Draw(mFault.value("sparsity", mOptions.mSparsity)),
+    .mScore = passes != inverted ? 1.0 : 0.0,
+  };
+  auto& counts = mCounts[aBody.at("model").get<std::string>() + "@" +
+                         aBody.at("version").get<std::string>()];
+  ++counts["answers"];
+  counts["rated"] += row->second.mRated ? 1 : 0;
+  counts["passed"] += row->second.mRated && row->second.mScore > 0.5 ? 1 : 0;
+}
+
+void
+RatingStandin::AnswerRow(const std::string& aId, const Reply& aReply)
+{
+  auto row = mRows.find(aId);
+  if (row == mRows.end()) {
+    Answer(aReply, 404, { { "error", "no such answer" } });
+  } else if (!row->second.mRated || MonotonicMs() < row->second.mReadyMs) {
+    Answer(aReply, 202, { { "id", aId } });
+  } else {
+    Answer(aReply, 200, { { "id", aId }, { "score", row->second.mScore } });
+  }
+}
+
+} // namespace savory
--- /dev/null
+++ b/tests/standins/rating.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "server.h"
+
+#include <map>
+#include <random>
+
+namespace savory {
+
+struct RatingOptions
+{
+  // Pass rates of "model@version/class" or "model@version"; the class is the
+  // word after "class:" in the prompt.
+  std::map<std::string, double> mScores;
+  double mOtherScore = 0.9;
+  TimeMs mLagMs = 0;
+  double mSparsity = 0;
+  double mNoise = 0;
+  std::uint64_t mSeed = 1;
+};
+
+// The rating service: POST /ratings takes an answer, GET /ratings/ID gives its
+// rating, 202 while it is not there. An answer passes (1) or fails (0) at
+// random with the pass rate; one that starts with "BAD" fails always. An id is
+// rated once. Faults: down, lag_ms, sparsity, noise (replace the options).
+class RatingStandin : public Standin
+{
+public:
+  RatingStandin(EventLoop& aLoop, const RatingOptions& aOptions);
+
+  nlohmann::json Seen() override;
+
+protected:
+  void Handle(const HttpRequest& aRequest, const Reply& aReply) override;
+
+private:
+  struct Row
+  {
+    TimeMs mReadyMs = 0;
+    bool mRated = false;
+    double mScore = 0;
+  };
+
+  double PassRate(const nlohmann::json& aBody) const;
+  bool Draw(double aProbability);
+  void Rate(const nlohmann::json& aBody);
+  void AnswerRow(const std::string& aId, const Reply& aReply);
+
+  RatingOptions mOptions;
+  std::mt19937_64 mRandom;
+  std::map<std::string, Row> mRows;
+  // Per "model@version": numbers of answers, ratings and passes.
+  std::map<std::string, std::map<std::string, int>> mCounts;
+};
+
+} // namespace savory
--- a/tests/standins/store.cpp
+++ b/tests/standins/store.cpp
@@ -225,22 +225,46 @@
 StoreStandin::ReadRange(const json& aBody) const
 {
   Range range = ReadKeys(aBody);
+  std::int64_t revision = Number(aBody, "revision");
+  if (revision > mRevision) {
+    throw StoreFault(11,
+                     400,
+                     "etcdserver: mvcc: required revision is a future "
+                     "revision");
+  }
+
+  // 1. The rows as they are, or as they were at an earlier revision.
+  std::map<std::string, json> rows;
+  if (revision > 0 && revision < mRevision) {
+    for (const auto& change : mHistory) {
+      if (change.mRevision <= revision && range.Has(change.mKey)) {
+        rows.erase(change.mKey);
+        if (!change.mEvent.contains("type")) {
+          rows[change.mKey] = change.mEvent["kv"];
+        }
+      }
+    }
+  } else {
+    for (auto entry = mKeys.lower_bound(range.mKey);
+         entry != mKeys.end() && range.Has(entry->first);
+         ++entry) {
+      rows[entry->first] = KeyJson(entry->first, entry->second);
+    }
+  }
+
+  // 2. The first of them, as far as the limit goes.
   json keys = json::array();
   std::size_t limit = static_cast<std::size_t>(Number(aBody, "limit"));
-  std::size_t count = 0;
-  for (auto entry = mKeys.lower_bound(range.mKey);
-       entry != mKeys.end() && range.Has(entry->first);
-       ++entry) {
-    ++count;
+  for (const auto& [key, row] : rows) {
     if (limit == 0 || keys.size() < limit) {
-      keys.push_back(KeyJson(entry->first, entry->second));
+      keys.push_back(row);
     }
   }
   json answer = { { "header", Header() } };
   if (!keys.empty()) {
     answer["kvs"] = keys;
-    answer["count"] = std::to_string(count);
-    answer["more"] = count > keys.size();
+    answer["count"] = std::to_string(rows.size());
+    answer["more"] = rows.size() > keys.size();
   }
   return answer;
 }
--- /dev/null
+++ b/tests/standins/weights.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "server.h"
+
+#include <map>
+
+namespace savory {
+
+struct WeightsOptions
+{
+  std::map<std::string, std::int64_t> mSizes;
+  std::int64_t mBytesPerS = 100 * 1024 * 1024;
+  int mMaxReads = 4;
+};
+
+// The weight store: GET /weights/NAME gives bytes at a limited rate, and 429
+// with Retry-After when too many reads run. Faults: down, cut_after_bytes.
+class WeightsStandin : public Standin
+{
+public:
+  WeightsStandin(EventLoop& aLoop, const WeightsOptions& aOptions);
+
+  nlohmann::json Seen() override;
+
+protected:
+  void Handle(const HttpRequest& aRequest, const Reply& aReply) override;
+
+private:
+  struct Read
+  {
+    Reply mReply;
+    std::int64_t mSize = 0;
+    std::int64_t mSent = 0;
+  };
+
+  void SendParts();
+
+  WeightsOptions mOptions;
+  std::vector<Read> mReads;
+  std::map<std::string, int> mCounts;
+  Timer mTick;
+};
+
+} // namespace savory
