--- /dev/null
+++ b/ctl/src/merge.cpp
@@ -0,0 +1,132 @@
+#include "merge.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace savory {
+
+using nlohmann::json;
+
+namespace {
+
+// The name of an item of a list; roll-outs go by their model.
+const json*
+ItemName(const json& aItem)
+{
+  for (const char* field : { "name", "model" }) {
+    auto found = aItem.is_object() ? aItem.find(field) : aItem.end();
+    if (found != aItem.end() && found->is_string()) {
+      return &*found;
+    }
+  }
+  return nullptr;
+}
+
+bool
+IsNamedList(const json& aValue)
+{
+  return aValue.is_array() &&
+         std::all_of(aValue.begin(), aValue.end(), [](const json& aItem) {
+           return ItemName(aItem) != nullptr;
+         });
+}
+
+// The item of a list with a name, or null as JSON.
+json
+FindItem(const json& aList, const json& aName)
+{
+  for (const auto& item : aList) {
+    if (*ItemName(item) == aName) {
+      return item;
+    }
+  }
+  return {};
+}
+
+json
+MergeLists(const json& aBase,
+           const json& aMine,
+           const json& aTheirs,
+           const std::string& aPath,
+           std::vector<std::string>& aConflicts)
+{
+  // Theirs in their order, then what is only mine.
+  std::vector<json> names;
+  for (const json* list : { &aTheirs, &aMine }) {
+    for (const auto& item : *list) {
+      const json& name = *ItemName(item);
+      if (std::find(names.begin(), names.end(), name) == names.end()) {
+        names.push_back(name);
+      }
+    }
+  }
+  json result = json::array();
+  for (const auto& name : names) {
+    json item = MergeDocuments(FindItem(aBase, name),
+                               FindItem(aMine, name),
+                               FindItem(aTheirs, name),
+                               aPath + "[" + name.get<std::string>() + "]",
+                               aConflicts);
+    if (!item.is_null()) {
+      result.push_back(std::move(item));
+    }
+  }
+  return result;
+}
+
+json
+MemberOf(const json& aObject, const std::string& aName)
+{
+  auto found = aObject.find(aName);
+  return found == aObject.end() ? json() : *found;
+}
+
+} // namespace
+
+json
+ShownDocument(const Configuration& aConfig, bool aSecrets)
+{
+  json document = ToJson(aConfig);
+  if (!aSecrets) {
+    document["session_secret"] = kHiddenSecret;
+  }
+  return document;
+}
+
+json
+MergeDocuments(const json& aBase,
+               const json& aMine,
+               const json& aTheirs,
+               const std::string& aPath,
+               std::vector<std::string>& aConflicts)
+{
+  if (aMine == aBase || aMine == aTheirs) {
+    return aTheirs;
+  }
+  if (aTheirs == aBase) {
+    return aMine;
+  }
+  if (IsNamedList(aBase) && IsNamedList(aMine) && IsNamedList(aTheirs)) {
+    return MergeLists(aBase, aMine, aTheirs, aPath, aConflicts);
+  }
+  if (!aBase.is_object() || !aMine.is_object() || !aTheirs.is_object()) {
+    aConflicts.push_back(aPath);
+    return aTheirs;
+  }
+  json result = json::object();
+  json fields = aTheirs;
+  fields.update(aMine);
+  for (const auto& [name, unused] : fields.items()) {
+    json value = MergeDocuments(MemberOf(aBase, name),
+                                MemberOf(aMine, name),
+                                MemberOf(aTheirs, name),
+                                aPath.empty() ? name : aPath + "." + name,
+                                aConflicts);
+    if (!value.is_null()) {
+      result[name] = std::move(value);
+    }
+  }
+  return result;
+}
+
+} // namespace savory
--- /dev/null
+++ b/ctl/src/session.cpp
@@ -0,0 +1,319 @@
+#include "session.h"
+
+#include "exit_codes.h"
+
+#include <cstdio>
+
+namespace savory {
+
+namespace {
+
+constexpr TimeMs kRetryPauseMs = 100;
+
+// A store call whose error proves that it had no effect.
+bool
+HadNoEffect(const StoreError& aError)
+{
+  return aError.mCode == StoreErrorCode::Unreachable ||
+         aError.mCode == StoreErrorCode::Refused;
+}
+
+ReadFault
+Unreachable(const StoreError& aError)
+{
+  return { kExitUnreachable,
+           "the store does not answer: " +
+             std::string(NameOf(kStoreErrorNames, aError.mCode)) + ", " +
+             aError.mReason };
+}
+
+} // namespace
+
+std::string
+OldHeadKey(std::int64_t aRevision)
+{
+  char digits[24];
+  std::snprintf(digits,
+                sizeof digits,
+                "%012llx",
+                static_cast<unsigned long long>(aRevision));
+  return std::string(kOldHeadPrefix) + digits;
+}
+
+Session::Session(const CtlSettings& aSettings)
+  : mSettings(aSettings)
+  , mHttp(mLoop)
+  , mStore(mHttp, aSettings.mStore)
+{
+}
+
+// Starts an asynchronous call with a slot for its reply and turns the loop
+// until the reply is there.
+template<class T, class Start>
+T
+Session::Await(Start aStart)
+{
+  std::optional<T> reply;
+  aStart([&](const T& aReply) {
+    reply.emplace(aReply);
+    mLoop.Stop();
+  });
+  while (!reply) {
+    mLoop.Run();
+  }
+  return std::move(*reply);
+}
+
+// Repeats a call without effect until it is answered or the timeout is over.
+template<class T, class Start>
+tl::expected<T, StoreError>
+Session::Retry(Start aStart)
+{
+  TimeMs end = MonotonicMs() + mSettings.mTimeoutMs;
+  while (true) {
+    auto reply = Await<tl::expected<T, StoreError>>(aStart);
+    if (reply || reply.error().mCode == StoreErrorCode::BadAnswer ||
+        MonotonicMs() + kRetryPauseMs > end) {
+      return reply;
+    }
+    Pause(kRetryPauseMs);
+  }
+}
+
+void
+Session::Pause(TimeMs aTimeMs)
+{
+  bool over = false;
+  Timer timer = Timer::After(mLoop, aTimeMs, [&] {
+    over = true;
+    mLoop.Stop();
+  });
+  while (!over) {
+    mLoop.Run();
+  }
+}
+
+tl::expected<std::optional<StoreEntry>, StoreError>
+Session::Read(const std::string& aKey)
+{
+  return Retry<std::optional<StoreEntry>>(
+    [&](auto aReply) { mStore.Read(aKey, aReply); });
+}
+
+std::vector<Session::EntryReply>
+Session::ReadOnce(const std::vector<std::string>& aKeys)
+{
+  std::vector<EntryReply> replies(aKeys.size());
+  std::size_t open = aKeys.size();
+  for (std::size_t i = 0; i < aKeys.size(); ++i) {
+    mStore.Read(aKeys[i], [&, i](const EntryReply& aReply) {
+      replies[i] = aReply;
+      if (--open == 0) {
+        mLoop.Stop();
+      }
+    });
+  }
+  while (open > 0) {
+    mLoop.Run();
+  }
+  return replies;
+}
+
+tl::expected<std::vector<StoreEntry>, StoreError>
+Session::ReadPrefix(const std::string& aPrefix)
+{
+  return Retry<std::vector<StoreEntry>>(
+    [&](auto aReply) { mStore.ReadPrefix(aPrefix, aReply); });
+}
+
+// Reads the sections of a head.
+tl::expected<Configuration, ReadFault>
+Session::Join(const std::string& aHeadText)
+{
+  auto head = ParseHead(aHeadText);
+  if (!head) {
+    return tl::unexpected(ReadFault{ kExitCorrupt, head.error().mReason });
+  }
+  std::vector<std::string> keys(head->mSections.begin(), head->mSections.end());
+  std::vector<std::string> texts;
+  auto entries = ReadOnce(keys);
+  for (std::size_t i = 0; i < keys.size(); ++i) {
+    EntryReply entry = entries[i] ? entries[i] : Read(keys[i]);
+    if (!entry) {
+      return tl::unexpected(Unreachable(entry.error()));
+    }
+    if (!*entry) {
+      return tl::unexpected(
+        ReadFault{ kExitNotFound, "the store does not hold " + keys[i] });
+    }
+    texts.push_back((*entry)->mValue);
+  }
+  auto config = JoinSections(*head, texts);
+  if (!config) {
+    return tl::unexpected(ReadFault{ kExitCorrupt, config.error().mReason });
+  }
+  return *config;
+}
+
+tl::expected<Configuration, ReadFault>
+Session::ReadConfiguration()
+{
+  TimeMs end = MonotonicMs() + mSettings.mTimeoutMs;
+  while (true) {
+    auto entry = Read(std::string(kHeadKey));
+    if (!entry) {
+      return tl::unexpected(Unreachable(entry.error()));
+    }
+    if (!*entry) {
+      return tl::unexpected(ReadFault{
+        kExitNotFound, "the store has no configuration; see savoryctl init" });
+    }
+    auto config = Join((*entry)->mValue);
+    // A section can be collected between the two reads when the head moves on.
+    if (config || config.error().mExit != kExitNotFound ||
+        MonotonicMs() > end) {
+      return config;
+    }
+    Pause(kRetryPauseMs);
+  }
+}
+
+tl::expected<Configuration, ReadFault>
+Session::ReadRevision(std::int64_t aRevision)
+{
+  auto entry = Read(OldHeadKey(aRevision));
+  if (!entry) {
+    return tl::unexpected(Unreachable(entry.error()));
+  }
+  if (!*entry) {
+    return tl::unexpected(ReadFault{ kExitNotFound,
+                                     "revision " + std::to_string(aRevision) +
+                                       " is no longer known" });
+  }
+  return Join((*entry)->mValue);
+}
+
+StoreCallAnswer
+Session::PerformRead(const StoreCall& aCall)
+{
+  StoreCallAnswer answer;
+  auto entries = ReadOnce(aCall.mKeys);
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    if (!entries[i]) {
+      answer.mStatus = StoreCallAnswer::Status::Lost;
+      return answer;
+    }
+    const std::optional<StoreEntry>& entry = *entries[i];
+    if (aCall.mKeys[i] == kHeadKey) {
+      mHeadModRevision = entry ? entry->mModRevision : 0;
+      mHeadText = entry ? entry->mValue : "";
+    }
+    answer.mValues.push_back(entry ? std::optional(entry->mValue)
+                                   : std::nullopt);
+  }
+  return answer;
+}
+
+StoreCallAnswer
+Session::PerformCommit(const StoreTransaction& aTransaction)
+{
+  auto commit = Await<tl::expected<StoreCommit, StoreError>>(
+    [&](auto aReply) { mStore.Commit(aTransaction, aReply); });
+  StoreCallAnswer answer;
+  bool isSwap = !aTransaction.mConditions.empty();
+  if (!commit) {
+    answer.mStatus = StoreCallAnswer::Status::Lost;
+    mMayHaveSwapped |= isSwap && !HadNoEffect(commit.error());
+  } else if (!commit->mSucceeded) {
+    answer.mStatus = StoreCallAnswer::Status::Mismatch;
+  }
+  return answer;
+}
+
+StoreCallAnswer
+Session::Perform(const StoreCall& aCall, const Change& aChange)
+{
+  StoreTransaction transaction;
+  switch (aCall.mKind) {
+    case StoreCall::Kind::Read:
+      return PerformRead(aCall);
+    case StoreCall::Kind::Write:
+      for (const auto& [key, value] : aCall.mEntries) {
+        transaction.mPuts.push_back({ key, value, 0 });
+      }
+      return PerformCommit(transaction);
+    case StoreCall::Kind::SwapHead:
+      break;
+  }
+  // The state machine compares the head by value and the store by revision.
+  // The head that was last read stands for both; revisions within the head
+  // ascend, so that no value comes back.
+  if (mHeadText != aCall.mExpected) {
+    return { StoreCallAnswer::Status::Mismatch, {} };
+  }
+  transaction.mConditions.push_back(
+    { std::string(kHeadKey), mHeadModRevision });
+  transaction.mPuts.push_back({ std::string(kHeadKey), aCall.mValue, 0 });
+  std::int64_t revision = aChange.mHead.mRevision;
+  if (revision > 0) {
+    transaction.mPuts.push_back({ OldHeadKey(revision), aCall.mExpected, 0 });
+  }
+  if (revision > kOldHeads) {
+    transaction.mDeletes.push_back(OldHeadKey(revision - kOldHeads));
+  }
+  return PerformCommit(transaction);
+}
+
+void
+Session::Commit(const StoreTransaction& aTransaction)
+{
+  PerformCommit(aTransaction);
+}
+
+RunEnd
+Session::RunChange(Change& aChange)
+{
+  TimeMs end = MonotonicMs() + mSettings.mTimeoutMs;
+  mMayHaveSwapped = false;
+  RunEnd run;
+  while (auto call = NextCall(aChange)) {
+    StoreCallAnswer answer = Perform(*call, aChange);
+    OnAnswer(aChange, answer);
+    if (aChange.mState == ChangeState::Running && MonotonicMs() > end) {
+      GiveUp(aChange);
+      run.mGaveUp = true;
+    } else if (answer.mStatus == StoreCallAnswer::Status::Lost) {
+      Pause(kRetryPauseMs);
+    }
+  }
+  run.mMayHaveSwapped = mMayHaveSwapped;
+  return run;
+}
+
+std::vector<HttpResult>
+Session::Fetch(std::vector<HttpCall> aCalls)
+{
+  std::vector<HttpResult> results(aCalls.size());
+  std::size_t open = aCalls.size();
+  for (std::size_t i = 0; i < aCalls.size(); ++i) {
+    mHttp.Fetch(std::move(aCalls[i]), [&, i](const HttpResult& aResult) {
+      results[i] = aResult;
+      if (--open == 0) {
+        mLoop.Stop();
+      }
+    });
+  }
+  while (open > 0) {
+    mLoop.Run();
+  }
+  return results;
+}
+
+tl::expected<std::vector<Host>, HostListError>
+Session::Hosts()
+{
+  return Await<tl::expected<std::vector<Host>, HostListError>>(
+    [&](auto aReply) { FetchHostList(mHttp, mSettings.mHosts, aReply); });
+}
+
+} // namespace savory
