--- a/router/src/entry.cpp
+++ b/router/src/entry.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr TimeMs kHostsPollMs = 1000;
-constexpr TimeMs kConfigPollMs = 1000;
 constexpr std::string_view kModelPath = "/v1/chat/completions";
 
 } // namespace
@@ -19,6 +17,12 @@
   : mNode(aNode)
   , mLinks(aNode)
   , mStore(aNode.mHttp, aNode.mSettings.mStore)
+  , mFleet(aNode, mLinks, mStore)
+  , mAdmin(aNode,
+           { .mState = [this] { return State(); },
+             .mMetrics = [] { return std::string(); },
+             .mExplain = [](const std::string&) { return nlohmann::json(); },
+             .mRefresh = [this] { mFleet.LookAtHead(); } })
 {
 }
 
@@ -26,7 +30,10 @@
 Entry::Listen()
 {
   HttpServerOptions options;
-  options.mMaxBodyBytes = mNode.mSettings.mMaxBodyBytes;
+  // evhttp cuts the connection of a body beyond its own limit, often before the
+  // caller reads the answer; a wider limit leaves room for an answer that says
+  // what was wrong.
+  options.mMaxBodyBytes = mNode.mSettings.mMaxBodyBytes * 4;
   mCallers = std::make_unique<HttpServer>(
     mNode.mLoop,
     [this](const HttpRequest& aRequest,
@@ -36,50 +43,48 @@
     options);
   Endpoint& listen = mNode.mSettings.mListen;
   listen.mPort = mCallers->Listen(listen.mAddress, listen.mPort);
-  if (listen.mPort == 0) {
+  mInner = std::make_unique<InnerListener>(
+    mNode.mLoop, [this](const std::shared_ptr<InnerStream>& aStream) {
+      OnPeerStream(aStream);
+    });
+  Endpoint& inner = mNode.mSettings.mInner;
+  inner.mPort = mInner->Listen(inner.mAddress, inner.mPort);
+  if (listen.mPort == 0 || inner.mPort == 0 || !mAdmin.Listen()) {
     return false;
   }
-  mHostsTimer =
-    Timer::Every(mNode.mLoop, kHostsPollMs, [this] { PollHosts(); });
-  mConfigTimer =
-    Timer::Every(mNode.mLoop, kConfigPollMs, [this] { PollConfiguration(); });
-  PollHosts();
-  PollConfiguration();
+  mFleet.Start();
   return true;
 }
 
+// Serves a stream that another process of the system opened.
 void
-Entry::PollHosts()
+Entry::OnPeerStream(const std::shared_ptr<InnerStream>& aStream)
 {
-  FetchHostList(
-    mNode.mHttp,
-    mNode.mSettings.mHosts,
-    [this](const tl::expected<std::vector<Host>, HostListError>& aHosts) {
-      if (!aHosts) {
-        LogEvent(Event::HostListFailed,
-                 { { "reason", aHosts.error().mReason } });
-        return;
-      }
-      mLinks.SetHosts(*aHosts);
-    });
+  if (!mFleet.Serve(aStream)) {
+    aStream->Cancel();
+  }
 }
 
-// Reads the configuration from the store and puts a newer one in force.
-void
-Entry::PollConfiguration()
+nlohmann::json
+Entry::State() const
 {
-  mStore.Read(
-    "cfg/document",
-    [this](const tl::expected<std::optional<StoreEntry>, StoreError>& aEntry) {
-      if (!aEntry || !*aEntry) {
-        return;
-      }
-      auto document = nlohmann::json::parse((*aEntry)->mValue, nullptr, false);
-      if (!mNode.mConfig || document.value("revision", std::int64_t(0)) >
-                              mNode.mConfig->mRevision) {
-        AdoptDocument(mNode, document, "store");
-      }
-    });
+  nlohmann::json agents = nlohmann::json::array();
+  for (const auto& [address, link] : mLinks.All()) {
+    agents.push_back({ { "address", address },
+                       { "host", link.mHost.mName },
+                       { "zone", link.mHost.mZone },
+                       { "connected", link.mConnection != nullptr },
+                       { "revision", link.mReport.mFrom.mRevision },
+                       { "own", link.mOwn } });
+  }
+  return { { "host", mNode.mSettings.mHost },
+           { "role", "entry" },
+           { "incarnation", mNode.mIncarnation },
+           { "revision", SenderOf(mNode).mRevision },
+           { "draining", mNode.mDraining },
+           { "calls", mCalls.size() },
+           { "agents", agents },
+           { "fleet", mFleet.State() } };
 }
 
 void
@@ -89,6 +94,7 @@
     return;
   }
   mNode.mDraining = true;
+  mFleet.Leave();
   LogEvent(Event::DrainStarted, { { "calls", std::to_string(mCalls.size()) } });
   mDrainTimer = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
     LogEvent(Event::AbandonedAtStop,
@@ -151,6 +157,16 @@
     ListModels(aRequest, *aReply);
     return;
   }
+  if (aRequest.mBody.size() > mNode.mSettings.mMaxBodyBytes) {
+    SendError(*aReply,
+              { ErrorCode::BodyTooLarge,
+                "the body is longer than " +
+                  std::to_string(mNode.mSettings.mMaxBodyBytes) + " bytes",
+                Ran::NotRun,
+                0 },
+              "");
+    return;
+  }
   auto context = ReadContext(mNode, aRequest);
   if (!context) {
     SendError(*aReply, context.error(), "");
@@ -160,11 +176,22 @@
     SendError(*aReply,
               { ErrorCode::Draining,
                 "this entry is stopping; another will serve the request",
-                context->mKey.empty() ? Ran::NotRun : Ran::Unknown,
+                RanOfRefusal(*context),
                 100 },
               context->mRequestId);
     return;
   }
+  Freshness freshness = mFleet.JudgeNow();
+  if (freshness == Freshness::Stale) {
+    SendError(
+      *aReply,
+      { ErrorCode::ConfigStale,
+        "this entry cannot tell whether its configuration is the newest",
+        RanOfRefusal(*context),
+        500 },
+      context->mRequestId);
+    return;
+  }
   if (aRequest.mPath == kModelPath) {
     if (aRequest.mMethod != "POST") {
       SendError(*aReply,
