--- /dev/null
+++ b/router/src/bill_keeper.cpp
@@ -0,0 +1,90 @@
+#include "bill_keeper.h"
+
+#include "savory/net/log.h"
+
+namespace savory {
+
+namespace {
+
+constexpr TimeMs kTickMs = 100;
+
+} // namespace
+
+BillKeeper::BillKeeper(Node& aNode,
+                       StoreClient& aStore,
+                       TimeMs aHoldMs,
+                       const Settled& aSettled)
+  : mNode(aNode)
+  , mStore(aStore)
+  , mSettled(aSettled)
+{
+  BillingOptions options;
+  options.mHoldMs = aHoldMs;
+  mBilling = MakeBilling(
+    aNode.mSettings.mHost + "-" + std::to_string(aNode.mIncarnation), options);
+  mTick = Timer::Every(mNode.mLoop, kTickMs, [this] {
+    Perform(TickBilling(mBilling, mNode.mLoop.NowMs()));
+  });
+}
+
+void
+BillKeeper::Add(const BillStep& aStep)
+{
+  AddStep(mBilling, aStep, mNode.mLoop.NowMs());
+}
+
+void
+BillKeeper::TakeSettled(const std::vector<StepId>& aSteps)
+{
+  StepsSettled(mBilling, aSteps);
+}
+
+bool
+BillKeeper::MayAccept(std::size_t aRunning) const
+{
+  return CanBill(mBilling, aRunning);
+}
+
+void
+BillKeeper::Flush()
+{
+  Perform(FlushBilling(mBilling, mNode.mLoop.NowMs()));
+}
+
+void
+BillKeeper::Perform(const BillingActions& aActions)
+{
+  for (const auto& action : aActions) {
+    if (const auto* write = std::get_if<WriteBills>(&action)) {
+      Write(*write);
+    } else {
+      mSettled(std::get<SendSettled>(action));
+    }
+  }
+}
+
+// Creates the batch. A key that exists already holds this very batch, because
+// no other process writes under this name.
+void
+BillKeeper::Write(const WriteBills& aWrite)
+{
+  std::string key =
+    "bill/" + mBilling.mWriter + "/" + std::to_string(aWrite.mSequence);
+  StoreTransaction transaction;
+  transaction.mConditions.push_back({ key, 0 });
+  transaction.mPuts.push_back({ key, aWrite.mValue, 0 });
+  mStore.Commit(
+    transaction,
+    [this, sequence = aWrite.mSequence](
+      const tl::expected<StoreCommit, StoreError>& aCommit) {
+      bool written = aCommit.has_value();
+      if (written) {
+        LogEvent(Event::BillsWritten,
+                 { { "sequence", std::to_string(sequence) } });
+      }
+      Perform(BillsAnswered(
+        mBilling, sequence, written, mNode.mLoop.NowMs()));
+    });
+}
+
+} // namespace savory
