--- a/core/include/savory/core/record.h
+++ b/core/include/savory/core/record.h
@@ -116,6 +116,8 @@
   // Bodies are dropped, oldest first, beyond mMaxBytes; keys are not dropped:
   // when they alone exceed it, new keys are refused.
   std::size_t mMaxBytes = 64 << 20;
+  // New keys are refused while more waits to be written, as in an outage.
+  std::size_t mMaxQueueBytes = 32 << 20;
 
   bool mClaimBeforeRun = true;
   bool mFenceWrites = true;
@@ -262,8 +264,6 @@
 struct KeyState
 {
   KeyPhase mPhase = KeyPhase::Claiming;
-  // Entries of the slot's mExpiry that refer to this key.
-  std::uint32_t mEntries = 0;
   std::uint64_t mFingerprint = 0;
   std::int64_t mEpoch = 0;
   std::int64_t mAttempt = 0;
@@ -356,6 +356,7 @@
   std::unordered_map<CallId, Claim> mRunning;
 
   std::deque<RecordItem> mQueue;
+  std::size_t mQueueBytes = 0;
   std::optional<BatchInFlight> mInFlight;
   std::int64_t mNextSequence = 1;
   TimeMs mLastWriteMs = -1000000;
--- /dev/null
+++ b/core/src/billing.cpp
@@ -0,0 +1,389 @@
+#include "savory/core/billing.h"
+
+#include "json_fields.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <tuple>
+
+namespace savory {
+
+using nlohmann::json;
+
+namespace {
+
+// Field names and numbers of a step in a batch, rounded up.
+constexpr std::size_t kStepOverhead = 320;
+
+std::size_t
+EncodedBytes(const BillStep& aStep)
+{
+  // A character of a text takes at most six in JSON.
+  return kStepOverhead + 6 * (aStep.mId.mRequestId.size() +
+                              aStep.mCustomer.size() + aStep.mService.size() +
+                              aStep.mVersion.size() + aStep.mAgent.size());
+}
+
+// Moves copies that waited long enough for the entry to the queue.
+void
+TakeOverHeld(Billing& aBilling, TimeMs aNowMs)
+{
+  while (!aBilling.mHeldOrder.empty() &&
+         aBilling.mHeldOrder.front().first <= aNowMs) {
+    auto held = aBilling.mHeld.find(aBilling.mHeldOrder.front().second);
+    if (held != aBilling.mHeld.end()) {
+      aBilling.mQueue.push_back(std::move(held->second));
+      aBilling.mHeld.erase(held);
+    }
+    aBilling.mHeldOrder.pop_front();
+  }
+}
+
+// Writes the next batch; nothing while one has no result.
+void
+WriteNext(Billing& aBilling, TimeMs aNowMs, BillingActions& aActions)
+{
+  if (aBilling.mInFlight || aBilling.mQueue.empty()) {
+    return;
+  }
+  BillBatch batch{ .mWriter = aBilling.mWriter,
+                   .mSequence = aBilling.mNextSequence++,
+                   .mSteps = {} };
+  std::size_t bytes = 0;
+  while (!aBilling.mQueue.empty()) {
+    bytes += EncodedBytes(aBilling.mQueue.front());
+    if (!batch.mSteps.empty() && bytes > aBilling.mOptions.mMaxBatchBytes) {
+      break;
+    }
+    batch.mSteps.push_back(std::move(aBilling.mQueue.front()));
+    aBilling.mQueue.pop_front();
+  }
+  std::string value =
+    ToJson(batch).dump(-1, ' ', false, json::error_handler_t::replace);
+  aActions.push_back(WriteBills{ batch.mSequence, value });
+  aBilling.mInFlight = BillsInFlight{ .mSequence = batch.mSequence,
+                                      .mValue = std::move(value),
+                                      .mSteps = std::move(batch.mSteps),
+                                      .mWaiting = false,
+                                      .mSentMs = aNowMs };
+  aBilling.mLastWriteMs = aNowMs;
+}
+
+int
+ReadInt(JsonFields& aFields, const char* aName)
+{
+  std::int64_t value = aFields.Count(aName);
+  if (value > std::numeric_limits<int>::max()) {
+    aFields.Fault(std::string(aName) + " is out of range");
+    return 0;
+  }
+  return static_cast<int>(value);
+}
+
+StepId
+ReadStepId(const json& aDocument, std::string& aFault)
+{
+  JsonFields fields{ aDocument, aFault };
+  StepId id{ .mRequestId = fields.Text("request"),
+             .mStep = ReadInt(fields, "step"),
+             .mAttempt = ReadInt(fields, "attempt") };
+  if (id.mRequestId.empty()) {
+    fields.Fault("request must not be empty");
+  }
+  return id;
+}
+
+BillStep
+ReadStep(const json& aDocument, std::string& aFault)
+{
+  JsonFields fields{ aDocument, aFault };
+  return { .mId = ReadStepId(aDocument, aFault),
+           .mCustomer = fields.Text("customer"),
+           .mService = fields.Text("service"),
+           .mVersion = fields.Text("version"),
+           .mAgent = fields.Text("agent"),
+           .mInputTokens = fields.Count("input_tokens"),
+           .mOutputTokens = fields.Count("output_tokens"),
+           .mCost = fields.Count("cost"),
+           .mComplete = fields.Flag("complete") };
+}
+
+// The order in which one of two rows of the same run, or of two runs of the
+// same step, is chosen. It is total, so that the order of batches is
+// irrelevant: complete first, then the earlier attempt, then the dearer.
+auto
+Rank(const BillStep& aStep)
+{
+  return std::make_tuple(!aStep.mComplete,
+                         aStep.mId.mAttempt,
+                         -aStep.mCost,
+                         -aStep.mOutputTokens,
+                         -aStep.mInputTokens,
+                         aStep.mCustomer,
+                         aStep.mService,
+                         aStep.mVersion,
+                         aStep.mAgent);
+}
+
+} // namespace
+
+Billing
+MakeBilling(const std::string& aWriter, const BillingOptions& aOptions)
+{
+  Billing billing;
+  billing.mWriter = aWriter;
+  billing.mOptions = aOptions;
+  return billing;
+}
+
+std::size_t
+UnwrittenSteps(const Billing& aBilling)
+{
+  return aBilling.mQueue.size() + aBilling.mHeld.size() +
+         (aBilling.mInFlight ? aBilling.mInFlight->mSteps.size() : 0);
+}
+
+bool
+CanBill(const Billing& aBilling, std::size_t aRunning)
+{
+  return UnwrittenSteps(aBilling) + aRunning < aBilling.mOptions.mMaxUnwritten;
+}
+
+void
+AddStep(Billing& aBilling, BillStep aStep, TimeMs aNowMs)
+{
+  if (aBilling.mOptions.mHoldMs == 0) {
+    aBilling.mQueue.push_back(std::move(aStep));
+    return;
+  }
+  StepId id = aStep.mId;
+  if (aBilling.mHeld.try_emplace(id, std::move(aStep)).second) {
+    aBilling.mHeldOrder.emplace_back(aNowMs + aBilling.mOptions.mHoldMs,
+                                     std::move(id));
+  }
+}
+
+void
+StepsSettled(Billing& aBilling, const std::vector<StepId>& aSteps)
+{
+  for (const auto& id : aSteps) {
+    aBilling.mHeld.erase(id);
+  }
+  std::set<StepId> settled(aSteps.begin(), aSteps.end());
+  std::erase_if(aBilling.mQueue, [&settled](const BillStep& aStep) {
+    return settled.contains(aStep.mId);
+  });
+}
+
+BillingActions
+BillsAnswered(Billing& aBilling,
+              std::int64_t aSequence,
+              bool aWritten,
+              TimeMs aNowMs)
+{
+  BillingActions actions;
+  if (!aBilling.mInFlight || aBilling.mInFlight->mSequence != aSequence) {
+    return actions;
+  }
+  if (!aWritten) {
+    // It may have taken effect: the same value is written again.
+    aBilling.mInFlight->mWaiting = true;
+    aBilling.mInFlight->mSentMs = aNowMs;
+    return actions;
+  }
+  std::map<std::string, std::vector<StepId>> byAgent;
+  for (const auto& step : aBilling.mInFlight->mSteps) {
+    if (!step.mAgent.empty() && aBilling.mOptions.mHoldMs == 0) {
+      byAgent[step.mAgent].push_back(step.mId);
+    }
+  }
+  for (auto& [agent, steps] : byAgent) {
+    actions.emplace_back(SendSettled{ agent, std::move(steps) });
+  }
+  bool more =
+    !aBilling.mQueue.empty() &&
+    aNowMs >= aBilling.mLastWriteMs + aBilling.mOptions.mWriteIntervalMs;
+  aBilling.mInFlight.reset();
+  if (more) {
+    WriteNext(aBilling, aNowMs, actions);
+  }
+  return actions;
+}
+
+BillingActions
+TickBilling(Billing& aBilling, TimeMs aNowMs)
+{
+  BillingActions actions;
+  TakeOverHeld(aBilling, aNowMs);
+  const auto& options = aBilling.mOptions;
+  if (aBilling.mInFlight) {
+    auto& bills = *aBilling.mInFlight;
+    if (bills.mWaiting && aNowMs >= bills.mSentMs + options.mRetryMs) {
+      bills.mWaiting = false;
+      bills.mSentMs = aNowMs;
+      actions.push_back(WriteBills{ bills.mSequence, bills.mValue });
+    }
+  } else if (aNowMs >= aBilling.mLastWriteMs + options.mWriteIntervalMs) {
+    WriteNext(aBilling, aNowMs, actions);
+  }
+  return actions;
+}
+
+std::optional<TimeMs>
+NextBillingMs(const Billing& aBilling)
+{
+  std::optional<TimeMs> due;
+  auto consider = [&due](TimeMs aAt) { due = due ? std::min(*due, aAt) : aAt; };
+  if (aBilling.mInFlight) {
+    if (aBilling.mInFlight->mWaiting) {
+      consider(aBilling.mInFlight->mSentMs + aBilling.mOptions.mRetryMs);
+    }
+  } else if (!aBilling.mQueue.empty()) {
+    consider(aBilling.mLastWriteMs + aBilling.mOptions.mWriteIntervalMs);
+  }
+  if (!aBilling.mHeldOrder.empty()) {
+    consider(aBilling.mHeldOrder.front().first);
+  }
+  return due;
+}
+
+BillingActions
+FlushBilling(Billing& aBilling, TimeMs aNowMs)
+{
+  BillingActions actions;
+  TakeOverHeld(aBilling, std::numeric_limits<TimeMs>::max());
+  WriteNext(aBilling, aNowMs, actions);
+  return actions;
+}
+
+std::vector<BillStep>
+UnwrittenCopies(const Billing& aBilling)
+{
+  std::vector<BillStep> steps(aBilling.mQueue.begin(), aBilling.mQueue.end());
+  for (const auto& [id, step] : aBilling.mHeld) {
+    steps.push_back(step);
+  }
+  if (aBilling.mInFlight) {
+    const auto& more = aBilling.mInFlight->mSteps;
+    steps.insert(steps.end(), more.begin(), more.end());
+  }
+  return steps;
+}
+
+void
+Settle(Settlement& aSettlement, const BillBatch& aBatch)
+{
+  for (const auto& step : aBatch.mSteps) {
+    auto [found, added] = aSettlement.mRuns.try_emplace(step.mId, step);
+    if (!added && Rank(step) < Rank(found->second)) {
+      found->second = step;
+    }
+  }
+}
+
+std::map<std::string, CustomerTotal>
+TotalsByCustomer(const Settlement& aSettlement)
+{
+  // 1. One run of each step is billed; every run is accounted for.
+  std::map<std::string, CustomerTotal> totals;
+  std::map<std::pair<std::string, int>, const BillStep*> billed;
+  for (const auto& [id, run] : aSettlement.mRuns) {
+    totals[run.mCustomer].mRunCost += run.mCost;
+    auto& best = billed[{ id.mRequestId, id.mStep }];
+    if (best == nullptr || Rank(run) < Rank(*best)) {
+      best = &run;
+    }
+  }
+  // 2. The sums.
+  std::set<std::pair<std::string, std::string>> requests;
+  for (const auto& [step, run] : billed) {
+    auto& total = totals[run->mCustomer];
+    total.mRequests += requests.emplace(run->mCustomer, step.first).second;
+    ++total.mSteps;
+    total.mInputTokens += run->mInputTokens;
+    total.mOutputTokens += run->mOutputTokens;
+    total.mCost += run->mCost;
+  }
+  return totals;
+}
+
+json
+ToJson(const StepId& aId)
+{
+  return { { "request", aId.mRequestId },
+           { "step", aId.mStep },
+           { "attempt", aId.mAttempt } };
+}
+
+json
+ToJson(const BillStep& aStep)
+{
+  json step = ToJson(aStep.mId);
+  step["customer"] = aStep.mCustomer;
+  step["service"] = aStep.mService;
+  step["version"] = aStep.mVersion;
+  step["agent"] = aStep.mAgent;
+  step["input_tokens"] = aStep.mInputTokens;
+  step["output_tokens"] = aStep.mOutputTokens;
+  step["cost"] = aStep.mCost;
+  step["complete"] = aStep.mComplete;
+  return step;
+}
+
+json
+ToJson(const BillBatch& aBatch)
+{
+  json steps = json::array();
+  for (const auto& step : aBatch.mSteps) {
+    steps.push_back(ToJson(step));
+  }
+  return { { "writer", aBatch.mWriter },
+           { "sequence", aBatch.mSequence },
+           { "steps", std::move(steps) } };
+}
+
+tl::expected<StepId, BillingError>
+ParseStepId(const json& aDocument)
+{
+  std::string fault;
+  StepId id = ReadStepId(aDocument, fault);
+  if (!fault.empty()) {
+    return tl::unexpected(BillingError{ fault });
+  }
+  return id;
+}
+
+tl::expected<BillStep, BillingError>
+ParseBillStep(const json& aDocument)
+{
+  std::string fault;
+  BillStep step = ReadStep(aDocument, fault);
+  if (!fault.empty()) {
+    return tl::unexpected(BillingError{ fault });
+  }
+  return step;
+}
+
+tl::expected<BillBatch, BillingError>
+ParseBillBatch(std::string_view aText)
+{
+  json document = json::parse(aText, nullptr, false);
+  std::string fault;
+  JsonFields fields{ document, fault };
+  BillBatch batch{ .mWriter = fields.Text("writer"),
+                   .mSequence = fields.Count("sequence"),
+                   .mSteps = {} };
+  for (const auto& row : fields.List("steps")) {
+    batch.mSteps.push_back(ReadStep(row, fault));
+    if (!fault.empty()) {
+      break;
+    }
+  }
+  if (!fault.empty()) {
+    return tl::unexpected(BillingError{ fault });
+  }
+  return batch;
+}
+
+} // namespace savory
--- a/core/src/record.cpp
+++ b/core/src/record.cpp
@@ -149,8 +149,12 @@
   }
   // 4. No memory to remember the key.
   std::size_t needed = KeyBytes(aCall.mCustomer + "\n" + aCall.mKey);
-  MakeRoom(aSlot, needed);
-  if (aState == nullptr && aSlot.mBytes + needed > aSlot.mOptions.mMaxBytes) {
+  if (aState == nullptr) {
+    MakeRoom(aSlot, needed);
+  }
+  bool full =
+    aState == nullptr && aSlot.mBytes + needed > aSlot.mOptions.mMaxBytes;
+  if (full || aSlot.mQueueBytes > aSlot.mOptions.mMaxQueueBytes) {
     return Refusal(
       aCall.mId, ErrorCode::Overloaded, proof, "the record is full");
   }
@@ -245,7 +249,7 @@
   }
   if (state.mWaiting.empty()) {
     state.mPhase = KeyPhase::NotRun;
-    aSlot.mQueue.push_back({ RecordItemKind::NotRun, aClaim, nullptr });
+    Enqueue(aSlot, { RecordItemKind::NotRun, aClaim, nullptr });
     return;
   }
   state.mPhase = KeyPhase::Running;
@@ -289,10 +293,12 @@
                      .mItems = {} };
   std::size_t bytes = 0;
   while (!aSlot.mQueue.empty()) {
-    bytes += EncodedBytes(aSlot.mQueue.front());
-    if (!value.mItems.empty() && bytes > aSlot.mOptions.mMaxBatchBytes) {
+    std::size_t size = EncodedBytes(aSlot.mQueue.front());
+    if (!value.mItems.empty() && bytes + size > aSlot.mOptions.mMaxBatchBytes) {
       break;
     }
+    bytes += size;
+    aSlot.mQueueBytes -= size;
     value.mItems.push_back(std::move(aSlot.mQueue.front()));
     aSlot.mQueue.pop_front();
   }
@@ -397,7 +403,7 @@
   state.mWaiting.insert(state.mWaiting.begin(), aCall.mId);
   aSlot.mCalls[aCall.mId] = &aSlot.mKeys.find(key)->first;
   // 4. The claim goes to the store, and in an outage to the witnesses first.
-  aSlot.mQueue.push_back({ RecordItemKind::Claim, claim, nullptr });
+  Enqueue(aSlot, { RecordItemKind::Claim, claim, nullptr });
   bool withoutCopy = !aSlot.mStoreReachable && aSlot.mOptions.mWitnessAcks == 0;
   if (!aSlot.mOptions.mClaimBeforeRun || withoutCopy) {
     CommitClaim(aSlot, claim, actions);
@@ -509,7 +515,7 @@
                 actions);
   auto recorded = Recorded(aSlot.mOptions, outcome);
   if (IsServing(aSlot)) {
-    aSlot.mQueue.push_back({ RecordItemKind::Outcome, claim, recorded });
+    Enqueue(aSlot, { RecordItemKind::Outcome, claim, recorded });
   }
   SetOutcome(aSlot, state, recorded);
   Flush(aSlot, aNowMs, actions);
@@ -560,7 +566,7 @@
                         "the backend server was not reached"),
                 actions);
   if (IsServing(aSlot)) {
-    aSlot.mQueue.push_back({ RecordItemKind::NotRun, claim, nullptr });
+    Enqueue(aSlot, { RecordItemKind::NotRun, claim, nullptr });
   }
   Flush(aSlot, aNowMs, actions);
   return actions;
--- a/core/src/record_detail.h
+++ b/core/src/record_detail.h
@@ -44,6 +44,10 @@
 MakeRoom(Slot& aSlot, std::size_t aBytes);
 void
 ExpireKeys(Slot& aSlot, TimeMs aNowMs);
+// Adds an item to those that wait to be written.
+void
+Enqueue(Slot& aSlot, RecordItem aItem);
+
 std::size_t
 KeyBytes(const std::string& aKey);
 
--- a/core/src/record_json.cpp
+++ b/core/src/record_json.cpp
@@ -1,6 +1,7 @@
 #include "savory/core/record.h"
 
-#include <limits>
+#include "json_fields.h"
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -33,7 +34,7 @@
   return text;
 }
 
-// Throws json::exception-free; an empty result with aFailed set is an error.
+// The bytes of a base64 text; sets aFailed when it is malformed.
 std::string
 FromBase64(const std::string& aText, bool& aFailed)
 {
@@ -60,86 +61,6 @@
   return bytes;
 }
 
-// Reads the fields of one object and remembers the first fault.
-struct Fields
-{
-  const json& mObject;
-  std::string& mFault;
-
-  const json* Find(const char* aName)
-  {
-    if (!mObject.is_object()) {
-      Fault("not an object");
-      return nullptr;
-    }
-    auto found = mObject.find(aName);
-    if (found == mObject.end()) {
-      Fault(std::string(aName) + " is missing");
-      return nullptr;
-    }
-    return &*found;
-  }
-
-  void Fault(const std::string& aReason)
-  {
-    if (mFault.empty()) {
-      mFault = aReason;
-    }
-  }
-
-  std::string Text(const char* aName)
-  {
-    const json* value = Find(aName);
-    if (value == nullptr || !value->is_string()) {
-      Fault(std::string(aName) + " must be a string");
-      return {};
-    }
-    return value->get<std::string>();
-  }
-
-  std::uint64_t Unsigned(const char* aName)
-  {
-    const json* value = Find(aName);
-    if (value == nullptr || !value->is_number_unsigned()) {
-      Fault(std::string(aName) + " must be a non-negative integer");
-      return 0;
-    }
-    return value->get<std::uint64_t>();
-  }
-
-  std::int64_t Count(const char* aName)
-  {
-    std::uint64_t value = Unsigned(aName);
-    if (value > static_cast<std::uint64_t>(
-                  std::numeric_limits<std::int64_t>::max() / 2)) {
-      Fault(std::string(aName) + " is out of range");
-      return 0;
-    }
-    return static_cast<std::int64_t>(value);
-  }
-
-  bool Flag(const char* aName)
-  {
-    const json* value = Find(aName);
-    if (value == nullptr || !value->is_boolean()) {
-      Fault(std::string(aName) + " must be true or false");
-      return false;
-    }
-    return value->get<bool>();
-  }
-
-  const json& List(const char* aName)
-  {
-    static const json kEmpty = json::array();
-    const json* value = Find(aName);
-    if (value == nullptr || !value->is_array()) {
-      Fault(std::string(aName) + " must be a list");
-      return kEmpty;
-    }
-    return *value;
-  }
-};
-
 json
 AgentJson(const AgentName& aAgent)
 {
@@ -149,7 +70,7 @@
 AgentName
 ParseAgent(const json& aDocument, std::string& aFault)
 {
-  Fields fields{ aDocument, aFault };
+  JsonFields fields{ aDocument, aFault };
   return { .mHost = fields.Text("host"),
            .mIncarnation = fields.Count("incarnation") };
 }
@@ -157,7 +78,7 @@
 Claim
 ReadClaim(const json& aDocument, std::string& aFault)
 {
-  Fields fields{ aDocument, aFault };
+  JsonFields fields{ aDocument, aFault };
   Claim claim{ .mCustomer = fields.Text("customer"),
                .mKey = fields.Text("key"),
                .mFingerprint = fields.Unsigned("fingerprint"),
@@ -187,7 +108,7 @@
 std::shared_ptr<const Outcome>
 ReadOutcome(const json& aDocument, std::string& aFault)
 {
-  Fields fields{ aDocument, aFault };
+  JsonFields fields{ aDocument, aFault };
   auto outcome = std::make_shared<Outcome>();
   std::int64_t status = fields.Count("status");
   if (status < 100 || status > 999) {
@@ -229,7 +150,7 @@
 RecordItem
 ReadItem(const json& aDocument, std::string& aFault)
 {
-  Fields fields{ aDocument, aFault };
+  JsonFields fields{ aDocument, aFault };
   RecordItem item;
   auto kind = ValueOf(kRecordItemKindNames, fields.Text("kind"));
   if (!kind) {
@@ -294,7 +215,7 @@
 {
   json document = json::parse(aText, nullptr, false);
   std::string fault;
-  Fields fields{ document, fault };
+  JsonFields fields{ document, fault };
   SlotStatus status;
   if (const json* owner = fields.Find("owner")) {
     status.mOwner = ParseAgent(*owner, fault);
@@ -334,7 +255,7 @@
 {
   json document = json::parse(aText, nullptr, false);
   std::string fault;
-  Fields fields{ document, fault };
+  JsonFields fields{ document, fault };
   RecordBatch batch{ .mEpoch = fields.Count("epoch"),
                      .mSequence = fields.Count("sequence"),
                      .mWrittenMs = fields.Count("written_ms"),
--- a/core/src/record_keys.cpp
+++ b/core/src/record_keys.cpp
@@ -6,18 +6,21 @@
 
 namespace {
 
-// The parts of a key's memory besides its text: the map's node and bucket and
-// the entry for expiry.
+// The parts of a key's memory besides its text: the map's node and bucket, the
+// entry for expiry and the status of the outcome it will have.
 constexpr std::size_t kKeyOverhead =
-  sizeof(std::string) + sizeof(KeyState) + 24 + 24;
+  sizeof(std::string) + sizeof(KeyState) + 24 + 24 + sizeof(Outcome) + 32;
 
+// The bytes of an outcome beyond its status.
 std::size_t
 OutcomeBytes(const std::shared_ptr<const Outcome>& aOutcome)
 {
   if (!aOutcome) {
     return 0;
   }
-  std::size_t bytes = sizeof(Outcome) + 32 + aOutcome->mBody.capacity();
+  // A short text lies within the string object.
+  std::size_t bytes =
+    aOutcome->mBody.size() > 15 ? aOutcome->mBody.capacity() + 1 : 0;
   for (const auto& [name, value] : aOutcome->mHeaders) {
     bytes += 2 * sizeof(std::string) + name.size() + value.size();
   }
@@ -48,10 +51,9 @@
   auto [found, added] = aSlot.mKeys.try_emplace(aKey);
   if (added) {
     aSlot.mBytes += KeyBytes(aKey);
+    aSlot.mExpiry.emplace_back(aClaimedMs, &found->first);
   }
   found->second.mClaimedMs = aClaimedMs;
-  ++found->second.mEntries;
-  aSlot.mExpiry.emplace_back(aClaimedMs, &found->first);
   return found->second;
 }
 
@@ -94,19 +96,17 @@
   std::int64_t unixMs = UnixMs(aSlot, aNowMs);
   while (!aSlot.mExpiry.empty() &&
          aSlot.mExpiry.front().first + aSlot.mOptions.mRetentionMs <= unixMs) {
-    const std::string* key = aSlot.mExpiry.front().second;
+    auto [claimedMs, key] = aSlot.mExpiry.front();
     aSlot.mExpiry.pop_front();
     aSlot.mDropped -= std::min<std::size_t>(aSlot.mDropped, 1);
     auto found = aSlot.mKeys.find(*key);
     KeyState& state = found->second;
-    if (--state.mEntries > 0) {
-      // Claimed again later: a later entry expires it.
-      continue;
-    }
-    if (state.mPhase == KeyPhase::Claiming ||
-        state.mPhase == KeyPhase::Running) {
-      ++state.mEntries;
-      aSlot.mExpiry.emplace_back(unixMs, key);
+    // A key that was claimed again later keeps one entry, at the end; it may
+    // stay longer than its retention, but never shorter.
+    bool busy =
+      state.mPhase == KeyPhase::Claiming || state.mPhase == KeyPhase::Running;
+    if (busy || state.mClaimedMs > claimedMs) {
+      aSlot.mExpiry.emplace_back(busy ? unixMs : state.mClaimedMs, key);
       continue;
     }
     aSlot.mBytes -= KeyBytes(*key) + OutcomeBytes(state.mOutcome);
@@ -114,4 +114,11 @@
   }
 }
 
+void
+Enqueue(Slot& aSlot, RecordItem aItem)
+{
+  aSlot.mQueueBytes += EncodedBytes(aItem);
+  aSlot.mQueue.push_back(std::move(aItem));
+}
+
 } // namespace savory::record_detail
--- a/core/src/record_recovery.cpp
+++ b/core/src/record_recovery.cpp
@@ -115,7 +115,7 @@
     if (unwritten && claim.mClaimedMs > oldest) {
       RecordItem item{ RecordItemKind::Claim, claim, nullptr };
       ApplyItem(aSlot, item);
-      aSlot.mQueue.emplace_back(std::move(item));
+      Enqueue(aSlot, std::move(item));
     }
   }
   aSlot.mFetchedClaims.clear();
@@ -191,8 +191,7 @@
                         .mRan = ProofOfNotRun(aSlot, aNowMs),
                         .mReason = "the store and a witness are unreachable" };
     AnswerWaiting(aSlot, state, refusal, aActions);
-    aSlot.mQueue.push_back(
-      { RecordItemKind::NotRun, std::move(claim), nullptr });
+    Enqueue(aSlot, { RecordItemKind::NotRun, std::move(claim), nullptr });
   }
 }
 
@@ -264,6 +263,7 @@
   aSlot.mPhase = SlotPhase::Lost;
   aSlot.mLeaseUntilMs = -1;
   aSlot.mQueue.clear();
+  aSlot.mQueueBytes = 0;
   aSlot.mInFlight.reset();
   aSlot.mStatusWrite.reset();
   aSlot.mForWitnesses.clear();
