--- a/core/src/cascade.cpp
+++ b/core/src/cascade.cpp
@@ -16,6 +16,9 @@
 // that answers after a failed step.
 constexpr double kAfterPriorRatings = 10;
 
+// Margins between mean and cautious estimate that an exploration adds.
+constexpr double kOptimism = 2;
+
 // A version that one model contributes to a plan.
 struct Candidate
 {
@@ -36,6 +39,7 @@
   double mCautious = 0;
   double mCost = 0;
   TimeMs mExpectedMs = 0;
+  std::int64_t mRatings = 0;
 };
 
 PassRate Posterior(double aPrior,
@@ -181,7 +185,8 @@
            .mQuality = aCandidate.mRate.mMean,
            .mCautious = aCandidate.mRate.mCautious,
            .mCost = aCandidate.mCost,
-           .mExpectedMs = aCandidate.mExpectedMs };
+           .mExpectedMs = aCandidate.mExpectedMs,
+           .mRatings = aCandidate.mRate.mRatings };
 }
 
 // Two steps take the time of both and of the rating between them; the second
@@ -203,7 +208,8 @@
            .mCautious = both(aFirst.mRate.mCautious, after.mCautious),
            .mCost = aFirst.mCost + (1 - aFirst.mRate.mMean) * aSecond.mCost,
            .mExpectedMs =
-             aFirst.mExpectedMs + aInput.mRatingMs + aSecond.mExpectedMs };
+             aFirst.mExpectedMs + aInput.mRatingMs + aSecond.mExpectedMs,
+           .mRatings = after.mRatings };
 }
 
 bool MayCascade(const Configuration& aConfig, const PlanInput& aInput)
@@ -311,9 +317,29 @@
   return { Least(aChoices, any, faster), "nothing is in time, fastest" };
 }
 
-// The choice that tries the least rated candidate.
-Choice ExplorationChoice(const std::vector<Candidate>& aCandidates)
+// The choice that an exploration tries: the cheapest one that costs less than
+// the pick and may meet the target for all that is known of it, because only
+// such a choice can lower the cost. Without one, the least rated candidate.
+Choice ExplorationChoice(const std::vector<Choice>& aChoices,
+                         const Choice& aPicked,
+                         const std::vector<Candidate>& aCandidates,
+                         double aTarget,
+                         TimeMs aRemainingMs)
 {
+  const Choice* promising = Least(
+    aChoices,
+    [&](const Choice& aChoice) {
+      double margin = aChoice.mQuality - aChoice.mCautious;
+      return aChoice.mCost < aPicked.mCost &&
+             aChoice.mExpectedMs <= aRemainingMs &&
+             aChoice.mQuality + kOptimism * margin >= aTarget;
+    },
+    [](const Choice& aLeft, const Choice& aRight) {
+      return aLeft.mCost < aRight.mCost;
+    });
+  if (promising) {
+    return *promising;
+  }
   auto least =
     std::min_element(aCandidates.begin(),
                      aCandidates.end(),
@@ -472,11 +498,12 @@
   bool explore = aInput.mRatingUp && candidates.size() > 1 &&
                  draw < aOptions.mExplorationShare;
   if (explore) {
-    Choice trial = ExplorationChoice(candidates);
+    Choice trial = ExplorationChoice(
+      choices, choice, candidates, preset.mQualityTarget, aInput.mRemainingMs);
     explore = trial.mExpectedMs <= aInput.mRemainingMs;
     if (explore) {
       choice = trial;
-      picked.mWhy = "exploration of the least rated";
+      picked.mWhy = "exploration";
     }
   }
   // 4. The plan and its explanation.
@@ -485,6 +512,9 @@
              .mCost = choice.mCost,
              .mExpectedMs = choice.mExpectedMs,
              .mExploration = explore,
+             .mRateAnswer =
+               aInput.mRatingUp &&
+               (explore || choice.mRatings < aOptions.mWantedRatings),
              .mReason =
                PlanReason(choice, aInput, preset.mQualityTarget, picked.mWhy) };
   if (choice.mSecond) {
--- a/ctl/src/main.cpp
+++ b/ctl/src/main.cpp
@@ -1,5 +1,28 @@
+#include "settings.h"
+
+#include <csignal>
+#include <cstdio>
+
+using namespace savory;
+
+// Runs one command. With --json one object goes to standard output; else text
+// does, or, when the command failed, to standard error.
 int
-main()
+main(int aCount, char** aArguments)
 {
-  return 0;
+  std::signal(SIGPIPE, SIG_IGN);
+  std::vector<std::string> arguments(aArguments, aArguments + aCount);
+  auto settings = ParseCtlSettings(arguments);
+  CommandResult result = settings
+                           ? FindCommand(settings->mCommand)->mRun(*settings)
+                           : settings.error();
+  if (settings && settings->mJson) {
+    result.mJson["exit"] = result.mExit;
+    std::string text = result.mJson.dump(
+      2, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::printf("%s\n", text.c_str());
+  } else {
+    std::fputs(result.mText.c_str(), result.mExit == 0 ? stdout : stderr);
+  }
+  return result.mExit;
 }
--- a/router/src/entry.h
+++ b/router/src/entry.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "admin.h"
 #include "agent_links.h"
 #include "caller_api.h"
+#include "fleet.h"
 #include "node.h"
 #include "savory/net/http_server.h"
+#include "savory/platform/store.h"
 
 #include <memory>
 #include <set>
@@ -23,6 +26,8 @@
 
   Node& mNode;
   AgentLinks mLinks;
+  StoreClient mStore;
+  Fleet mFleet;
   // Calls under way, for the drain and the state dump.
   std::set<const void*> mCalls;
 
@@ -33,26 +38,28 @@
   void OnCaller(const HttpRequest& aRequest,
                 const std::shared_ptr<HttpReply>& aReply);
   void ListModels(const HttpRequest& aRequest, HttpReply& aReply);
-  void PollHosts();
-  void PollConfiguration();
+  void OnPeerStream(const std::shared_ptr<InnerStream>& aStream);
+  nlohmann::json State() const;
 
+  Admin mAdmin;
+  std::unique_ptr<InnerListener> mInner;
   std::unique_ptr<HttpServer> mCallers;
-  Timer mHostsTimer;
-  Timer mConfigTimer;
   Timer mDrainTimer;
 };
 
 // Handles one model call to its end.
-void StartModelCall(Entry& aEntry,
-                    const CallerContext& aContext,
-                    const HttpRequest& aRequest,
-                    const std::shared_ptr<HttpReply>& aReply);
+void
+StartModelCall(Entry& aEntry,
+               const CallerContext& aContext,
+               const HttpRequest& aRequest,
+               const std::shared_ptr<HttpReply>& aReply);
 
 // Handles one call of a plain service to its end.
-void StartServiceCall(Entry& aEntry,
-                      const CallerContext& aContext,
-                      const Service& aService,
-                      const HttpRequest& aRequest,
-                      const std::shared_ptr<HttpReply>& aReply);
+void
+StartServiceCall(Entry& aEntry,
+                 const CallerContext& aContext,
+                 const Service& aService,
+                 const HttpRequest& aRequest,
+                 const std::shared_ptr<HttpReply>& aReply);
 
 } // namespace savory
--- a/router/src/service_call.cpp
+++ b/router/src/service_call.cpp
@@ -175,6 +175,7 @@
   mBackendHost = link->mReport.mFrom.mHost;
   mTried.push_back(address);
   mCall.mFrom = SenderOf(mEntry.mNode);
+  mEntry.mFleet.BringUpToDate(*link);
   mExchange =
     AgentExchange::Start(*link->mConnection, "/call", Encode(mCall), mBody);
   if (!mExchange) {
@@ -203,9 +204,7 @@
     self->mAnswer += aBytes;
   };
   mExchange->mOnEnd = [self](const AnswerEnd& aEnd) { self->OnEnd(aEnd); };
-  mExchange->mOnBroken = [self](bool aAccepted) {
-    self->OnBroken(aAccepted);
-  };
+  mExchange->mOnBroken = [self](bool aAccepted) { self->OnBroken(aAccepted); };
 }
 
 // The agent was lost. An idempotent call goes to another one; any other may
