Decide model calls by cascade, balancer, limits and quarantine

Cause: the entry chose the first allowed version and the agent with fewest calls. Change: ModelCall plans by core/cascade, places by core/balancer, waits in fair queues of core/limits, isolates suspects, rates answers, escalates, bills each step and explains; RolloutDriver continues roll-outs by compare-and-swap.

--- a/core/include/savory/core/events.h
+++ b/core/include/savory/core/events.h
@@ -25,6 +25,7 @@
   ConfigAdopted = 201,
   ConfigRefused = 202,
   ConfigStale = 203,
+  RolloutChanged = 204,
   RequestRefused = 301,
   RequestFailed = 302,
   BackendCold = 401,
@@ -49,7 +50,7 @@
   Severity mSeverity;
 };
 
-inline constexpr std::array<EventRow, 22> kEventTable{ {
+inline constexpr std::array<EventRow, 23> kEventTable{ {
   { Event::ProcessStarted, "process-started", Severity::Info },
   { Event::DrainStarted, "drain-started", Severity::Info },
   { Event::ProcessStopped, "process-stopped", Severity::Info },
@@ -57,6 +58,7 @@
   { Event::ConfigAdopted, "config-adopted", Severity::Info },
   { Event::ConfigRefused, "config-refused", Severity::Error },
   { Event::ConfigStale, "config-stale", Severity::Warning },
+  { Event::RolloutChanged, "rollout-changed", Severity::Warning },
   { Event::RequestRefused, "request-refused", Severity::Info },
   { Event::RequestFailed, "request-failed", Severity::Warning },
   { Event::BackendCold, "backend-cold", Severity::Warning },
--- a/core/include/savory/core/wire.h
+++ b/core/include/savory/core/wire.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "savory/core/limits.h"
 #include "savory/core/quarantine.h"
 #include "savory/core/types.h"
 
@@ -198,6 +199,13 @@
 std::vector<SuspectRow>
 SuspectsFromJson(const nlohmann::json& aRows);
 
+// Demand counters as {"entry", "incarnation", "sequence", "customers": [[name,
+// demand, usage, waiting]]}. Reading gives nothing for any other shape.
+nlohmann::json
+DemandToJson(const DemandRow& aRow);
+std::optional<DemandRow>
+DemandFromJson(const nlohmann::json& aDocument);
+
 // CBOR of any document, for messages without a type of their own.
 std::string
 EncodeDocument(const nlohmann::json& aDocument);
--- a/core/src/wire.cpp
+++ b/core/src/wire.cpp
@@ -82,6 +82,42 @@
   return rows;
 }
 
+json
+DemandToJson(const DemandRow& aRow)
+{
+  json customers = json::array();
+  for (const auto& customer : aRow.mCustomers) {
+    customers.push_back({ customer.mCustomer,
+                          customer.mDemand,
+                          customer.mUsage,
+                          customer.mWaiting });
+  }
+  return { { "entry", aRow.mEntry },
+           { "incarnation", aRow.mIncarnation },
+           { "sequence", aRow.mSequence },
+           { "customers", customers } };
+}
+
+std::optional<DemandRow>
+DemandFromJson(const json& aDocument)
+{
+  try {
+    DemandRow row;
+    row.mEntry = aDocument.at("entry").get<std::string>();
+    row.mIncarnation = aDocument.at("incarnation").get<std::int64_t>();
+    row.mSequence = aDocument.at("sequence").get<std::int64_t>();
+    for (const auto& customer : aDocument.at("customers")) {
+      row.mCustomers.push_back({ customer.at(0).get<std::string>(),
+                                 customer.at(1).get<double>(),
+                                 customer.at(2).get<double>(),
+                                 customer.at(3).get<bool>() });
+    }
+    return row;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::vector<SuspectRow>
 SuspectsFromJson(const json& aRows)
 {
--- a/router/src/bill_keeper.cpp
+++ b/router/src/bill_keeper.cpp
@@ -82,8 +82,7 @@
         LogEvent(Event::BillsWritten,
                  { { "sequence", std::to_string(sequence) } });
       }
-      Perform(BillsAnswered(
-        mBilling, sequence, written, mNode.mLoop.NowMs()));
+      Perform(BillsAnswered(mBilling, sequence, written, mNode.mLoop.NowMs()));
     });
 }
 
--- a/router/src/entry.cpp
+++ b/router/src/entry.cpp
@@ -1,7 +1,7 @@
 #include "entry.h"
 
+#include "model_call.h"
 #include "savory/net/log.h"
-#include "savory/platform/store.h"
 
 #include <nlohmann/json.hpp>
 
@@ -10,6 +10,13 @@
 namespace {
 
 constexpr std::string_view kModelPath = "/v1/chat/completions";
+constexpr TimeMs kPumpMs = 10;
+
+// Time for the last replies to leave the sockets' buffers at a shutdown.
+constexpr TimeMs kLingerMs = 100;
+
+// Weight of the newest sample in the usual time of a step.
+constexpr double kSmoothing = 0.1;
 
 } // namespace
 
@@ -18,17 +25,31 @@
   , mLinks(aNode)
   , mStore(aNode.mHttp, aNode.mSettings.mStore)
   , mFleet(aNode, mLinks, mStore)
+  , mRater(aNode)
+  , mBills(aNode,
+           mStore,
+           0,
+           [this](const SendSettled& aSettled) { SendSettledTo(aSettled); })
+  , mRollouts(aNode, mFleet, mStore, mRater)
   , mAdmin(aNode,
            { .mState = [this] { return State(); },
-             .mMetrics = [] { return std::string(); },
-             .mExplain = [](const std::string&) { return nlohmann::json(); },
+             .mMetrics = [this] { return mMetrics.Text(); },
+             .mExplain =
+               [this](const std::string& aId) { return ExplainRequest(aId); },
              .mRefresh = [this] { mFleet.LookAtHead(); } })
 {
+  mBalancer.mOwnZone = aNode.mSettings.mZone;
+  mLimits.mEntry = aNode.mSettings.mHost;
+  mLimits.mIncarnation = aNode.mIncarnation;
+  mFirstToken = mMetrics.Histogram(
+    "savory_first_token_seconds",
+    "Time from the caller's request to the first token of its answer.");
 }
 
 bool
 Entry::Listen()
 {
+  // 1. The ports.
   HttpServerOptions options;
   // evhttp cuts the connection of a body beyond its own limit, often before the
   // caller reads the answer; a wider limit leaves room for an answer that says
@@ -41,17 +62,27 @@
       OnCaller(aRequest, aReply);
     },
     options);
-  Endpoint& listen = mNode.mSettings.mListen;
-  listen.mPort = mCallers->Listen(listen.mAddress, listen.mPort);
   mInner = std::make_unique<InnerListener>(
     mNode.mLoop, [this](const std::shared_ptr<InnerStream>& aStream) {
       OnPeerStream(aStream);
     });
+  Endpoint& listen = mNode.mSettings.mListen;
   Endpoint& inner = mNode.mSettings.mInner;
+  listen.mPort = mCallers->Listen(listen.mAddress, listen.mPort);
   inner.mPort = mInner->Listen(inner.mAddress, inner.mPort);
   if (listen.mPort == 0 || inner.mPort == 0 || !mAdmin.Listen()) {
     return false;
   }
+
+  // 2. What happens by itself.
+  mLinks.mOnReport.connect(
+    [this](const Report& aReport) { OnReport(aReport); });
+  mLinks.mOnLost.connect([this](const std::string& aAddress) {
+    RemoveBackend(mBalancer, aAddress);
+  });
+  mNode.mConfigChanged.connect([this] { OnConfigChanged(); });
+  mFleet.mOnRound.connect([this] { OnRound(); });
+  mPump = Timer::Every(mNode.mLoop, kPumpMs, [this] { PumpQueue(); });
   mFleet.Start();
   return true;
 }
@@ -65,6 +96,187 @@
   }
 }
 
+void
+Entry::OnReport(const Report& aReport)
+{
+  TimeMs now = mNode.mLoop.NowMs();
+  ApplyReport(mBalancer, aReport, now);
+  if (const AgentLink* link = mLinks.Find(aReport.mAddress);
+      link && link->mHost.mState == HostState::Leaving) {
+    MarkLeaving(mBalancer, aReport.mAddress);
+  }
+  MergeSuspects(mQuarantine, {}, aReport.mSuspects, now);
+}
+
+void
+Entry::OnConfigChanged()
+{
+  TimeMs now = mNode.mLoop.NowMs();
+  ApplyZones(mBalancer, mNode.mConfig->mZones, now);
+  ApplyCustomers(mLimits, {}, mNode.mConfig->mCustomers, now);
+}
+
+// Exchanges with the other entries what each counts for itself.
+void
+Entry::OnRound()
+{
+  TimeMs now = mNode.mLoop.NowMs();
+  // 1. What the others told.
+  for (const auto& [host, member] : mFleet.mMembers.mMembers) {
+    const auto& sections = member.mRow.mSections;
+    if (host == mNode.mSettings.mHost || !sections.is_object()) {
+      continue;
+    }
+    if (sections.contains("ratings")) {
+      mRater.Merge(sections["ratings"]);
+    }
+    if (sections.contains("suspects")) {
+      try {
+        MergeSuspects(
+          mQuarantine, {}, SuspectsFromJson(sections["suspects"]), now);
+      } catch (const nlohmann::json::exception&) {
+        // A peer of another version; its reports still reach this entry.
+        continue;
+      }
+    }
+    if (sections.contains("demand")) {
+      if (auto row = DemandFromJson(sections["demand"])) {
+        MergeDemand(mLimits, {}, *row, now);
+      }
+    }
+  }
+  // 2. What this entry tells.
+  ExpireSuspects(mQuarantine, {}, now);
+  SetSection(mFleet.mMembers, "ratings", mRater.OwnRow(), false, now);
+  SetSection(mFleet.mMembers,
+             "suspects",
+             SuspectsToJson(SuspectRows(mQuarantine, now)),
+             true,
+             now);
+  SetSection(mFleet.mMembers,
+             "demand",
+             DemandToJson(OwnDemand(mLimits, {}, now)),
+             false,
+             now);
+  // 3. Roll-outs.
+  mRollouts.Tick();
+}
+
+// Places the calls that wait, in the order of their customers' shares, until
+// there is no room.
+void
+Entry::PumpQueue()
+{
+  TimeMs now = mNode.mLoop.NowMs();
+  for (const auto& expired : TakeExpired(mLimits, now)) {
+    auto call = mWaiting[expired.mRequest.mId].lock();
+    mWaiting.erase(expired.mRequest.mId);
+    if (call) {
+      call->Expire();
+    }
+  }
+  while (auto next = TakeNext(mLimits, {}, now)) {
+    auto found = mWaiting.find(next->mRequest.mId);
+    auto call = found == mWaiting.end() ? nullptr : found->second.lock();
+    if (!call || call->IsOver()) {
+      mWaiting.erase(next->mRequest.mId);
+      continue;
+    }
+    if (!call->Resume()) {
+      PutBack(mLimits, *next);
+      return;
+    }
+    mWaiting.erase(next->mRequest.mId);
+    mKept.erase(call.get());
+  }
+}
+
+void
+Entry::Keep(const std::shared_ptr<ModelCall>& aCall)
+{
+  mKept[aCall.get()] = aCall;
+}
+
+void
+Entry::Forget(const ModelCall* aCall)
+{
+  mKept.erase(aCall);
+}
+
+std::string
+Entry::PoolOf(const std::string& aVersion) const
+{
+  for (const auto& [address, link] : mLinks.All()) {
+    for (const auto& version : link.mReport.mVersions) {
+      if (version == aVersion) {
+        return link.mReport.mPool;
+      }
+    }
+  }
+  return {};
+}
+
+void
+Entry::ObserveFirstToken(TimeMs aElapsedMs)
+{
+  mMetrics.Observe(mFirstToken, static_cast<double>(aElapsedMs) / 1000);
+}
+
+void
+Entry::ObserveStep(const std::string& aModel, TimeMs aElapsedMs)
+{
+  auto elapsed = static_cast<double>(aElapsedMs);
+  auto [found, added] = mStepMs.try_emplace(aModel, elapsed);
+  if (!added) {
+    found->second += kSmoothing * (elapsed - found->second);
+  }
+}
+
+void
+Entry::CountAnswer(int aStatus)
+{
+  auto found = mAnswers.find(aStatus);
+  if (found == mAnswers.end()) {
+    found =
+      mAnswers
+        .emplace(aStatus,
+                 mMetrics.Counter("savory_answers_total",
+                                  "Answers to callers by HTTP status.",
+                                  { { "status", std::to_string(aStatus) } }))
+        .first;
+  }
+  mMetrics.Add(found->second);
+}
+
+// Tells an agent which steps of its copies are in the store.
+void
+Entry::SendSettledTo(const SendSettled& aSettled)
+{
+  for (const auto& [address, link] : mLinks.All()) {
+    if (link.mHost.mName != aSettled.mAgent || !link.mConnection) {
+      continue;
+    }
+    auto stream = link.mConnection->Open("/settled");
+    if (!stream) {
+      return;
+    }
+    nlohmann::json steps = nlohmann::json::array();
+    for (const auto& step : aSettled.mSteps) {
+      steps.push_back(ToJson(step));
+    }
+    stream->Send(FrameType::Head, EncodeDocument({ { "steps", steps } }));
+    stream->Finish();
+    return;
+  }
+}
+
+nlohmann::json
+Entry::ExplainRequest(const std::string& aRequestId) const
+{
+  const Explanation* found = FindExplanation(mExplain, aRequestId);
+  return found ? ToJson(*found) : nlohmann::json();
+}
+
 nlohmann::json
 Entry::State() const
 {
@@ -75,6 +287,8 @@
                        { "zone", link.mHost.mZone },
                        { "connected", link.mConnection != nullptr },
                        { "revision", link.mReport.mFrom.mRevision },
+                       { "allowance", link.mReport.mAllowance },
+                       { "running", link.mReport.mRunning },
                        { "own", link.mOwn } });
   }
   return { { "host", mNode.mSettings.mHost },
@@ -83,6 +297,11 @@
            { "revision", SenderOf(mNode).mRevision },
            { "draining", mNode.mDraining },
            { "calls", mCalls.size() },
+           { "waiting", mKept.size() },
+           { "unwritten_bills", mBills.Unwritten() },
+           { "suspects", mQuarantine.mSuspects.size() },
+           { "ratings", mRater.OwnRow() },
+           { "recent_requests", RecentRequests(mExplain, 10) },
            { "agents", agents },
            { "fleet", mFleet.State() } };
 }
@@ -96,14 +315,27 @@
   mNode.mDraining = true;
   mFleet.Leave();
   LogEvent(Event::DrainStarted, { { "calls", std::to_string(mCalls.size()) } });
-  mDrainTimer = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
+  mDrainLimit = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
     LogEvent(Event::AbandonedAtStop,
-             { { "calls", std::to_string(mCalls.size()) } });
+             { { "calls", std::to_string(mCalls.size()) },
+               { "bills", std::to_string(mBills.Unwritten()) } });
     mNode.mLoop.Stop();
   });
-  if (mCalls.empty()) {
-    mNode.mLoop.Stop();
+  mDrainTimer = Timer::Every(mNode.mLoop, kLingerMs, [this] { Stop(); });
+}
+
+// Ends the process once no call is under way and no bill is unwritten.
+void
+Entry::Stop()
+{
+  if (!mCalls.empty()) {
+    return;
   }
+  if (mBills.Unwritten() > 0) {
+    mBills.Flush();
+    return;
+  }
+  mNode.mLoop.Stop();
 }
 
 void
@@ -116,11 +348,6 @@
 Entry::CallEnded(const void* aCall)
 {
   mCalls.erase(aCall);
-  if (mNode.mDraining && mCalls.empty()) {
-    // The last reply still has to leave the socket's buffer.
-    mDrainTimer =
-      Timer::After(mNode.mLoop, 100, [this] { mNode.mLoop.Stop(); });
-  }
 }
 
 void
@@ -148,11 +375,34 @@
                 "\n");
 }
 
+// Whether this entry takes new work now; answers the caller when not.
+bool
+Entry::Gate(const CallerContext& aContext, HttpReply& aReply)
+{
+  CallerError error;
+  error.mRan = RanOfRefusal(aContext);
+  error.mRetryAfterMs = 500;
+  if (mNode.mDraining) {
+    error.mCode = ErrorCode::Draining;
+    error.mMessage = "this entry is stopping; another will serve the request";
+  } else if (mFleet.JudgeNow() == Freshness::Stale) {
+    error.mCode = ErrorCode::ConfigStale;
+    error.mMessage =
+      "this entry cannot tell whether its configuration is the newest";
+  } else {
+    return true;
+  }
+  CountAnswer(HttpStatus(error.mCode));
+  SendError(aReply, error, aContext.mRequestId);
+  return false;
+}
+
 // Routes one request of a caller by its path.
 void
 Entry::OnCaller(const HttpRequest& aRequest,
                 const std::shared_ptr<HttpReply>& aReply)
 {
+  // 1. What holds for all paths.
   if (aRequest.mPath == "/v1/models" && aRequest.mMethod == "GET") {
     ListModels(aRequest, *aReply);
     return;
@@ -172,26 +422,11 @@
     SendError(*aReply, context.error(), "");
     return;
   }
-  if (mNode.mDraining) {
-    SendError(*aReply,
-              { ErrorCode::Draining,
-                "this entry is stopping; another will serve the request",
-                RanOfRefusal(*context),
-                100 },
-              context->mRequestId);
-    return;
-  }
-  Freshness freshness = mFleet.JudgeNow();
-  if (freshness == Freshness::Stale) {
-    SendError(
-      *aReply,
-      { ErrorCode::ConfigStale,
-        "this entry cannot tell whether its configuration is the newest",
-        RanOfRefusal(*context),
-        500 },
-      context->mRequestId);
+  if (!Gate(*context, *aReply)) {
     return;
   }
+
+  // 2. Model calls.
   if (aRequest.mPath == kModelPath) {
     if (aRequest.mMethod != "POST") {
       SendError(*aReply,
@@ -202,6 +437,8 @@
     StartModelCall(*this, *context, aRequest, aReply);
     return;
   }
+
+  // 3. Plain services.
   auto slash = aRequest.mPath.find('/', 1);
   std::string name = aRequest.mPath.substr(1, slash - 1);
   const Service* service = FindService(*context->mConfig, name);
--- a/router/src/entry.h
+++ b/router/src/entry.h
@@ -2,17 +2,30 @@
 
 #include "admin.h"
 #include "agent_links.h"
+#include "answer_rater.h"
+#include "bill_keeper.h"
 #include "caller_api.h"
 #include "fleet.h"
 #include "node.h"
+#include "rollout_driver.h"
+#include "savory/core/balancer.h"
+#include "savory/core/cascade.h"
+#include "savory/core/explain.h"
+#include "savory/core/limits.h"
+#include "savory/core/metrics.h"
+#include "savory/core/quarantine.h"
 #include "savory/net/http_server.h"
 #include "savory/platform/store.h"
 
+#include <map>
 #include <memory>
 #include <set>
+#include <string>
 
 namespace savory {
 
+class ModelCall;
+
 // The entry role: takes callers' requests and brings each to an agent.
 class Entry
 {
@@ -24,27 +37,68 @@
   // Begins a graceful shutdown; the loop ends when the last call has.
   void Drain();
 
+  // Calls under way, for the drain and the state dump.
+  void CallStarted(const void* aCall);
+  void CallEnded(const void* aCall);
+
+  // Keeps a call that waits for room, until it is over.
+  void Keep(const std::shared_ptr<ModelCall>& aCall);
+  void Forget(const ModelCall* aCall);
+
+  // Whether calls wait for room.
+  bool IsOverloaded() const { return !mKept.empty(); }
+  // The pool of the backend servers that serve a "model@version"; empty when
+  // none is known.
+  std::string PoolOf(const std::string& aVersion) const;
+
+  void ObserveFirstToken(TimeMs aElapsedMs);
+  void ObserveStep(const std::string& aModel, TimeMs aElapsedMs);
+  void CountAnswer(int aStatus);
+
   Node& mNode;
   AgentLinks mLinks;
   StoreClient mStore;
   Fleet mFleet;
-  // Calls under way, for the drain and the state dump.
+  AnswerRater mRater;
+  BillKeeper mBills;
+  RolloutDriver mRollouts;
+  Balancer mBalancer;
+  BalancerOptions mBalancerOptions;
+  Limits mLimits;
+  Quarantine mQuarantine;
+  CascadeOptions mCascade;
+  ExplainLog mExplain;
+  Metrics mMetrics;
   std::set<const void*> mCalls;
-
-  void CallStarted(const void* aCall);
-  void CallEnded(const void* aCall);
+  // Calls that wait for room, by the id under which mLimits queues them.
+  std::map<std::string, std::weak_ptr<ModelCall>> mWaiting;
+  // The usual time of a step, by model, in milliseconds.
+  std::map<std::string, double> mStepMs;
 
 private:
   void OnCaller(const HttpRequest& aRequest,
                 const std::shared_ptr<HttpReply>& aReply);
+  bool Gate(const CallerContext& aContext, HttpReply& aReply);
   void ListModels(const HttpRequest& aRequest, HttpReply& aReply);
   void OnPeerStream(const std::shared_ptr<InnerStream>& aStream);
+  void OnReport(const Report& aReport);
+  void OnConfigChanged();
+  void OnRound();
+  void PumpQueue();
+  void SendSettledTo(const SendSettled& aSettled);
+  void Stop();
   nlohmann::json State() const;
+  nlohmann::json ExplainRequest(const std::string& aRequestId) const;
 
   Admin mAdmin;
   std::unique_ptr<InnerListener> mInner;
   std::unique_ptr<HttpServer> mCallers;
+  std::map<const ModelCall*, std::shared_ptr<ModelCall>> mKept;
+  std::map<int, CounterHandle> mAnswers;
+  HistogramHandle mFirstToken;
+  Timer mPump;
   Timer mDrainTimer;
+  Timer mDrainLimit;
 };
 
 // Handles one model call to its end.
--- a/router/src/fleet.cpp
+++ b/router/src/fleet.cpp
@@ -451,6 +451,30 @@
   }
 }
 
+void
+Fleet::HeardOf(const Sender& aSender)
+{
+  if (aSender.mRevision > mSync.mConfig.mRevision) {
+    // An agent cannot be pulled from; the newer configuration is at the store
+    // and at the entry that brought it to the agent.
+    LookAtHead();
+  }
+}
+
+int
+Fleet::EntryCount() const
+{
+  return static_cast<int>(std::max<std::size_t>(
+    1, LiveEntries(mMembers, "", mNode.mLoop.NowMs()).size()));
+}
+
+bool
+Fleet::IsFirstFor(std::string_view aKey) const
+{
+  return RendezvousFirst(LiveEntries(mMembers, "", mNode.mLoop.NowMs()),
+                         aKey) == mNode.mSettings.mHost;
+}
+
 void
 Fleet::BringUpToDate(AgentLink& aLink)
 {
--- a/router/src/fleet.h
+++ b/router/src/fleet.h
@@ -32,6 +32,14 @@
   // Looks at the head in the store at once, as after an operator's hint.
   void LookAtHead();
 
+  // Takes the revision that any message of another process carried.
+  void HeardOf(const Sender& aSender);
+
+  // Live entries, this one included.
+  int EntryCount() const;
+  // Whether this entry is the one of all live ones that looks after a key.
+  bool IsFirstFor(std::string_view aKey) const;
+
   // Brings the configuration to an agent that is about to get a request and
   // has not confirmed it, without waiting for the next push.
   void BringUpToDate(AgentLink& aLink);
