Hold bills at agent and entry until they are in the store

Change: the agent adds the step before it sends the end of the answer, the entry before it completes the reply; /settled frees the agent's copy, which is written by the agent after 10 s otherwise. Service calls get a step of cost 0. Ruled out: a bill from the entry alone; it is lost with the entry.

--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -13,10 +13,18 @@
 constexpr TimeMs kReportMs = 1000;
 constexpr TimeMs kPollMs = 250;
 
+// How long an agent keeps its copy of a step for the entry to write.
+constexpr TimeMs kBillHoldMs = 10000;
+
+// Time for the last answers and reports to leave the sockets at a shutdown.
+constexpr TimeMs kLingerMs = 200;
+
 } // namespace
 
 Agent::Agent(Node& aNode)
   : mNode(aNode)
+  , mStore(aNode.mHttp, aNode.mSettings.mStore)
+  , mBills(aNode, mStore, kBillHoldMs, [](const SendSettled&) {})
   , mAdmin(aNode,
            { .mState = [this] { return State(); },
              .mMetrics = [this] { return mMetrics.Text(); },
@@ -292,6 +300,7 @@
            { "tokens_held", mAdmission.mTokensHeld },
            { "allowance", Allowance(mWarmup, WarmupLimits()) },
            { "warmup_cause", mWarmup.mCause },
+           { "unwritten_bills", mBills.Unwritten() },
            { "suspects", mQuarantine.mSuspects.size() } };
 }
 
@@ -315,6 +324,11 @@
     mSubscribers.insert(aStream);
     aStream->mOnClosed = [this, aStream](bool) { mSubscribers.erase(aStream); };
     aStream->Send(FrameType::Head, Encode(MakeReport()));
+  } else if (aStream->Path() == "/settled") {
+    aStream->mOnFrame = [this, aStream](const Frame& aFrame) {
+      OnSettled(aFrame);
+      aStream->Finish();
+    };
   } else if (aStream->Path() == "/config") {
     aStream->mOnFrame = [this, aStream](const Frame& aFrame) {
       OnConfig(aStream, aFrame);
@@ -324,6 +338,24 @@
   }
 }
 
+// Takes an entry's word that steps are in the store.
+void
+Agent::OnSettled(const Frame& aFrame)
+{
+  auto document = DecodeDocument(aFrame.mPayload);
+  if (!document || !document->contains("steps") ||
+      !(*document)["steps"].is_array()) {
+    return;
+  }
+  std::vector<StepId> steps;
+  for (const auto& step : (*document)["steps"]) {
+    if (auto id = ParseStepId(step)) {
+      steps.push_back(*id);
+    }
+  }
+  mBills.TakeSettled(steps);
+}
+
 // Takes a configuration that an entry brings. When it is a difference to one
 // that this agent lacks, the stream carries back what to send instead.
 void
@@ -361,12 +393,27 @@
   PollQueue();
   LogEvent(Event::DrainStarted, { { "calls", std::to_string(mCalls.size()) } });
   ReportNow();
-  mDrainTimer = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
+  mDrainLimit = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
     LogEvent(Event::AbandonedAtStop,
-             { { "calls", std::to_string(mCalls.size()) } });
+             { { "calls", std::to_string(mCalls.size()) },
+               { "bills", std::to_string(mBills.Unwritten()) } });
     mNode.mLoop.Stop();
   });
-  CallEnded(nullptr);
+  mDrainTimer = Timer::Every(mNode.mLoop, kLingerMs, [this] { Stop(); });
+}
+
+// Ends the process once no call is under way and no bill is unwritten.
+void
+Agent::Stop()
+{
+  if (!mCalls.empty()) {
+    return;
+  }
+  if (mBills.Unwritten() > 0) {
+    mBills.Flush();
+    return;
+  }
+  mNode.mLoop.Stop();
 }
 
 void
@@ -379,11 +426,6 @@
 Agent::CallEnded(const void* aCall)
 {
   mCalls.erase(aCall);
-  if (mNode.mDraining && mCalls.empty()) {
-    // The report and the last answer still have to leave the socket.
-    mDrainTimer =
-      Timer::After(mNode.mLoop, 200, [this] { mNode.mLoop.Stop(); });
-  }
 }
 
 void
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admin.h"
+#include "bill_keeper.h"
 #include "node.h"
 #include "savory/core/admission.h"
 #include "savory/core/config_sync.h"
@@ -65,6 +66,8 @@
   bool IsZoneOut() const;
 
   Node& mNode;
+  StoreClient mStore;
+  BillKeeper mBills;
   Metrics mMetrics;
   std::set<const void*> mCalls;
   BackendLoad mLoad;
@@ -74,9 +77,11 @@
 
 private:
   void OnStream(const std::shared_ptr<InnerStream>& aStream);
+  void OnSettled(const Frame& aFrame);
   void OnConfig(const std::shared_ptr<InnerStream>& aStream,
                 const Frame& aFrame);
   void PollBackend();
+  void Stop();
   void OnLoad(const tl::expected<BackendLoad, BackendError>& aLoad);
   void TellBroken(bool aCrashed);
   void ApplyChanges(const AdmissionChanges& aChanges);
@@ -104,6 +109,7 @@
   Timer mPollTimer;
   Timer mQueueTimer;
   Timer mDrainTimer;
+  Timer mDrainLimit;
 };
 
 // Serve one stream of an entry to its end.
--- a/router/src/agent_run.cpp
+++ b/router/src/agent_run.cpp
@@ -413,9 +413,26 @@
   SendEnd(end);
 }
 
+// Holds a copy of the step until the entry's word that it is in the store.
+void
+AgentRun::KeepStep(const AnswerEnd& aEnd)
+{
+  mAgent.mBills.Add(
+    { .mId = { mRequest.mRequestId, mRequest.mStep, mRequest.mAttempt },
+      .mCustomer = mRequest.mCustomer,
+      .mService = {},
+      .mVersion = mRequest.mModel + "@" + mRequest.mVersion,
+      .mAgent = mAgent.mNode.mSettings.mHost,
+      .mInputTokens = aEnd.mInputTokens,
+      .mOutputTokens = aEnd.mOutputTokens,
+      .mCost = aEnd.mCost,
+      .mComplete = aEnd.mComplete });
+}
+
 void
 AgentRun::SendEnd(const AnswerEnd& aEnd)
 {
+  KeepStep(aEnd);
   mStream->Send(FrameType::End, Encode(aEnd));
   mStream->Finish();
 }
--- a/router/src/agent_run.h
+++ b/router/src/agent_run.h
@@ -42,6 +42,7 @@
                   const std::string& aReason,
                   std::uint64_t aCrash);
   void SendEnd(const AnswerEnd& aEnd);
+  void KeepStep(const AnswerEnd& aEnd);
   void LeaveBackend();
   Micros CostOf(const TokenUsage& aUsage) const;
 
--- a/router/src/service_call.cpp
+++ b/router/src/service_call.cpp
@@ -235,6 +235,17 @@
     Fail(mLastError);
     return;
   }
+  // A replayed answer has the request id of the first, so that it is billed
+  // once.
+  mEntry.mBills.Add({ .mId = { mContext.mRequestId, 0, 0 },
+                      .mCustomer = mContext.mCustomer->mName,
+                      .mService = mService.mName,
+                      .mVersion = {},
+                      .mAgent = {},
+                      .mInputTokens = 0,
+                      .mOutputTokens = 0,
+                      .mCost = 0,
+                      .mComplete = true });
   mDeadline.Cancel();
   mReply->mOnClosed = {};
   Headers headers = mHead.mHeaders;
