--- a/bench/bench_record.cpp
+++ b/bench/bench_record.cpp
@@ -1,10 +1,403 @@
 #include "benchmarks.h"
 
+#include "savory/core/identity.h"
+#include "savory/core/record.h"
+
+#include <algorithm>
+#include <ctime>
+#include <malloc.h>
+#include <map>
+#include <random>
+
 namespace savory::bench {
 
+namespace {
+
+constexpr std::uint64_t kSeeds[] = { 11, 12, 13, 14, 15 };
+constexpr std::int64_t kUnixMs = 1700000000000;
+// The time a store write and a backend server take in the simulations.
+constexpr TimeMs kStoreMs = 3;
+constexpr TimeMs kBackendMs = 20;
+constexpr TimeMs kHourMs = 3600 * 1000;
+
+Slot
+ServingSlot(const RecordOptions& aOptions)
+{
+  Slot slot = MakeSlot({ "owner", 1 }, aOptions, kUnixMs, 0);
+  LeaseRenewed(slot, 0);
+  TakeOver(slot, std::nullopt, 0);
+  StatusAnswered(slot, StoreAnswer::Written, {}, 0);
+  RecordRead(slot, std::vector<std::string>{}, 0);
+  ProposeWitnesses(slot, { AgentName{ "b", 1 }, AgentName{ "c", 1 } }, 0);
+  StatusAnswered(slot, StoreAnswer::Written, {}, 0);
+  return slot;
+}
+
+// A call with a fresh key of 36 characters, as of a UUID.
+KeyedCall
+FreshCall(CallId aId, std::mt19937_64& aRandom)
+{
+  std::string key = Sha256Hex(std::to_string(aRandom())).substr(0, 36);
+  return { .mId = aId,
+           .mCustomer = "customer-" + std::to_string(aRandom() % 10),
+           .mKey = key,
+           .mFingerprint = aRandom(),
+           .mRequestId = key };
+}
+
+Outcome
+SmallOutcome()
+{
+  return { .mStatus = 201,
+           .mHeaders = { { "content-type", "application/json" } },
+           .mBody = std::string(200, 'x'),
+           .mKept = true };
+}
+
+// One simulated owner whose store answers after kStoreMs and whose backend
+// server answers after kBackendMs.
+struct Simulation
+{
+  Slot mSlot;
+  std::multimap<TimeMs, RecordAction> mPending;
+  std::map<CallId, TimeMs> mArrived;
+  std::vector<double> mWaits;
+  int mWrites = 0;
+  std::map<std::string, int> mAnswers;
+
+  explicit Simulation(Slot aSlot)
+    : mSlot(std::move(aSlot))
+  {
+  }
+
+  void Take(RecordActions aActions, TimeMs aNowMs)
+  {
+    for (auto& action : aActions) {
+      if (const auto* answer = std::get_if<AnswerCall>(&action)) {
+        std::string name =
+          answer->mOutcome
+            ? "served"
+            : std::string(NameOf(kErrorCodeNames, answer->mCode)) + "/" +
+                std::string(NameOf(kRanNames, answer->mRan));
+        ++mAnswers[name];
+      } else if (std::holds_alternative<WriteBatch>(action)) {
+        ++mWrites;
+        mPending.emplace(aNowMs + kStoreMs, std::move(action));
+      } else if (const auto* run = std::get_if<DispatchCall>(&action)) {
+        auto arrived = mArrived.find(run->mCall);
+        if (arrived != mArrived.end()) {
+          mWaits.push_back(static_cast<double>(aNowMs - arrived->second));
+          mArrived.erase(arrived);
+        }
+        mPending.emplace(aNowMs + kBackendMs, std::move(action));
+      } else if (std::holds_alternative<SendClaims>(action)) {
+        mPending.emplace(aNowMs + 1, std::move(action));
+      }
+    }
+  }
+
+  void Advance(TimeMs aNowMs)
+  {
+    while (!mPending.empty() && mPending.begin()->first <= aNowMs) {
+      RecordAction action = std::move(mPending.begin()->second);
+      mPending.erase(mPending.begin());
+      if (const auto* write = std::get_if<WriteBatch>(&action)) {
+        Take(
+          BatchAnswered(mSlot, write->mSequence, StoreAnswer::Written, aNowMs),
+          aNowMs);
+      } else if (const auto* run = std::get_if<DispatchCall>(&action)) {
+        Take(BackendAnswered(mSlot, run->mCall, SmallOutcome(), aNowMs),
+             aNowMs);
+      } else if (const auto* claims = std::get_if<SendClaims>(&action)) {
+        Take(WitnessAcked(mSlot, claims->mWitness, claims->mRound, aNowMs),
+             aNowMs);
+      }
+    }
+    auto due = NextDueMs(mSlot);
+    if (due && *due <= aNowMs) {
+      Take(Tick(mSlot, aNowMs), aNowMs);
+    }
+  }
+};
+
+double
+Quantile(std::vector<double> aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  auto at =
+    static_cast<std::size_t>(aShare * static_cast<double>(aValues.size()));
+  return aValues[std::min(at, aValues.size() - 1)];
+}
+
+// Claims committed in one second by a slot that always has calls waiting.
+void
+BenchCapacity(Results& aResults)
+{
+  Line line{ .mName = "record: claims per second of one slot",
+             .mUnit = "1/s",
+             .mBetter = Better::Higher,
+             .mValues = {},
+             .mBaselines = { { "one write a call", 20 } },
+             .mBound = std::nullopt,
+             .mTarget = std::nullopt };
+  for (auto seed : kSeeds) {
+    std::mt19937_64 random(seed);
+    RecordOptions options;
+    options.mMaxBytes = 256 << 20;
+    Simulation simulation(ServingSlot(options));
+    CallId call = 0;
+    for (TimeMs now = 100; now < 1100; ++now) {
+      while (simulation.mSlot.mQueue.size() < 6000) {
+        simulation.Take(
+          CallArrived(simulation.mSlot, FreshCall(++call, random), now), now);
+      }
+      simulation.Advance(now);
+    }
+    line.mValues.push_back(static_cast<double>(simulation.mAnswers["served"]));
+    MixDecision(aResults,
+                "capacity " + std::to_string(simulation.mAnswers["served"]) +
+                  " " + std::to_string(simulation.mWrites));
+  }
+  aResults.mLines.push_back(std::move(line));
+}
+
+// The wait between arrival and dispatch at a fixed rate of fresh keys, less
+// the time of the store write. Without groups each call has its own write.
+void
+BenchWait(Results& aResults)
+{
+  for (int rate : { 20, 500 }) {
+    std::string name = "record: wait by group commit, " + std::to_string(rate);
+    Line median{ .mName = name + "/s, median",
+                 .mUnit = "ms",
+                 .mValues = {},
+                 .mBaselines = { { "one write a call", 0 },
+                                 { "its writes/s", rate } },
+                 .mBound = 0.5 * 50,
+                 .mTarget = std::nullopt };
+    Line tail = median;
+    tail.mName = name + "/s, p99";
+    tail.mBound = 50;
+    Line writes{ .mName = name + "/s, writes",
+                 .mUnit = "1/s",
+                 .mValues = {},
+                 .mBaselines = { { "one write a call", 2.0 * rate } },
+                 .mBound = std::nullopt,
+                 .mTarget = 20 };
+    for (auto seed : kSeeds) {
+      std::mt19937_64 random(seed);
+      std::poisson_distribution<int> arrivals(rate / 1000.0);
+      Simulation simulation(ServingSlot({}));
+      CallId call = 0;
+      constexpr TimeMs kSpanMs = 30000;
+      for (TimeMs now = 100; now < 100 + kSpanMs; ++now) {
+        for (int i = arrivals(random); i > 0; --i) {
+          simulation.mArrived[++call] = now;
+          simulation.Take(
+            CallArrived(simulation.mSlot, FreshCall(call, random), now), now);
+        }
+        simulation.Advance(now);
+      }
+      for (double& wait : simulation.mWaits) {
+        wait -= kStoreMs;
+      }
+      median.mValues.push_back(Quantile(simulation.mWaits, 0.5));
+      tail.mValues.push_back(Quantile(simulation.mWaits, 0.99));
+      writes.mValues.push_back(simulation.mWrites * 1000.0 / kSpanMs);
+      MixDecision(aResults,
+                  "wait " + std::to_string(simulation.mWrites) + " " +
+                    std::to_string(simulation.mWaits.size()) + " " +
+                    std::to_string(Quantile(simulation.mWaits, 0.99)));
+    }
+    aResults.mLines.push_back(std::move(median));
+    aResults.mLines.push_back(std::move(tail));
+    aResults.mLines.push_back(std::move(writes));
+  }
+}
+
+// Heap bytes of a remembered key with an answer of 200 bytes, and processor
+// time from arrival to recorded outcome.
+void
+BenchCost(Results& aResults)
+{
+  Line bytes{ .mName = "record: memory per key, 200-byte answer",
+              .mUnit = "bytes",
+              .mValues = {},
+              .mBaselines = {},
+              .mBound = std::nullopt,
+              .mTarget = std::nullopt };
+  Line time{ .mName = "record: processor time per call",
+             .mUnit = "us",
+             .mValues = {},
+             .mBaselines = {},
+             .mBound = std::nullopt,
+             .mTarget = std::nullopt };
+  double estimate = 0;
+  for (auto seed : kSeeds) {
+    constexpr int kCalls = 50000;
+    constexpr int kPerMs = 5;
+    std::mt19937_64 random(seed);
+    std::vector<KeyedCall> calls;
+    calls.reserve(kCalls);
+    for (CallId call = 1; call <= kCalls; ++call) {
+      calls.push_back(FreshCall(call, random));
+    }
+    Simulation simulation(ServingSlot({}));
+    auto before = mallinfo2().uordblks + mallinfo2().hblkhd;
+    std::clock_t start = std::clock();
+    TimeMs now = 100;
+    for (std::size_t i = 0; i < calls.size(); ++i) {
+      now += i % kPerMs == 0;
+      simulation.Take(CallArrived(simulation.mSlot, calls[i], now), now);
+      simulation.Advance(now);
+    }
+    for (TimeMs end = now + 2000; now < end; ++now) {
+      simulation.Advance(now);
+    }
+    double seconds = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+    simulation.mPending.clear();
+    auto after = mallinfo2().uordblks + mallinfo2().hblkhd;
+    bytes.mValues.push_back(static_cast<double>(after - before) / kCalls);
+    time.mValues.push_back(seconds * 1e6 / kCalls);
+    estimate = static_cast<double>(RecordBytes(simulation.mSlot)) / kCalls;
+    MixDecision(aResults,
+                "cost " + std::to_string(simulation.mAnswers["served"]) + " " +
+                  std::to_string(RecordBytes(simulation.mSlot)));
+  }
+  bytes.mBaselines = { { "estimate of the bound", estimate } };
+  aResults.mLines.push_back(std::move(bytes));
+  aResults.mLines.push_back(std::move(time));
+}
+
+struct OutageShares
+{
+  double mServed = 0;
+  double mRefused = 0;
+  double mNotRun = 0;
+  double mUnknown = 0;
+};
+
+// An hour without the store, at 10 fresh keys a second. aFails: 0 no agent,
+// 1 a witness, 2 the owner, at a random time. Calls to a lost owner are
+// answered by the entry, as nobody takes over in an outage: unknown.
+OutageShares
+SimulateOutage(std::mt19937_64& aRandom,
+               const RecordOptions& aOptions,
+               int aFails)
+{
+  constexpr TimeMs kGapMs = 100;
+  Simulation simulation(ServingSlot(aOptions));
+  auto failMs = static_cast<TimeMs>(aRandom() % kHourMs);
+  simulation.Take(StoreUnreachable(simulation.mSlot, 100), 100);
+  int sent = 0;
+  int lost = 0;
+  bool failed = aFails == 0;
+  for (TimeMs now = 101; now < kHourMs; now += 20) {
+    if (!failed && now >= failMs) {
+      failed = true;
+      if (aFails == 1) {
+        simulation.Take(WitnessLost(simulation.mSlot, 0, now), now);
+      }
+    }
+    bool ownerLost = aFails == 2 && failed;
+    if (now % kGapMs == 1) {
+      ++sent;
+      if (ownerLost) {
+        ++lost;
+      } else {
+        simulation.Take(
+          CallArrived(simulation.mSlot,
+                      FreshCall(static_cast<CallId>(sent), aRandom),
+                      now),
+          now);
+      }
+    }
+    if (!ownerLost) {
+      simulation.Advance(now);
+    }
+  }
+  OutageShares shares;
+  double all = sent;
+  int proved = 0;
+  int refused = 0;
+  for (const auto& [name, count] : simulation.mAnswers) {
+    if (name != "served") {
+      refused += count;
+      proved += name.ends_with("/not_run") ? count : 0;
+    }
+  }
+  shares.mServed = simulation.mAnswers["served"] / all;
+  shares.mRefused = refused / all;
+  shares.mNotRun = proved / all;
+  shares.mUnknown = lost / all;
+  return shares;
+}
+
+void
+BenchOutage(Results& aResults)
+{
+  struct Scenario
+  {
+    const char* mName;
+    int mFails;
+  };
+  for (const Scenario& scenario : { Scenario{ "no agent fails", 0 },
+                                    Scenario{ "a witness fails", 1 },
+                                    Scenario{ "the owner fails", 2 } }) {
+    std::string name =
+      std::string("record: 1 h store outage, ") + scenario.mName;
+    auto line = [&name](const char* aWhat, Better aBetter) {
+      return Line{ .mName = name + ", " + aWhat,
+                   .mUnit = "share",
+                   .mBetter = aBetter,
+                   .mValues = {},
+                   .mBaselines = {},
+                   .mBound = std::nullopt,
+                   .mTarget = std::nullopt };
+    };
+    Line served = line("served", Better::Higher);
+    Line refused = line("refused", Better::Lower);
+    Line proved = line("refused, proved not run", Better::Higher);
+    Line unknown = line("no owner: unknown", Better::Lower);
+    double withoutCopy = 0;
+    for (auto seed : kSeeds) {
+      std::mt19937_64 random(seed);
+      auto shares = SimulateOutage(random, {}, scenario.mFails);
+      served.mValues.push_back(shares.mServed);
+      refused.mValues.push_back(shares.mRefused);
+      proved.mValues.push_back(shares.mNotRun);
+      unknown.mValues.push_back(shares.mUnknown);
+      MixDecision(aResults,
+                  name + std::to_string(shares.mServed) + " " +
+                    std::to_string(shares.mRefused) + " " +
+                    std::to_string(shares.mNotRun));
+      RecordOptions bare;
+      bare.mWitnessAcks = 0;
+      std::mt19937_64 same(seed);
+      withoutCopy += SimulateOutage(same, bare, scenario.mFails).mServed /
+                     static_cast<double>(std::size(kSeeds));
+    }
+    served.mBaselines = { { "refuse all", 0 },
+                          { "run without a copy", withoutCopy } };
+    aResults.mLines.push_back(std::move(served));
+    aResults.mLines.push_back(std::move(refused));
+    aResults.mLines.push_back(std::move(proved));
+    aResults.mLines.push_back(std::move(unknown));
+  }
+}
+
+} // namespace
+
 void
-BenchRecord(Results& /*aResults*/)
+BenchRecord(Results& aResults)
 {
+  BenchCapacity(aResults);
+  BenchWait(aResults);
+  BenchCost(aResults);
+  BenchOutage(aResults);
 }
 
 } // namespace savory::bench
--- a/core/include/savory/core/record.h
+++ b/core/include/savory/core/record.h
@@ -117,7 +117,7 @@
   // when they alone exceed it, new keys are refused.
   std::size_t mMaxBytes = 64 << 20;
   // New keys are refused while more waits to be written, as in an outage.
-  std::size_t mMaxQueueBytes = 32 << 20;
+  std::size_t mMaxQueueBytes = 64 << 20;
 
   bool mClaimBeforeRun = true;
   bool mFenceWrites = true;
@@ -268,6 +268,9 @@
   std::int64_t mEpoch = 0;
   std::int64_t mAttempt = 0;
   std::int64_t mClaimedMs = 0;
+  // The number of the key's item in the queue; it left the queue when this is
+  // below the slot's mQueueBase.
+  std::int64_t mQueued = -1;
   std::shared_ptr<const Outcome> mOutcome;
   std::vector<CallId> mWaiting;
 };
@@ -355,7 +358,9 @@
   std::unordered_map<CallId, const std::string*> mCalls;
   std::unordered_map<CallId, Claim> mRunning;
 
+  // At most one item a key: a later one replaces it, as it says more.
   std::deque<RecordItem> mQueue;
+  std::int64_t mQueueBase = 0;
   std::size_t mQueueBytes = 0;
   std::optional<BatchInFlight> mInFlight;
   std::int64_t mNextSequence = 1;
--- a/core/src/record.cpp
+++ b/core/src/record.cpp
@@ -249,7 +249,7 @@
   }
   if (state.mWaiting.empty()) {
     state.mPhase = KeyPhase::NotRun;
-    Enqueue(aSlot, { RecordItemKind::NotRun, aClaim, nullptr });
+    Enqueue(aSlot, state, { RecordItemKind::NotRun, aClaim, nullptr });
     return;
   }
   state.mPhase = KeyPhase::Running;
@@ -301,6 +301,7 @@
     aSlot.mQueueBytes -= size;
     value.mItems.push_back(std::move(aSlot.mQueue.front()));
     aSlot.mQueue.pop_front();
+    ++aSlot.mQueueBase;
   }
   // 3. The write.
   std::string text = ToJson(value).dump();
@@ -403,7 +404,7 @@
   state.mWaiting.insert(state.mWaiting.begin(), aCall.mId);
   aSlot.mCalls[aCall.mId] = &aSlot.mKeys.find(key)->first;
   // 4. The claim goes to the store, and in an outage to the witnesses first.
-  Enqueue(aSlot, { RecordItemKind::Claim, claim, nullptr });
+  Enqueue(aSlot, state, { RecordItemKind::Claim, claim, nullptr });
   bool withoutCopy = !aSlot.mStoreReachable && aSlot.mOptions.mWitnessAcks == 0;
   if (!aSlot.mOptions.mClaimBeforeRun || withoutCopy) {
     CommitClaim(aSlot, claim, actions);
@@ -515,7 +516,7 @@
                 actions);
   auto recorded = Recorded(aSlot.mOptions, outcome);
   if (IsServing(aSlot)) {
-    Enqueue(aSlot, { RecordItemKind::Outcome, claim, recorded });
+    Enqueue(aSlot, state, { RecordItemKind::Outcome, claim, recorded });
   }
   SetOutcome(aSlot, state, recorded);
   Flush(aSlot, aNowMs, actions);
@@ -566,7 +567,7 @@
                         "the backend server was not reached"),
                 actions);
   if (IsServing(aSlot)) {
-    Enqueue(aSlot, { RecordItemKind::NotRun, claim, nullptr });
+    Enqueue(aSlot, state, { RecordItemKind::NotRun, claim, nullptr });
   }
   Flush(aSlot, aNowMs, actions);
   return actions;
--- a/core/src/record_detail.h
+++ b/core/src/record_detail.h
@@ -44,9 +44,11 @@
 MakeRoom(Slot& aSlot, std::size_t aBytes);
 void
 ExpireKeys(Slot& aSlot, TimeMs aNowMs);
-// Adds an item to those that wait to be written.
+// Adds an item to those that wait to be written, or replaces the key's item
+// among them: an outcome contains its claim, and a later claim supersedes what
+// is known of an earlier one.
 void
-Enqueue(Slot& aSlot, RecordItem aItem);
+Enqueue(Slot& aSlot, KeyState& aState, RecordItem aItem);
 
 std::size_t
 KeyBytes(const std::string& aKey);
--- a/core/src/record_keys.cpp
+++ b/core/src/record_keys.cpp
@@ -115,9 +115,18 @@
 }
 
 void
-Enqueue(Slot& aSlot, RecordItem aItem)
+Enqueue(Slot& aSlot, KeyState& aState, RecordItem aItem)
 {
   aSlot.mQueueBytes += EncodedBytes(aItem);
+  if (aState.mQueued >= aSlot.mQueueBase) {
+    auto& present =
+      aSlot.mQueue[static_cast<std::size_t>(aState.mQueued - aSlot.mQueueBase)];
+    aSlot.mQueueBytes -= EncodedBytes(present);
+    present = std::move(aItem);
+    return;
+  }
+  aState.mQueued =
+    aSlot.mQueueBase + static_cast<std::int64_t>(aSlot.mQueue.size());
   aSlot.mQueue.push_back(std::move(aItem));
 }
 
--- a/core/src/record_recovery.cpp
+++ b/core/src/record_recovery.cpp
@@ -115,7 +115,7 @@
     if (unwritten && claim.mClaimedMs > oldest) {
       RecordItem item{ RecordItemKind::Claim, claim, nullptr };
       ApplyItem(aSlot, item);
-      Enqueue(aSlot, std::move(item));
+      Enqueue(aSlot, aSlot.mKeys.at(MapKey(claim)), std::move(item));
     }
   }
   aSlot.mFetchedClaims.clear();
@@ -191,7 +191,8 @@
                         .mRan = ProofOfNotRun(aSlot, aNowMs),
                         .mReason = "the store and a witness are unreachable" };
     AnswerWaiting(aSlot, state, refusal, aActions);
-    Enqueue(aSlot, { RecordItemKind::NotRun, std::move(claim), nullptr });
+    Enqueue(
+      aSlot, state, { RecordItemKind::NotRun, std::move(claim), nullptr });
   }
 }
 
@@ -262,6 +263,7 @@
 {
   aSlot.mPhase = SlotPhase::Lost;
   aSlot.mLeaseUntilMs = -1;
+  aSlot.mQueueBase += static_cast<std::int64_t>(aSlot.mQueue.size());
   aSlot.mQueue.clear();
   aSlot.mQueueBytes = 0;
   aSlot.mInFlight.reset();
