Discount pass rates by half a standard deviation

Cause: a full standard deviation rejects the cheap cascade of long requests for hours, although it meets the target.

Change: mCaution 0.5 instead of 1.

Ruled out: no caution.

--- a/core/include/savory/core/cascade.h
+++ b/core/include/savory/core/cascade.h
@@ -18,7 +18,7 @@
   // Ratings that the configured quality counts as.
   double mPriorRatings = 20;
   // Standard deviations of the posterior by which a pass rate is discounted.
-  double mCaution = 1;
+  double mCaution = 0.5;
   // Ratings in the class from which a version is used without the rating
   // service.
   std::int64_t mProvenRatings = 30;
