--- a/core/include/savory/core/wire.h
+++ b/core/include/savory/core/wire.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "savory/core/quarantine.h"
 #include "savory/core/types.h"
 
 #include <cstdint>
@@ -49,11 +50,12 @@
   std::string mPending;
 };
 
-std::string EncodeFrame(FrameType aType, std::string_view aPayload);
+std::string
+EncodeFrame(FrameType aType, std::string_view aPayload);
 
 // Takes received bytes and gives the frames that they complete, in order.
-tl::expected<std::vector<Frame>, WireError> ReadFrames(FrameReader& aReader,
-                                                       std::string_view aBytes);
+tl::expected<std::vector<Frame>, WireError>
+ReadFrames(FrameReader& aReader, std::string_view aBytes);
 
 // Who sent a message: the host's name, the incarnation of its process and the
 // revision of the configuration it has in force.
@@ -83,6 +85,10 @@
   std::uint64_t mFingerprint = 0;
   int mPriority = 0;
   bool mStream = false;
+  // Whether the agent may let the request wait, as when the entry has no other
+  // candidate, and whether it must run with no other request beside it.
+  bool mMayQueue = false;
+  bool mAlone = false;
 };
 
 // A call of a plain service, from an entry to an agent. The key is empty when
@@ -115,6 +121,8 @@
   int mStatus = 200;
   bool mReplayed = false;
   Headers mHeaders;
+  // The crash of the backend server that ended the request, or 0.
+  std::uint64_t mCrash = 0;
 };
 
 // The last frame of an answer: whether it is whole and what it used. Tokens
@@ -128,6 +136,7 @@
   std::int64_t mInputTokens = 0;
   std::int64_t mOutputTokens = 0;
   Micros mCost = 0;
+  std::uint64_t mCrash = 0;
 };
 
 // A slot of a plain service that an agent owns, with its epoch.
@@ -156,23 +165,43 @@
   std::int64_t mTokensHeld = 0;
   std::int64_t mTokenCapacity = 0;
   std::vector<OwnedSlot> mSlots;
+  std::vector<SuspectRow> mSuspects;
 };
 
 // Codecs of the messages (CBOR). A decoder refuses bytes that are no CBOR map
 // and fields of a wrong type; unknown fields are ignored.
-std::string Encode(const RunRequest& aMessage);
-std::string Encode(const CallRequest& aMessage);
-std::string Encode(const AnswerHead& aMessage);
-std::string Encode(const AnswerEnd& aMessage);
-std::string Encode(const Report& aMessage);
-tl::expected<RunRequest, WireError> DecodeRunRequest(std::string_view aBytes);
-tl::expected<CallRequest, WireError> DecodeCallRequest(std::string_view aBytes);
-tl::expected<AnswerHead, WireError> DecodeAnswerHead(std::string_view aBytes);
-tl::expected<AnswerEnd, WireError> DecodeAnswerEnd(std::string_view aBytes);
-tl::expected<Report, WireError> DecodeReport(std::string_view aBytes);
+std::string
+Encode(const RunRequest& aMessage);
+std::string
+Encode(const CallRequest& aMessage);
+std::string
+Encode(const AnswerHead& aMessage);
+std::string
+Encode(const AnswerEnd& aMessage);
+std::string
+Encode(const Report& aMessage);
+tl::expected<RunRequest, WireError>
+DecodeRunRequest(std::string_view aBytes);
+tl::expected<CallRequest, WireError>
+DecodeCallRequest(std::string_view aBytes);
+tl::expected<AnswerHead, WireError>
+DecodeAnswerHead(std::string_view aBytes);
+tl::expected<AnswerEnd, WireError>
+DecodeAnswerEnd(std::string_view aBytes);
+tl::expected<Report, WireError>
+DecodeReport(std::string_view aBytes);
+
+// Suspects as a list of [fingerprint, age in ms, [[crash, isolated, cleared]]].
+// Reading throws nlohmann::json::exception on any other shape.
+nlohmann::json
+SuspectsToJson(const std::vector<SuspectRow>& aRows);
+std::vector<SuspectRow>
+SuspectsFromJson(const nlohmann::json& aRows);
 
 // CBOR of any document, for messages without a type of their own.
-std::string EncodeDocument(const nlohmann::json& aDocument);
-tl::expected<nlohmann::json, WireError> DecodeDocument(std::string_view aBytes);
+std::string
+EncodeDocument(const nlohmann::json& aDocument);
+tl::expected<nlohmann::json, WireError>
+DecodeDocument(std::string_view aBytes);
 
 } // namespace savory
--- a/core/src/wire.cpp
+++ b/core/src/wire.cpp
@@ -10,34 +10,39 @@
 
 constexpr std::size_t kFrameHeaderBytes = 5;
 
-json SenderJson(const Sender& aSender)
+json
+SenderJson(const Sender& aSender)
 {
   return { { "from", aSender.mHost },
            { "incarnation", aSender.mIncarnation },
            { "revision", aSender.mRevision } };
 }
 
-Sender ParseSender(const json& aMessage)
+Sender
+ParseSender(const json& aMessage)
 {
   return { .mHost = aMessage.at("from").get<std::string>(),
            .mIncarnation = aMessage.at("incarnation").get<std::int64_t>(),
            .mRevision = aMessage.at("revision").get<std::int64_t>() };
 }
 
-ErrorCode ParseCode(const json& aMessage)
+ErrorCode
+ParseCode(const json& aMessage)
 {
   return ValueOf(kErrorCodeNames, aMessage.value("code", std::string()))
     .value_or(ErrorCode::Internal);
 }
 
 // An absent or unknown value counts as Unknown, the only safe reading.
-Ran ParseRan(const json& aMessage)
+Ran
+ParseRan(const json& aMessage)
 {
   return ValueOf(kRanNames, aMessage.value("ran", std::string()))
     .value_or(Ran::Unknown);
 }
 
-std::string ToCbor(const json& aMessage)
+std::string
+ToCbor(const json& aMessage)
 {
   std::string bytes;
   json::to_cbor(aMessage, bytes);
@@ -46,7 +51,8 @@
 
 // Decodes bytes and fills a message; errors of the library become WireError.
 template<class T, class Fill>
-tl::expected<T, WireError> DecodeAs(std::string_view aBytes, Fill aFill)
+tl::expected<T, WireError>
+DecodeAs(std::string_view aBytes, Fill aFill)
 {
   auto document = DecodeDocument(aBytes);
   if (!document) {
@@ -62,7 +68,40 @@
 
 } // namespace
 
-std::string EncodeFrame(FrameType aType, std::string_view aPayload)
+json
+SuspectsToJson(const std::vector<SuspectRow>& aRows)
+{
+  json rows = json::array();
+  for (const auto& row : aRows) {
+    json crashes = json::array();
+    for (const auto& crash : row.mCrashes) {
+      crashes.push_back({ crash.mId, crash.mIsolated, crash.mCleared });
+    }
+    rows.push_back({ row.mFingerprint, row.mAgeMs, crashes });
+  }
+  return rows;
+}
+
+std::vector<SuspectRow>
+SuspectsFromJson(const json& aRows)
+{
+  std::vector<SuspectRow> rows;
+  for (const auto& row : aRows) {
+    SuspectRow suspect;
+    suspect.mFingerprint = row.at(0).get<std::uint64_t>();
+    suspect.mAgeMs = row.at(1).get<TimeMs>();
+    for (const auto& crash : row.at(2)) {
+      suspect.mCrashes.push_back({ crash.at(0).get<std::uint64_t>(),
+                                   crash.at(1).get<bool>(),
+                                   crash.at(2).get<bool>() });
+    }
+    rows.push_back(std::move(suspect));
+  }
+  return rows;
+}
+
+std::string
+EncodeFrame(FrameType aType, std::string_view aPayload)
 {
   std::string bytes;
   bytes.reserve(kFrameHeaderBytes + aPayload.size());
@@ -76,8 +115,8 @@
   return bytes;
 }
 
-tl::expected<std::vector<Frame>, WireError> ReadFrames(FrameReader& aReader,
-                                                       std::string_view aBytes)
+tl::expected<std::vector<Frame>, WireError>
+ReadFrames(FrameReader& aReader, std::string_view aBytes)
 {
   aReader.mPending.append(aBytes);
   std::vector<Frame> frames;
@@ -110,12 +149,14 @@
   return frames;
 }
 
-std::string EncodeDocument(const json& aDocument)
+std::string
+EncodeDocument(const json& aDocument)
 {
   return ToCbor(aDocument);
 }
 
-tl::expected<json, WireError> DecodeDocument(std::string_view aBytes)
+tl::expected<json, WireError>
+DecodeDocument(std::string_view aBytes)
 {
   // The library throws on an object size beyond its limit even when it is
   // asked not to throw on errors of the encoding.
@@ -132,7 +173,8 @@
   }
 }
 
-std::string Encode(const RunRequest& aMessage)
+std::string
+Encode(const RunRequest& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
   message["request"] = aMessage.mRequestId;
@@ -148,10 +190,13 @@
   message["fingerprint"] = aMessage.mFingerprint;
   message["priority"] = aMessage.mPriority;
   message["stream"] = aMessage.mStream;
+  message["may_queue"] = aMessage.mMayQueue;
+  message["alone"] = aMessage.mAlone;
   return ToCbor(message);
 }
 
-tl::expected<RunRequest, WireError> DecodeRunRequest(std::string_view aBytes)
+tl::expected<RunRequest, WireError>
+DecodeRunRequest(std::string_view aBytes)
 {
   return DecodeAs<RunRequest>(aBytes, [](const json& aMessage) {
     return RunRequest{
@@ -169,11 +214,14 @@
       .mFingerprint = aMessage.value("fingerprint", std::uint64_t(0)),
       .mPriority = aMessage.value("priority", 0),
       .mStream = aMessage.value("stream", false),
+      .mMayQueue = aMessage.value("may_queue", false),
+      .mAlone = aMessage.value("alone", false),
     };
   });
 }
 
-std::string Encode(const CallRequest& aMessage)
+std::string
+Encode(const CallRequest& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
   message["request"] = aMessage.mRequestId;
@@ -188,7 +236,8 @@
   return ToCbor(message);
 }
 
-tl::expected<CallRequest, WireError> DecodeCallRequest(std::string_view aBytes)
+tl::expected<CallRequest, WireError>
+DecodeCallRequest(std::string_view aBytes)
 {
   return DecodeAs<CallRequest>(aBytes, [](const json& aMessage) {
     return CallRequest{
@@ -206,7 +255,8 @@
   });
 }
 
-std::string Encode(const AnswerHead& aMessage)
+std::string
+Encode(const AnswerHead& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
   message["accepted"] = aMessage.mAccepted;
@@ -218,10 +268,12 @@
   message["status"] = aMessage.mStatus;
   message["replayed"] = aMessage.mReplayed;
   message["headers"] = aMessage.mHeaders;
+  message["crash"] = aMessage.mCrash;
   return ToCbor(message);
 }
 
-tl::expected<AnswerHead, WireError> DecodeAnswerHead(std::string_view aBytes)
+tl::expected<AnswerHead, WireError>
+DecodeAnswerHead(std::string_view aBytes)
 {
   return DecodeAs<AnswerHead>(aBytes, [](const json& aMessage) {
     return AnswerHead{
@@ -235,11 +287,13 @@
       .mStatus = aMessage.value("status", 200),
       .mReplayed = aMessage.value("replayed", false),
       .mHeaders = aMessage.value("headers", Headers()),
+      .mCrash = aMessage.value("crash", std::uint64_t(0)),
     };
   });
 }
 
-std::string Encode(const AnswerEnd& aMessage)
+std::string
+Encode(const AnswerEnd& aMessage)
 {
   return ToCbor({ { "complete", aMessage.mComplete },
                   { "code", NameOf(kErrorCodeNames, aMessage.mCode) },
@@ -247,10 +301,12 @@
                   { "reason", aMessage.mReason },
                   { "input_tokens", aMessage.mInputTokens },
                   { "output_tokens", aMessage.mOutputTokens },
-                  { "cost", aMessage.mCost } });
+                  { "cost", aMessage.mCost },
+                  { "crash", aMessage.mCrash } });
 }
 
-tl::expected<AnswerEnd, WireError> DecodeAnswerEnd(std::string_view aBytes)
+tl::expected<AnswerEnd, WireError>
+DecodeAnswerEnd(std::string_view aBytes)
 {
   return DecodeAs<AnswerEnd>(aBytes, [](const json& aMessage) {
     return AnswerEnd{
@@ -261,11 +317,13 @@
       .mInputTokens = aMessage.value("input_tokens", std::int64_t(0)),
       .mOutputTokens = aMessage.value("output_tokens", std::int64_t(0)),
       .mCost = aMessage.value("cost", Micros(0)),
+      .mCrash = aMessage.value("crash", std::uint64_t(0)),
     };
   });
 }
 
-std::string Encode(const Report& aMessage)
+std::string
+Encode(const Report& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
   message["pool"] = aMessage.mPool;
@@ -284,10 +342,12 @@
   for (const auto& slot : aMessage.mSlots) {
     message["slots"].push_back({ slot.mSlot, slot.mEpoch });
   }
+  message["suspects"] = SuspectsToJson(aMessage.mSuspects);
   return ToCbor(message);
 }
 
-tl::expected<Report, WireError> DecodeReport(std::string_view aBytes)
+tl::expected<Report, WireError>
+DecodeReport(std::string_view aBytes)
 {
   return DecodeAs<Report>(aBytes, [](const json& aMessage) {
     Report report{
@@ -305,11 +365,14 @@
       .mTokensHeld = aMessage.value("held", std::int64_t(0)),
       .mTokenCapacity = aMessage.value("capacity", std::int64_t(0)),
       .mSlots = {},
+      .mSuspects = {},
     };
     for (const auto& slot : aMessage.at("slots")) {
       report.mSlots.push_back(
         { slot.at(0).get<int>(), slot.at(1).get<std::int64_t>() });
     }
+    report.mSuspects =
+      SuspectsFromJson(aMessage.value("suspects", json::array()));
     return report;
   });
 }
