Explore where a cheaper choice may meet the target

Change: where a cheaper choice may still meet the target it is tried in 8% of the requests; elsewhere the least rated version is tried in 1%.

--- a/core/include/savory/core/cascade.h
+++ b/core/include/savory/core/cascade.h
@@ -13,8 +13,11 @@
 // Parameters of the choice of steps.
 struct CascadeOptions
 {
-  // Share of requests that go to the least rated version.
-  double mExplorationShare = 0.02;
+  // Share of requests that go to the least rated version, and the share that
+  // goes to a cheaper choice which may meet the target, where there is one.
+  // Over all requests both stay within 2%.
+  double mExplorationShare = 0.01;
+  double mPromisingShare = 0.08;
   // Ratings that the configured quality counts as.
   double mPriorRatings = 20;
   // Standard deviations of the posterior by which a pass rate is discounted.
--- a/core/src/cascade.cpp
+++ b/core/src/cascade.cpp
@@ -42,10 +42,11 @@
   std::int64_t mRatings = 0;
 };
 
-PassRate Posterior(double aPrior,
-                   double aPriorRatings,
-                   const RatingCounts& aCounts,
-                   double aCaution)
+PassRate
+Posterior(double aPrior,
+          double aPriorRatings,
+          const RatingCounts& aCounts,
+          double aCaution)
 {
   double prior = std::clamp(aPrior, kLowestPrior, kHighestPrior);
   double passed = prior * aPriorRatings + static_cast<double>(aCounts.mPassed);
@@ -56,19 +57,22 @@
 }
 
 // The pass rate of a version on requests that another version failed.
-PassRate PassRateAfter(const Candidate& aSecond,
-                       const Candidate& aFirst,
-                       const RatingTable& aRatings,
-                       int aClass,
-                       const CascadeOptions& aOptions)
+PassRate
+PassRateAfter(const Candidate& aSecond,
+              const Candidate& aFirst,
+              const RatingTable& aRatings,
+              int aClass,
+              const CascadeOptions& aOptions)
 {
-  return Posterior(aSecond.mRate.mMean,
-                   kAfterPriorRatings,
-                   CountsOf(aRatings, { aClass, aSecond.mText, aFirst.mText }),
-                   aOptions.mCaution);
+  return Posterior(
+    aSecond.mRate.mMean,
+    kAfterPriorRatings,
+    CountsOf(aRatings, { aClass, aSecond.mText, aFirst.mText }),
+    aOptions.mCaution);
 }
 
-bool Contains(const std::vector<std::string>& aList, std::string_view aText)
+bool
+Contains(const std::vector<std::string>& aList, std::string_view aText)
 {
   return std::find(aList.begin(), aList.end(), aText) != aList.end();
 }
@@ -76,12 +80,13 @@
 // Draws the version of a model that new work goes to: a candidate by its
 // share, else one of the serving versions by equal parts. Candidates receive
 // nothing without the rating service, because nothing could stop them.
-const Version* DrawVersion(const Configuration& aConfig,
-                           const Customer& aCustomer,
-                           const Model& aModel,
-                           const PlanInput& aInput,
-                           const CascadeOptions& aOptions,
-                           std::mt19937_64& aRandom)
+const Version*
+DrawVersion(const Configuration& aConfig,
+            const Customer& aCustomer,
+            const Model& aModel,
+            const PlanInput& aInput,
+            const CascadeOptions& aOptions,
+            std::mt19937_64& aRandom)
 {
   std::vector<const Version*> serving;
   double draw = std::uniform_real_distribution<>(0, 1)(aRandom);
@@ -116,11 +121,12 @@
                        0, last)(aRandom)];
 }
 
-Candidate MakeCandidate(const Model& aModel,
-                        const Version& aVersion,
-                        const RatingTable& aRatings,
-                        const PlanInput& aInput,
-                        const CascadeOptions& aOptions)
+Candidate
+MakeCandidate(const Model& aModel,
+              const Version& aVersion,
+              const RatingTable& aRatings,
+              const PlanInput& aInput,
+              const CascadeOptions& aOptions)
 {
   Candidate candidate{
     .mModel = &aModel,
@@ -139,12 +145,13 @@
   return candidate;
 }
 
-std::vector<Candidate> CollectCandidates(const Configuration& aConfig,
-                                         const Customer& aCustomer,
-                                         const RatingTable& aRatings,
-                                         const PlanInput& aInput,
-                                         const CascadeOptions& aOptions,
-                                         std::mt19937_64& aRandom)
+std::vector<Candidate>
+CollectCandidates(const Configuration& aConfig,
+                  const Customer& aCustomer,
+                  const RatingTable& aRatings,
+                  const PlanInput& aInput,
+                  const CascadeOptions& aOptions,
+                  std::mt19937_64& aRandom)
 {
   std::vector<Candidate> candidates;
   for (const auto& model : aConfig.mModels) {
@@ -163,8 +170,8 @@
 
 // Drops what is not proven in the class, but for the model of the best prior.
 // Nothing corrects a wrong estimate while no ratings come in.
-void KeepProven(std::vector<Candidate>& aCandidates,
-                const CascadeOptions& aOptions)
+void
+KeepProven(std::vector<Candidate>& aCandidates, const CascadeOptions& aOptions)
 {
   auto best =
     std::max_element(aCandidates.begin(),
@@ -179,7 +186,8 @@
   });
 }
 
-Choice SingleStep(const Candidate& aCandidate)
+Choice
+SingleStep(const Candidate& aCandidate)
 {
   return { .mFirst = &aCandidate,
            .mQuality = aCandidate.mRate.mMean,
@@ -191,11 +199,12 @@
 
 // Two steps take the time of both and of the rating between them; the second
 // is paid for only when the first fails.
-Choice TwoSteps(const Candidate& aFirst,
-                const Candidate& aSecond,
-                const RatingTable& aRatings,
-                const PlanInput& aInput,
-                const CascadeOptions& aOptions)
+Choice
+TwoSteps(const Candidate& aFirst,
+         const Candidate& aSecond,
+         const RatingTable& aRatings,
+         const PlanInput& aInput,
+         const CascadeOptions& aOptions)
 {
   PassRate after = PassRateAfter(
     aSecond, aFirst, aRatings, ClassIndex(aInput.mClass), aOptions);
@@ -212,17 +221,19 @@
            .mRatings = after.mRatings };
 }
 
-bool MayCascade(const Configuration& aConfig, const PlanInput& aInput)
+bool
+MayCascade(const Configuration& aConfig, const PlanInput& aInput)
 {
   return !aInput.mStream && aInput.mRatingUp &&
          PresetInForce(aConfig).mMaxSteps >= 2;
 }
 
-std::vector<Choice> ListChoices(const Configuration& aConfig,
-                                const std::vector<Candidate>& aCandidates,
-                                const RatingTable& aRatings,
-                                const PlanInput& aInput,
-                                const CascadeOptions& aOptions)
+std::vector<Choice>
+ListChoices(const Configuration& aConfig,
+            const std::vector<Candidate>& aCandidates,
+            const RatingTable& aRatings,
+            const PlanInput& aInput,
+            const CascadeOptions& aOptions)
 {
   std::vector<Choice> choices;
   for (const auto& first : aCandidates) {
@@ -241,9 +252,8 @@
 
 // The first of the least choices for which a predicate holds, or null.
 template<class Holds, class Less>
-const Choice* Least(const std::vector<Choice>& aChoices,
-                    Holds aHolds,
-                    Less aLess)
+const Choice*
+Least(const std::vector<Choice>& aChoices, Holds aHolds, Less aLess)
 {
   const Choice* best = nullptr;
   for (const auto& choice : aChoices) {
@@ -264,9 +274,10 @@
 // the preset says what gives way: its cost (best quality within the deadline),
 // its quality (best quality within the deadline at no more than the cost
 // without one) or its deadline (cheapest choice that meets the target).
-Picked PickChoice(const Preset& aPreset,
-                  const std::vector<Choice>& aChoices,
-                  TimeMs aRemainingMs)
+Picked
+PickChoice(const Preset& aPreset,
+           const std::vector<Choice>& aChoices,
+           TimeMs aRemainingMs)
 {
   auto any = [](const Choice&) { return true; };
   auto inTime = [&](const Choice& aChoice) {
@@ -317,16 +328,15 @@
   return { Least(aChoices, any, faster), "nothing is in time, fastest" };
 }
 
-// The choice that an exploration tries: the cheapest one that costs less than
-// the pick and may meet the target for all that is known of it, because only
-// such a choice can lower the cost. Without one, the least rated candidate.
-Choice ExplorationChoice(const std::vector<Choice>& aChoices,
-                         const Choice& aPicked,
-                         const std::vector<Candidate>& aCandidates,
-                         double aTarget,
-                         TimeMs aRemainingMs)
+// The cheapest choice that costs less than the pick and may meet the target
+// for all that is known of it, or null. Only such a choice can lower the cost.
+const Choice*
+PromisingChoice(const std::vector<Choice>& aChoices,
+                const Choice& aPicked,
+                double aTarget,
+                TimeMs aRemainingMs)
 {
-  const Choice* promising = Least(
+  return Least(
     aChoices,
     [&](const Choice& aChoice) {
       double margin = aChoice.mQuality - aChoice.mCautious;
@@ -337,19 +347,41 @@
     [](const Choice& aLeft, const Choice& aRight) {
       return aLeft.mCost < aRight.mCost;
     });
+}
+
+// The choice that one request explores, or null. A promising choice is tried
+// more often than the least rated candidate, which is only kept rated.
+const Choice*
+ExplorationChoice(const std::vector<Choice>& aChoices,
+                  const Choice& aPicked,
+                  const PlanInput& aInput,
+                  double aTarget,
+                  double aDraw,
+                  const CascadeOptions& aOptions)
+{
+  if (!aInput.mRatingUp) {
+    return nullptr;
+  }
+  const Choice* promising =
+    PromisingChoice(aChoices, aPicked, aTarget, aInput.mRemainingMs);
   if (promising) {
-    return *promising;
+    return aDraw < aOptions.mPromisingShare ? promising : nullptr;
   }
-  auto least =
-    std::min_element(aCandidates.begin(),
-                     aCandidates.end(),
-                     [](const Candidate& aLeft, const Candidate& aRight) {
-                       return aLeft.mRate.mRatings < aRight.mRate.mRatings;
-                     });
-  return SingleStep(*least);
+  if (aDraw >= aOptions.mExplorationShare) {
+    return nullptr;
+  }
+  return Least(
+    aChoices,
+    [&](const Choice& aChoice) {
+      return !aChoice.mSecond && aChoice.mExpectedMs <= aInput.mRemainingMs;
+    },
+    [](const Choice& aLeft, const Choice& aRight) {
+      return aLeft.mRatings < aRight.mRatings;
+    });
 }
 
-Step ToStep(const Candidate& aCandidate)
+Step
+ToStep(const Candidate& aCandidate)
 {
   return { aCandidate.mModel->mName,
            aCandidate.mVersion->mName,
@@ -358,10 +390,11 @@
            aCandidate.mExpectedMs };
 }
 
-std::string PlanReason(const Choice& aChoice,
-                       const PlanInput& aInput,
-                       double aTarget,
-                       const char* aWhy)
+std::string
+PlanReason(const Choice& aChoice,
+           const PlanInput& aInput,
+           double aTarget,
+           const char* aWhy)
 {
   char numbers[160];
   std::snprintf(numbers,
@@ -390,9 +423,10 @@
 }
 
 // Why a customer has nothing to run on.
-ErrorCode NoCandidateCode(const Configuration& aConfig,
-                          const Customer& aCustomer,
-                          const PlanInput& aInput)
+ErrorCode
+NoCandidateCode(const Configuration& aConfig,
+                const Customer& aCustomer,
+                const PlanInput& aInput)
 {
   if (!aInput.mModel.empty() && !FindModel(aConfig, aInput.mModel)) {
     return ErrorCode::UnknownModel;
@@ -417,12 +451,13 @@
 }
 
 // A step that may still run now in place of the planned second one.
-std::optional<Step> ReplacementStep(const Configuration& aConfig,
-                                    const Customer& aCustomer,
-                                    const RatingTable& aRatings,
-                                    const Step& aFirst,
-                                    const PlanInput& aInput,
-                                    const CascadeOptions& aOptions)
+std::optional<Step>
+ReplacementStep(const Configuration& aConfig,
+                const Customer& aCustomer,
+                const RatingTable& aRatings,
+                const Step& aFirst,
+                const PlanInput& aInput,
+                const CascadeOptions& aOptions)
 {
   std::optional<Step> best;
   for (const auto& model : aConfig.mModels) {
@@ -451,11 +486,12 @@
 
 } // namespace
 
-PassRate PassRateOf(const Model& aModel,
-                    std::string_view aVersion,
-                    const RatingTable& aRatings,
-                    int aClass,
-                    const CascadeOptions& aOptions)
+PassRate
+PassRateOf(const Model& aModel,
+           std::string_view aVersion,
+           const RatingTable& aRatings,
+           int aClass,
+           const CascadeOptions& aOptions)
 {
   PassRate rate{ aModel.mQuality, aModel.mQuality, 0 };
   for (const auto& version : aModel.mVersions) {
@@ -472,12 +508,13 @@
   return rate;
 }
 
-tl::expected<Plan, ErrorCode> PlanRequest(const Configuration& aConfig,
-                                          const Customer& aCustomer,
-                                          const RatingTable& aRatings,
-                                          const PlanInput& aInput,
-                                          const CascadeOptions& aOptions,
-                                          std::mt19937_64& aRandom)
+tl::expected<Plan, ErrorCode>
+PlanRequest(const Configuration& aConfig,
+            const Customer& aCustomer,
+            const RatingTable& aRatings,
+            const PlanInput& aInput,
+            const CascadeOptions& aOptions,
+            std::mt19937_64& aRandom)
 {
   // 1. What the customer may use and what takes new work.
   auto candidates =
@@ -495,41 +532,37 @@
   Choice choice = *picked.mChoice;
   // 3. A share of the requests keeps all versions rated.
   double draw = std::uniform_real_distribution<>(0, 1)(aRandom);
-  bool explore = aInput.mRatingUp && candidates.size() > 1 &&
-                 draw < aOptions.mExplorationShare;
-  if (explore) {
-    Choice trial = ExplorationChoice(
-      choices, choice, candidates, preset.mQualityTarget, aInput.mRemainingMs);
-    explore = trial.mExpectedMs <= aInput.mRemainingMs;
-    if (explore) {
-      choice = trial;
-      picked.mWhy = "exploration";
-    }
+  const Choice* trial = ExplorationChoice(
+    choices, choice, aInput, preset.mQualityTarget, draw, aOptions);
+  if (trial) {
+    choice = *trial;
+    picked.mWhy = "exploration";
   }
   // 4. The plan and its explanation.
-  Plan plan{ .mSteps = { ToStep(*choice.mFirst) },
-             .mQuality = choice.mQuality,
-             .mCost = choice.mCost,
-             .mExpectedMs = choice.mExpectedMs,
-             .mExploration = explore,
-             .mRateAnswer =
-               aInput.mRatingUp &&
-               (explore || choice.mRatings < aOptions.mWantedRatings),
-             .mReason =
-               PlanReason(choice, aInput, preset.mQualityTarget, picked.mWhy) };
+  Plan plan{
+    .mSteps = { ToStep(*choice.mFirst) },
+    .mQuality = choice.mQuality,
+    .mCost = choice.mCost,
+    .mExpectedMs = choice.mExpectedMs,
+    .mExploration = trial != nullptr,
+    .mRateAnswer =
+      aInput.mRatingUp && (trial || choice.mRatings < aOptions.mWantedRatings),
+    .mReason = PlanReason(choice, aInput, preset.mQualityTarget, picked.mWhy)
+  };
   if (choice.mSecond) {
     plan.mSteps.push_back(ToStep(*choice.mSecond));
   }
   return plan;
 }
 
-StepDecision DecideAfterStep(const Configuration& aConfig,
-                             const Customer& aCustomer,
-                             const RatingTable& aRatings,
-                             const Plan& aPlan,
-                             std::optional<bool> aPassed,
-                             const PlanInput& aInput,
-                             const CascadeOptions& aOptions)
+StepDecision
+DecideAfterStep(const Configuration& aConfig,
+                const Customer& aCustomer,
+                const RatingTable& aRatings,
+                const Plan& aPlan,
+                std::optional<bool> aPassed,
+                const PlanInput& aInput,
+                const CascadeOptions& aOptions)
 {
   const Preset& preset = PresetInForce(aConfig);
   const Step& first = aPlan.mSteps.front();
@@ -581,9 +614,8 @@
            why + ", next " + VersionText(next->mModel, next->mVersion) };
 }
 
-RatingKey RatingKeyOf(const Plan& aPlan,
-                      std::size_t aStep,
-                      const RequestClass& aClass)
+RatingKey
+RatingKeyOf(const Plan& aPlan, std::size_t aStep, const RequestClass& aClass)
 {
   auto text = [&](std::size_t aIndex) {
     const Step& step = aPlan.mSteps[aIndex];
--- a/tests/core/test_cascade.cpp
+++ b/tests/core/test_cascade.cpp
@@ -44,6 +44,7 @@
 {
   CascadeOptions options;
   options.mExplorationShare = aShare;
+  options.mPromisingShare = aShare;
   return options;
 }
 
--- a/tests/core/test_permission.cpp
+++ b/tests/core/test_permission.cpp
@@ -34,6 +34,7 @@
   const Customer& customer = config.mCustomers[1];
   CascadeOptions options;
   options.mExplorationShare = 0.2;
+  options.mPromisingShare = 0.2;
   options.mChecks = aChecks;
   std::mt19937_64 random(11);
   int forbidden = 0;
