--- a/bench/fleet_model.h
+++ b/bench/fleet_model.h
@@ -229,7 +229,7 @@
   void FallOver(std::size_t aBackend);
   std::size_t CachedBlocks(const ModelBackend& aBackend, const Job& aJob) const;
   void Store(std::size_t aBackend, const Job& aJob);
-  void ReportFrom(std::size_t aBackend);
+  void ReportFrom(std::size_t aBackend, std::optional<double> aLagMs = {});
   void Gossip();
   void CheckMemory();
 
--- a/core/include/savory/core/admission.h
+++ b/core/include/savory/core/admission.h
@@ -65,6 +65,7 @@
   double mVirtualTime = 0;
   double mServiceMs = 1000;
   bool mDraining = false;
+  bool mRefusedForLoad = false;
 };
 
 enum class Admitted
@@ -136,6 +137,11 @@
                                bool aCold,
                                TimeMs aNowMs);
 
+// Whether the agent should report at once: it refused for load since it last
+// said so and now has room, which entries would else learn only from the next
+// periodic report. Resets what it tells.
+bool TakeRoomNews(Admission& aAdmission, int aAllowance);
+
 LoadHint OwnLoad(const Admission& aAdmission,
                  const AdmissionOptions& aOptions,
                  int aAllowance);
--- a/core/src/admission.cpp
+++ b/core/src/admission.cpp
@@ -132,6 +132,17 @@
            aOptions.mTokenCapacity };
 }
 
+bool TakeRoomNews(Admission& aAdmission, int aAllowance)
+{
+  bool room = static_cast<int>(aAdmission.mRunning.size()) < aAllowance &&
+              aAdmission.mQueue.empty();
+  bool news = room && aAdmission.mRefusedForLoad;
+  if (room) {
+    aAdmission.mRefusedForLoad = false;
+  }
+  return news;
+}
+
 AdmissionAnswer Admit(Admission& aAdmission,
                       const AdmissionOptions& aOptions,
                       int aAllowance,
@@ -141,6 +152,9 @@
                       AdmissionChanges& aChanges)
 {
   auto refuse = [&](ErrorCode aCode, std::string aReason) {
+    aAdmission.mRefusedForLoad |= aCode == ErrorCode::Overloaded ||
+                                  aCode == ErrorCode::ColdLimit ||
+                                  aCode == ErrorCode::MemoryLimit;
     return Refuse(aAdmission, aOptions, aAllowance, aCode, std::move(aReason));
   };
   // 1. What can never run here, or not any more.
