Test the configuration under faults and measure control traffic

Two faults of the first version were found and are repaired here. An agent that was paused ran the work that waited for it on its old configuration, because only entries had a staleness rule: entries now stamp work with the clock of the agent's last report and the age of their last known head. An operator that asked again with the same id, and gave up, was told that nothing had changed while its first swap was still under way: StartChange now takes whether the id was used before.

Ruled out for agents: a clock shared by the hosts, and an answer to each report, which would cost an entry 30 messages a second.

--- a/core/include/savory/core/config_store.h
+++ b/core/include/savory/core/config_store.h
@@ -79,8 +79,9 @@
 // A key and its value.
 using StoreEntry = std::pair<std::string, std::string>;
 
-// The JSON text of one section of a configuration.
-std::string SectionText(const Configuration& aConfig, Section aSection);
+// The JSON texts of the sections of a configuration.
+std::array<std::string, kSectionCount> SectionTexts(
+  const Configuration& aConfig);
 
 // The key of a section value that is written by a change of revision
 // `aBase`: cfg/s/ and 12 hexadecimal digits of the revision and 32 of the
@@ -160,16 +161,18 @@
   Conflict,
   Invalid,
   Corrupt,
+  Abandoned,
   Unknown,
 };
 
-inline constexpr std::array<EnumName<ChangeState>, 7> kChangeStateNames{ {
+inline constexpr std::array<EnumName<ChangeState>, 8> kChangeStateNames{ {
   { ChangeState::Running, "running" },
   { ChangeState::Accepted, "accepted" },
   { ChangeState::Unchanged, "unchanged" },
   { ChangeState::Conflict, "conflict" },
   { ChangeState::Invalid, "invalid" },
   { ChangeState::Corrupt, "corrupt" },
+  { ChangeState::Abandoned, "abandoned" },
   { ChangeState::Unknown, "unknown" },
 } };
 
@@ -190,9 +193,11 @@
 // One change of an operator on its way into the store. Take the call from
 // NextCall, make it, give the answer to OnAnswer, until `mState` is not
 // Running. Accepted has the revision in `mRevision`; Conflict, Invalid and
-// Corrupt say why in `mReasons`. Unknown is reached through GiveUp alone, or
-// when more changes than the store remembers went by: the operator asks again
-// later with the same id.
+// Corrupt say why in `mReasons`. Abandoned and Unknown are reached through
+// GiveUp: Abandoned says that nothing was changed; after Unknown, which also
+// follows when more changes than the store remembers went by, the operator
+// asks again later with the same id. `mMaySwap` is set while a swap that was
+// sent may still take effect.
 struct Change
 {
   std::string mId;
@@ -213,8 +218,11 @@
   bool mMaySwap = false;
 };
 
-// A change with an id that no other change has, of at most 64 bytes.
-Change StartChange(std::string aId, Mutation aMutation);
+// A change with an id that no other change has, of at most 64 bytes. `aAgain`
+// is set when a change with this id ended as Unknown: a swap of it may be on
+// its way. The mutation must then be the same, and depend on nothing but the
+// configuration that it is given.
+Change StartChange(std::string aId, Mutation aMutation, bool aAgain = false);
 
 // The call to make now, or nothing when the change is done.
 std::optional<StoreCall> NextCall(const Change& aChange);
@@ -223,8 +231,7 @@
 void OnAnswer(Change& aChange, const StoreAnswer& aAnswer);
 
 // Ends a change whose outcome the store does not tell in the time that the
-// operator waits. It is Unknown once a swap may have been sent, else Conflict
-// with a reason, because nothing was changed.
+// operator waits: Unknown while a swap may take effect, else Abandoned.
 void GiveUp(Change& aChange);
 
 // The first configuration of an empty store, as revision 1.
--- a/core/include/savory/core/config_sync.h
+++ b/core/include/savory/core/config_sync.h
@@ -45,7 +45,8 @@
 inline constexpr TimeMs kPullTimeoutMs = 1500;
 inline constexpr TimeMs kPushEveryMs = 1500;
 
-// Revisions of which a process keeps the document, to send only differences.
+// Revisions of which an entry keeps the document, to send only differences. An
+// agent keeps the one in force.
 inline constexpr std::size_t kKeptDocuments = 24;
 
 // The last confirmed revision of a member. `mAtMs` is when it was heard.
@@ -218,11 +219,36 @@
   Accept,
   PullFirst,
   RefuseOlder,
+  RefuseStale,
   RefuseNoConfiguration,
 };
 
+// Compares the sender's revision alone.
 SenderJudgement JudgeSender(const ConfigSync& aSync, std::int64_t aRevision);
 
+// What an entry tells with each piece of work, so that an agent that was paused
+// does not run what waited for it meanwhile, on an old configuration. `mEchoMs`
+// is the time that the agent's last report told, on the agent's clock: the work
+// was sent later than that. `mVerifiedAgeMs` is the age of the entry's last
+// known state of the head, 0 in an outage of the store.
+struct WorkStamp
+{
+  std::int64_t mRevision = 0;
+  TimeMs mEchoMs = 0;
+  TimeMs mVerifiedAgeMs = 0;
+};
+
+WorkStamp StampWork(const ConfigSync& aSync,
+                    const FleetView& aView,
+                    TimeMs aEchoMs,
+                    TimeMs aNowMs);
+
+// What an agent does with work. It judges again, with JudgeFreshness and an
+// empty view, when work that waited in its queue starts.
+SenderJudgement JudgeWork(ConfigSync& aSync,
+                          const WorkStamp& aStamp,
+                          TimeMs aNowMs);
+
 // What goes into the own gossip messages. `aAgents` are the agents that this
 // entry answers for.
 GossipStatus StatusOf(const ConfigSync& aSync,
--- a/core/src/config_store.cpp
+++ b/core/src/config_store.cpp
@@ -151,10 +151,11 @@
 {
   Head head = aChange.mHead;
   aChange.mEntries.clear();
+  auto texts = SectionTexts(aChange.mWanted);
+  auto oldTexts = SectionTexts(aChange.mBase);
   for (std::size_t i = 0; i < kSectionCount; ++i) {
-    auto section = static_cast<Section>(i);
-    std::string text = SectionText(aChange.mWanted, section);
-    if (head.mRevision > 0 && text == SectionText(aChange.mBase, section)) {
+    std::string& text = texts[i];
+    if (head.mRevision > 0 && text == oldTexts[i]) {
       continue;
     }
     head.mSections[i] = SectionKey(aChange.mHead.mRevision, text);
@@ -203,8 +204,9 @@
       return;
     }
   }
-  // The head moved on without this change, so no earlier swap can take effect.
-  aChange.mMaySwap = false;
+  // The head moved on without this change since the last read, so that no swap
+  // sent before can take effect.
+  aChange.mMaySwap = aChange.mMaySwap && !aChange.mHasBase;
   aChange.mBase = std::move(aRead);
   aChange.mHasBase = true;
   aChange.mWanted = aChange.mBase;
@@ -274,19 +276,23 @@
 
 } // namespace
 
-std::string SectionText(const Configuration& aConfig, Section aSection)
+std::array<std::string, kSectionCount> SectionTexts(
+  const Configuration& aConfig)
 {
   json document = ToJson(aConfig);
-  if (aSection != Section::Control) {
-    return document.at(std::string(NameOf(kSectionNames, aSection))).dump();
-  }
-  json control = json::object();
-  for (const char* field : kControlFields) {
-    if (document.contains(field)) {
-      control[field] = document[field];
+  std::array<std::string, kSectionCount> texts;
+  for (std::size_t i = 0; i < kSectionCount; ++i) {
+    if (static_cast<Section>(i) != Section::Control) {
+      texts[i] = document.at(std::string(SectionName(i))).dump();
+      continue;
+    }
+    json control = json::object();
+    for (const char* field : kControlFields) {
+      control[field] = document.at(field);
     }
+    texts[i] = control.dump();
   }
-  return control.dump();
+  return texts;
 }
 
 std::string SectionKey(std::int64_t aBase, std::string_view aText)
@@ -436,9 +442,10 @@
   return paths;
 }
 
-Change StartChange(std::string aId, Mutation aMutation)
+Change StartChange(std::string aId, Mutation aMutation, bool aAgain)
 {
   Change change;
+  change.mMaySwap = aAgain;
   change.mId = std::move(aId);
   change.mMutation = std::move(aMutation);
   return change;
@@ -560,7 +567,7 @@
     Finish(aChange, ChangeState::Unknown, { "the store does not answer" });
   } else {
     Finish(aChange,
-           ChangeState::Conflict,
+           ChangeState::Abandoned,
            { "the store does not answer; nothing was changed" });
   }
 }
--- a/core/src/config_sync.cpp
+++ b/core/src/config_sync.cpp
@@ -65,7 +65,8 @@
   aSync.mConfig = std::move(aConfig);
   aSync.mKept.push_back(
     { aSync.mConfig.mRevision, DocumentOf(aSync.mConfig), {} });
-  if (aSync.mKept.size() > kKeptDocuments) {
+  std::size_t most = aSync.mRole == Role::Entry ? kKeptDocuments : 1;
+  while (aSync.mKept.size() > most) {
     aSync.mKept.pop_front();
   }
   aSync.mStartAnswers.clear();
@@ -118,11 +119,13 @@
                                                    const Head& aHead)
 {
   std::vector<std::optional<std::string>> texts(kSectionCount);
-  for (std::size_t i = 0; i < kSectionCount && aSync.mConfig.mRevision > 0;
-       ++i) {
-    std::string text = SectionText(aSync.mConfig, static_cast<Section>(i));
-    if (IsKeyOf(aHead.mSections[i], text)) {
-      texts[i] = std::move(text);
+  if (aSync.mConfig.mRevision == 0) {
+    return texts;
+  }
+  auto own = SectionTexts(aSync.mConfig);
+  for (std::size_t i = 0; i < kSectionCount; ++i) {
+    if (IsKeyOf(aHead.mSections[i], own[i])) {
+      texts[i] = std::move(own[i]);
     }
   }
   return texts;
@@ -502,6 +505,37 @@
   return outage ? Freshness::StoreOutage : Freshness::Stale;
 }
 
+WorkStamp StampWork(const ConfigSync& aSync,
+                    const FleetView& aView,
+                    TimeMs aEchoMs,
+                    TimeMs aNowMs)
+{
+  WorkStamp stamp{ aSync.mConfig.mRevision, aEchoMs, kFreshMs };
+  Freshness freshness = JudgeFreshness(aSync, aView, aNowMs);
+  if (freshness == Freshness::StoreOutage) {
+    stamp.mVerifiedAgeMs = 0;
+  } else if (freshness == Freshness::Fresh && aSync.mVerifiedMs) {
+    stamp.mVerifiedAgeMs = aNowMs - *aSync.mVerifiedMs;
+  }
+  return stamp;
+}
+
+SenderJudgement JudgeWork(ConfigSync& aSync,
+                          const WorkStamp& aStamp,
+                          TimeMs aNowMs)
+{
+  SenderJudgement judgement = JudgeSender(aSync, aStamp.mRevision);
+  if (aStamp.mEchoMs <= aNowMs) {
+    OnPeerVerified(
+      aSync, aStamp.mRevision, aStamp.mEchoMs - aStamp.mVerifiedAgeMs);
+  }
+  if (judgement == SenderJudgement::Accept &&
+      JudgeFreshness(aSync, {}, aNowMs) != Freshness::Fresh) {
+    return SenderJudgement::RefuseStale;
+  }
+  return judgement;
+}
+
 SenderJudgement JudgeSender(const ConfigSync& aSync, std::int64_t aRevision)
 {
   if (aRevision > aSync.mConfig.mRevision) {
--- /dev/null
+++ b/tests/core/fleet_sim.cpp
@@ -0,0 +1,600 @@
+#include "fleet_sim.h"
+
+#include <ctime>
+
+namespace savory::sim {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr TimeMs kReportMs = 1000;
+constexpr TimeMs kHostListMs = 5000;
+constexpr TimeMs kCallTimeoutMs = 1000;
+
+double CpuSeconds()
+{
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) +
+         static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+// Adds the processor time of a scope to a node, without that of the nodes that
+// it calls within.
+struct CpuScope
+{
+  explicit CpuScope(Node& aNode)
+    : mNode(aNode)
+    , mStart(CpuSeconds())
+  {
+  }
+  ~CpuScope() { mNode.mUsage.mCpuSeconds += CpuSeconds() - mStart; }
+  CpuScope(const CpuScope&) = delete;
+  CpuScope& operator=(const CpuScope&) = delete;
+
+  Node& mNode;
+  double mStart;
+};
+
+} // namespace
+
+Fleet::Fleet(const Shape& aShape)
+  : mShape(aShape)
+  , mRandom(aShape.mSeed)
+{
+  int entries = aShape.mRegions * aShape.mEntriesPerRegion;
+  for (int i = 0; i < entries; ++i) {
+    Node node;
+    node.mHost = "entry-" + std::to_string(i);
+    node.mRegion = "r" + std::to_string(i % aShape.mRegions);
+    mNodes.push_back(std::move(node));
+  }
+  for (int i = 0; i < std::min(entries, aShape.mEntriesWithAgents); ++i) {
+    for (int k = 0; k < aShape.mAgentsPerEntry; ++k) {
+      Node node;
+      node.mHost = "agent-" + std::to_string(i) + "-" + std::to_string(k);
+      node.mRegion = mNodes[i].mRegion;
+      node.mRole = Role::Agent;
+      node.mHome = i;
+      mNodes[i].mAgents.push_back(static_cast<int>(mNodes.size()));
+      mNodes.push_back(std::move(node));
+    }
+  }
+  for (std::size_t i = 0; i < mNodes.size(); ++i) {
+    mIndex[mNodes[i].mHost] = static_cast<int>(i);
+    Start(static_cast<int>(i));
+  }
+}
+
+void Fleet::At(TimeMs aTimeMs, std::function<void()> aEvent)
+{
+  mEvents.push({ std::max(aTimeMs, mNow), mNextNumber++, std::move(aEvent) });
+}
+
+void Fleet::RunUntil(TimeMs aTimeMs)
+{
+  while (!mEvents.empty() && mEvents.top().mAtMs <= aTimeMs) {
+    Event event = mEvents.top();
+    mEvents.pop();
+    mNow = event.mAtMs;
+    event.mRun();
+  }
+  mNow = aTimeMs;
+}
+
+std::vector<HostRow> Fleet::HostList() const
+{
+  std::vector<HostRow> list;
+  for (const auto& node : mNodes) {
+    list.push_back({ .mHost = node.mHost,
+                     .mRole = node.mRole,
+                     .mAddress = node.mHost + ":7000",
+                     .mZone = node.mRegion + "-a",
+                     .mRegion = node.mRegion,
+                     .mLeaving = false });
+  }
+  return list;
+}
+
+void Fleet::Start(int aNode)
+{
+  Node& node = mNodes[aNode];
+  node.mUp = true;
+  node.mPaused = false;
+  node.mHeld.clear();
+  node.mEchoes.clear();
+  node.mIncarnation = mNow;
+  node.mSync = ConfigSync{};
+  node.mSync.mOptions = mShape.mSync;
+  node.mSync.mRole = node.mRole;
+  EntryRow self;
+  self.mHost = node.mHost;
+  self.mIncarnation = node.mIncarnation;
+  self.mAddress = node.mHost + ":7000";
+  self.mZone = node.mRegion + "-a";
+  self.mRegion = node.mRegion;
+  node.mTable = StartMembership(std::move(self), mNow);
+  if (node.mRole == Role::Entry) {
+    MergeHostList(node.mTable, HostList(), mNow);
+  }
+  TimeMs offset = static_cast<TimeMs>(mRandom() % mShape.mTickMs);
+  At(mNow + offset,
+     [this, aNode, life = node.mIncarnation] { Tick(aNode, life); });
+}
+
+void Fleet::Restart(int aNode, TimeMs aDownMs)
+{
+  mNodes[aNode].mUp = false;
+  mNodes[aNode].mIncarnation = -1;
+  At(mNow + aDownMs, [this, aNode] { Start(aNode); });
+}
+
+void Fleet::Pause(int aNode)
+{
+  mNodes[aNode].mPaused = true;
+}
+
+void Fleet::Resume(int aNode)
+{
+  Node& node = mNodes[aNode];
+  node.mPaused = false;
+  auto held = std::move(node.mHeld);
+  node.mHeld.clear();
+  for (auto& run : held) {
+    run();
+  }
+}
+
+void Fleet::SetStore(bool aUp)
+{
+  mStore.mUp = aUp;
+  mStore.mLastDownMs = mNow;
+  mStore.mWaiters.clear();
+}
+
+bool Fleet::Chance(double aProbability)
+{
+  return std::uniform_real_distribution<>(0, 1)(mRandom) < aProbability;
+}
+
+TimeMs Fleet::Delay()
+{
+  if (Chance(mShape.mLate)) {
+    return 1 + static_cast<TimeMs>(mRandom() % mShape.mLateMs);
+  }
+  return 1 + static_cast<TimeMs>(mRandom() % 20);
+}
+
+int Fleet::IndexOf(const std::string& aHost) const
+{
+  return mIndex.at(aHost);
+}
+
+Sender Fleet::SenderOf(int aNode) const
+{
+  const Node& node = mNodes[aNode];
+  return { node.mHost, node.mIncarnation, node.mSync.mConfig.mRevision };
+}
+
+bool Fleet::Connected(int aFrom, int aTo) const
+{
+  const Node& from = mNodes[aFrom];
+  const Node& to = mNodes[aTo];
+  bool regions = (from.mRegion == mCutRegion) == (to.mRegion == mCutRegion);
+  return regions && !from.mCutAlone && !to.mCutAlone;
+}
+
+// Runs something in a life of a node: at once, or when a pause ends.
+void Fleet::RunAt(int aNode,
+                  std::int64_t aIncarnation,
+                  std::function<void()> aRun)
+{
+  Node& node = mNodes[aNode];
+  if (!node.mUp || node.mIncarnation != aIncarnation) {
+    return;
+  }
+  if (node.mPaused) {
+    node.mHeld.push_back(
+      [this, aNode, aIncarnation, run = std::move(aRun)]() mutable {
+        RunAt(aNode, aIncarnation, std::move(run));
+      });
+    return;
+  }
+  CpuScope scope(node);
+  aRun();
+}
+
+// Sends a message through the real codec; it may be lost, late or doubled.
+void Fleet::Deliver(int aFrom,
+                    int aTo,
+                    const json& aBody,
+                    bool aGossip,
+                    std::function<void(const json&)> aReceive)
+{
+  std::string bytes = EncodeDocument(aBody);
+  auto size = static_cast<std::int64_t>(bytes.size());
+  Usage& sent = mNodes[aFrom].mUsage;
+  sent.mSentBytes += size;
+  sent.mGossipBytes += aGossip ? size : 0;
+  sent.mMessages += 1;
+  if (!Connected(aFrom, aTo) || Chance(mShape.mLoss)) {
+    return;
+  }
+  int copies = Chance(mShape.mDuplicates) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    At(mNow + Delay(), [this, aTo, bytes, aReceive, size] {
+      Node& node = mNodes[aTo];
+      RunAt(aTo, node.mIncarnation, [&node, bytes, aReceive, size] {
+        node.mUsage.mReceivedBytes += size;
+        auto body = DecodeDocument(bytes);
+        if (body) {
+          aReceive(*body);
+        }
+      });
+    });
+  }
+}
+
+void Fleet::Tick(int aNode, std::int64_t aIncarnation)
+{
+  RunAt(aNode, aIncarnation, [this, aNode, aIncarnation] {
+    Node& node = mNodes[aNode];
+    At(mNow + mShape.mTickMs,
+       [this, aNode, aIncarnation] { Tick(aNode, aIncarnation); });
+    if (node.mRole == Role::Agent) {
+      if (mNow / kReportMs != (mNow - mShape.mTickMs) / kReportMs) {
+        Report(aNode);
+      }
+      return;
+    }
+    if (mNow / kHostListMs != (mNow - mShape.mTickMs) / kHostListMs) {
+      MergeHostList(node.mTable, HostList(), mNow);
+    }
+    FleetView view = ViewFleet(node.mTable, mNow);
+    Act(aNode, TickSync(node.mSync, view, ListedEntries(node.mTable), mNow));
+    std::vector<std::string> agents;
+    for (int agent : node.mAgents) {
+      agents.push_back(mNodes[agent].mHost);
+    }
+    Act(aNode, PushToAgents(node.mSync, agents, mNow));
+    SetDemand(node.mTable, node.mDemand);
+    GossipStatus status = StatusOf(node.mSync, agents, mNow);
+    auto request = TickMembership(node.mTable, status, mNow, mRandom);
+    if (request) {
+      Gossip(aNode, *request);
+    }
+  });
+}
+
+void Fleet::Gossip(int aNode, const GossipRequest& aRequest)
+{
+  int peer = IndexOf(aRequest.mHost);
+  TimeMs sent = mNow;
+  std::int64_t life = mNodes[aNode].mIncarnation;
+  Deliver(
+    aNode,
+    peer,
+    aRequest.mDocument,
+    true,
+    [this, aNode, peer, sent, life](const json& aBody) {
+      Node& node = mNodes[peer];
+      std::vector<std::string> agents;
+      for (int agent : node.mAgents) {
+        agents.push_back(mNodes[agent].mHost);
+      }
+      GossipNews news;
+      auto answer = AnswerGossip(
+        node.mTable, aBody, StatusOf(node.mSync, agents, mNow), mNow, news);
+      if (!answer) {
+        return;
+      }
+      Act(peer,
+          OnPeerRevision(
+            node.mSync,
+            { news.mHost, news.mIncarnation, news.mStatus.mRevision },
+            false,
+            mNow));
+      Deliver(peer,
+              aNode,
+              *answer,
+              true,
+              [this, aNode, sent, life](const json& aAnswer) {
+                Node& asker = mNodes[aNode];
+                if (asker.mIncarnation != life) {
+                  return;
+                }
+                auto told =
+                  MergeGossipAnswer(asker.mTable, aAnswer, sent, mNow);
+                if (!told) {
+                  return;
+                }
+                const GossipStatus& status = told->mStatus;
+                if (status.mVerifiedAge) {
+                  OnPeerVerified(
+                    asker.mSync, status.mRevision, sent - *status.mVerifiedAge);
+                }
+                Act(aNode,
+                    OnPeerRevision(
+                      asker.mSync,
+                      { told->mHost, told->mIncarnation, status.mRevision },
+                      false,
+                      mNow));
+              });
+    });
+}
+
+void Fleet::Report(int aAgent)
+{
+  Sender from = SenderOf(aAgent);
+  json body = { { "from", from.mHost },
+                { "incarnation", from.mIncarnation },
+                { "revision", from.mRevision },
+                { "clock", mNow } };
+  int entries = mShape.mRegions * mShape.mEntriesPerRegion;
+  for (int i = 0; i < mShape.mReportTo; ++i) {
+    int entry = (mNodes[aAgent].mHome + i) % entries;
+    Deliver(aAgent, entry, body, false, [this, from, entry](const json& aBody) {
+      Node& node = mNodes[entry];
+      TimeMs& echo = node.mEchoes[from.mHost];
+      echo = std::max(echo, aBody.at("clock").get<TimeMs>());
+      Act(entry, OnPeerRevision(node.mSync, from, false, mNow));
+    });
+  }
+}
+
+void Fleet::Act(int aNode, const SyncActions& aActions)
+{
+  for (const auto& action : aActions) {
+    switch (action.mKind) {
+      case SyncAction::Kind::WatchHead:
+        WatchHead(aNode, action);
+        break;
+      case SyncAction::Kind::ReadSections:
+        ReadSections(aNode, action);
+        break;
+      case SyncAction::Kind::Pull:
+        Pull(aNode, action.mHost, action.mDocument);
+        break;
+      case SyncAction::Kind::Push:
+        Deliver(aNode,
+                IndexOf(action.mHost),
+                action.mDocument,
+                false,
+                [this, to = IndexOf(action.mHost), from = mNodes[aNode].mHost](
+                  const json& aBody) {
+                  Act(to, OnPullAnswer(mNodes[to].mSync, from, aBody, mNow));
+                });
+        break;
+      case SyncAction::Kind::Adopted:
+        if (mObserver.mAdopted) {
+          mObserver.mAdopted(aNode, action.mRevision);
+        }
+        if (mNodes[aNode].mRole == Role::Agent) {
+          Report(aNode);
+        }
+        break;
+    }
+  }
+}
+
+void Fleet::Pull(int aNode, const std::string& aHost, const json& aBody)
+{
+  int peer = IndexOf(aHost);
+  std::int64_t life = mNodes[aNode].mIncarnation;
+  Deliver(
+    aNode, peer, aBody, false, [this, aNode, peer, life](const json& aRequest) {
+      json answer = AnswerPull(mNodes[peer].mSync, aRequest);
+      Deliver(peer,
+              aNode,
+              answer,
+              false,
+              [this, aNode, peer, life](const json& aAnswer) {
+                if (mNodes[aNode].mIncarnation == life) {
+                  Act(
+                    aNode,
+                    OnPullAnswer(
+                      mNodes[aNode].mSync, mNodes[peer].mHost, aAnswer, mNow));
+                }
+              });
+    });
+}
+
+// One way between a caller and the store.
+void Fleet::StoreLeg(const std::string& aRegion,
+                     bool aCut,
+                     double aLoss,
+                     std::function<void()> aRun)
+{
+  bool regions = (aRegion == mCutRegion) == (mStore.mRegion == mCutRegion);
+  if (!regions || aCut || Chance(mShape.mLoss) || Chance(aLoss)) {
+    return;
+  }
+  At(mNow + Delay(), std::move(aRun));
+}
+
+void Fleet::WatchHead(int aNode, const SyncAction& aAction)
+{
+  const std::string region = mNodes[aNode].mRegion;
+  std::int64_t life = mNodes[aNode].mIncarnation;
+  auto answer = [this, aNode, life, region, call = aAction.mCall] {
+    auto found = mStore.mValues.find(std::string(kHeadKey));
+    std::optional<std::string> text;
+    if (found != mStore.mValues.end()) {
+      text = found->second;
+    }
+    mNodes[aNode].mUsage.mStoreBytes +=
+      static_cast<std::int64_t>(text.value_or("").size());
+    StoreLeg(region,
+             mNodes[aNode].mCutAlone,
+             mStore.mLoseAnswers,
+             [this, aNode, life, call, text] {
+               RunAt(aNode, life, [this, aNode, call, text] {
+                 Act(aNode, OnHead(mNodes[aNode].mSync, call, text, mNow));
+               });
+             });
+  };
+  StoreLeg(region, mNodes[aNode].mCutAlone, 0, [this, answer, aAction] {
+    if (!mStore.mUp) {
+      return;
+    }
+    mStore.mCalls += 1;
+    std::int64_t revision =
+      mStore.mAccepted.empty() ? 0 : mStore.mAccepted.back().mRevision;
+    if (aAction.mWaitMs == 0 || revision > aAction.mRevision) {
+      answer();
+      return;
+    }
+    int id = mStore.mNextWaiter++;
+    mStore.mWaiters[id] = { aAction.mRevision, answer };
+    At(mNow + aAction.mWaitMs, [this, id] {
+      auto found = mStore.mWaiters.find(id);
+      if (found != mStore.mWaiters.end()) {
+        Waiter waiter = std::move(found->second);
+        mStore.mWaiters.erase(found);
+        waiter.mAnswer();
+      }
+    });
+  });
+}
+
+void Fleet::ReadSections(int aNode, const SyncAction& aAction)
+{
+  const std::string region = mNodes[aNode].mRegion;
+  std::int64_t life = mNodes[aNode].mIncarnation;
+  StoreLeg(
+    region, mNodes[aNode].mCutAlone, 0, [this, aNode, life, region, aAction] {
+      if (!mStore.mUp) {
+        return;
+      }
+      StoreCall call;
+      call.mKeys = aAction.mKeys;
+      StoreAnswer answer;
+      Apply(call, answer);
+      for (const auto& value : answer.mValues) {
+        mNodes[aNode].mUsage.mStoreBytes +=
+          static_cast<std::int64_t>(value.value_or("").size());
+      }
+      StoreLeg(
+        region,
+        mNodes[aNode].mCutAlone,
+        mStore.mLoseAnswers,
+        [this, aNode, life, aAction, answer] {
+          RunAt(aNode, life, [this, aNode, aAction, answer] {
+            Act(aNode,
+                OnSections(
+                  mNodes[aNode].mSync, aAction.mCall, answer.mValues, mNow));
+          });
+        });
+    });
+}
+
+void Fleet::Apply(const StoreCall& aCall, StoreAnswer& aAnswer)
+{
+  // Each key of a call is one call of the store.
+  mStore.mCalls += std::max<std::int64_t>(
+    1, static_cast<std::int64_t>(aCall.mKeys.size() + aCall.mEntries.size()));
+  for (const auto& key : aCall.mKeys) {
+    auto found = mStore.mValues.find(key);
+    aAnswer.mValues.push_back(found == mStore.mValues.end()
+                                ? std::nullopt
+                                : std::optional(found->second));
+  }
+  for (const auto& [key, value] : aCall.mEntries) {
+    mStore.mValues[key] = value;
+  }
+  if (aCall.mKind != StoreCall::Kind::SwapHead) {
+    return;
+  }
+  std::string& head = mStore.mValues[std::string(kHeadKey)];
+  if (head != aCall.mExpected) {
+    aAnswer.mStatus = StoreAnswer::Status::Mismatch;
+    return;
+  }
+  head = aCall.mValue;
+  mStore.mAccepted.push_back({ ParseHead(head)->mRevision, mNow, head });
+  auto waiters = std::move(mStore.mWaiters);
+  mStore.mWaiters.clear();
+  for (auto& [id, waiter] : waiters) {
+    waiter.mAnswer();
+  }
+}
+
+void Fleet::CallStore(const std::string& aRegion,
+                      StoreCall aCall,
+                      std::function<void(const StoreAnswer&)> aAnswer)
+{
+  auto open = std::make_shared<bool>(true);
+  auto finish = [open, aAnswer](const StoreAnswer& aResult) {
+    if (*open) {
+      *open = false;
+      aAnswer(aResult);
+    }
+  };
+  // A write may arrive twice, as one that the transport sends again.
+  int copies =
+    aCall.mKind != StoreCall::Kind::Read && Chance(mShape.mDuplicates) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    StoreLeg(aRegion, false, 0, [this, aRegion, aCall, finish] {
+      if (!mStore.mUp) {
+        return;
+      }
+      StoreAnswer answer;
+      Apply(aCall, answer);
+      StoreLeg(aRegion, false, mStore.mLoseAnswers, [finish, answer] {
+        finish(answer);
+      });
+    });
+  }
+  At(mNow + kCallTimeoutMs, [finish] {
+    StoreAnswer lost;
+    lost.mStatus = StoreAnswer::Status::Lost;
+    finish(lost);
+  });
+}
+
+void Fleet::OfferWork(int aEntry, int aAgent)
+{
+  RunAt(aEntry, mNodes[aEntry].mIncarnation, [this, aEntry, aAgent] {
+    Node& entry = mNodes[aEntry];
+    FleetView view = ViewFleet(entry.mTable, mNow);
+    Freshness fresh = JudgeFreshness(entry.mSync, view, mNow);
+    if (fresh != Freshness::Fresh && fresh != Freshness::StoreOutage) {
+      return;
+    }
+    if (mObserver.mWorkTaken) {
+      mObserver.mWorkTaken(aEntry, entry.mSync.mConfig.mRevision);
+    }
+    Sender from = SenderOf(aEntry);
+    WorkStamp stamp =
+      StampWork(entry.mSync, view, entry.mEchoes[mNodes[aAgent].mHost], mNow);
+    json body = { { "revision", stamp.mRevision },
+                  { "echo", stamp.mEchoMs },
+                  { "verified", stamp.mVerifiedAgeMs } };
+    Deliver(aEntry, aAgent, body, false, [=, this](const json&) {
+      ReceiveWork(aEntry, aAgent, from, stamp);
+    });
+  });
+}
+
+void Fleet::ReceiveWork(int aEntry,
+                        int aAgent,
+                        const Sender& aFrom,
+                        const WorkStamp& aStamp)
+{
+  ConfigSync& sync = mNodes[aAgent].mSync;
+  SenderJudgement judgement = JudgeWork(sync, aStamp, mNow);
+  if (judgement == SenderJudgement::PullFirst) {
+    Act(aAgent, OnPeerRevision(sync, aFrom, true, mNow));
+  } else if (judgement == SenderJudgement::RefuseOlder) {
+    Sender agent = SenderOf(aAgent);
+    json refusal = { { "code", "config_older" } };
+    Deliver(aAgent, aEntry, refusal, false, [=, this](const json&) {
+      Act(aEntry, OnPeerRevision(mNodes[aEntry].mSync, agent, true, mNow));
+    });
+  } else if (judgement == SenderJudgement::Accept && mObserver.mWorkRun) {
+    mObserver.mWorkRun(aAgent, aFrom.mRevision);
+  }
+}
+
+} // namespace savory::sim
