Route calls with a key through the owner of their slot

Cause: calls that must not be repeated were passed through by the agent, so that a retry after a lost answer ran them again.

Ruled out: a lease for each slot (one lease for each agent needs one renewal); finding peers by asking every host of the list (12,000 agents would each ask all others), so agents of a service register under slot/SERVICE/agent/HOST with their lease, and addresses come from the host list; the loop's cached time for proofs by lease, which is stale after the process was paused in a turn.

Change: Slots takes and keeps slots, carries out the record's actions and serves as witness. ServiceCall asks the owner, again after refusals of one attempt and after a lost connection. AgentExchange ends a request with an End frame: a body above 1 MiB takes several frames, and the agent began the call with the first.

--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -11,6 +11,10 @@
 constexpr TimeMs kReportMs = 1000;
 constexpr TimeMs kPollMs = 250;
 
+// A backend server that is back within this time keeps its slots: a restart is
+// shorter than a take-over.
+constexpr TimeMs kBackendGoneMs = 3000;
+
 } // namespace
 
 Agent::Agent(Node& aNode)
@@ -21,6 +25,14 @@
              .mExplain = [](const std::string&) { return nlohmann::json(); },
              .mRefresh = [] {} })
 {
+  if (mNode.mSettings.mBackendKind == BackendKind::Service) {
+    mSlots = std::make_unique<Slots>(mNode, mNode.mSettings.mPool);
+    mSlots->mOnChanged = [this] {
+      ReportNow();
+      StopWhenDone();
+    };
+    mNode.mConfigChanged.connect([this] { ReviewSlots(); });
+  }
 }
 
 bool
@@ -37,6 +49,9 @@
   mReportTimer = Timer::Every(mNode.mLoop, kReportMs, [this] { ReportNow(); });
   mPollTimer = Timer::Every(mNode.mLoop, kPollMs, [this] { PollBackend(); });
   PollBackend();
+  if (mSlots) {
+    mSlots->Start();
+  }
   return true;
 }
 
@@ -56,9 +71,28 @@
       if (changed) {
         ReportNow();
       }
+      ReviewSlots();
     });
 }
 
+// Slots are held while the backend server answers and its zone takes work.
+void
+Agent::ReviewSlots()
+{
+  if (!mSlots) {
+    return;
+  }
+  TimeMs now = MonotonicMs();
+  if (mReachable) {
+    mLastReachableMs = now;
+  }
+  const Zone* zone =
+    mNode.mConfig ? FindZone(*mNode.mConfig, mNode.mSettings.mZone) : nullptr;
+  bool isOut = zone && zone->mState == ZoneState::Out;
+  bool gone = now - mLastReachableMs > kBackendGoneMs;
+  mSlots->SetWanted(mNode.mConfig && !isOut && !gone && mLastReachableMs > 0);
+}
+
 Report
 Agent::MakeReport() const
 {
@@ -77,7 +111,7 @@
     .mAllowance = settings.mMaxRunning,
     .mTokensHeld = mLoad.mTokensHeld,
     .mTokenCapacity = mLoad.mTokenCapacity,
-    .mSlots = {},
+    .mSlots = mSlots ? mSlots->Owned() : std::vector<OwnedSlot>(),
   };
 }
 
@@ -90,7 +124,8 @@
            { "revision", SenderOf(mNode).mRevision },
            { "draining", mNode.mDraining },
            { "reachable", mReachable },
-           { "calls", mCalls.size() } };
+           { "calls", mCalls.size() },
+           { "slots", mSlots ? mSlots->State() : nlohmann::json() } };
 }
 
 void
@@ -109,6 +144,8 @@
     StartAgentRun(*this, aStream);
   } else if (aStream->Path() == "/call") {
     StartAgentCall(*this, aStream);
+  } else if (aStream->Path() == "/witness" && mSlots) {
+    mSlots->OnWitnessStream(aStream);
   } else if (aStream->Path() == "/report") {
     mSubscribers.insert(aStream);
     aStream->mOnClosed = [this, aStream](bool) { mSubscribers.erase(aStream); };
@@ -141,7 +178,10 @@
              { { "calls", std::to_string(mCalls.size()) } });
     mNode.mLoop.Stop();
   });
-  CallEnded(nullptr);
+  if (mSlots) {
+    mSlots->Leave();
+  }
+  StopWhenDone();
 }
 
 void
@@ -154,7 +194,14 @@
 Agent::CallEnded(const void* aCall)
 {
   mCalls.erase(aCall);
-  if (mNode.mDraining && mCalls.empty()) {
+  StopWhenDone();
+}
+
+// Ends a graceful shutdown once no call runs and no slot is held.
+void
+Agent::StopWhenDone()
+{
+  if (mNode.mDraining && mCalls.empty() && (!mSlots || mSlots->HasLeft())) {
     // The report and the last answer still have to leave the socket.
     mDrainTimer =
       Timer::After(mNode.mLoop, 200, [this] { mNode.mLoop.Stop(); });
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -5,6 +5,7 @@
 #include "savory/core/wire.h"
 #include "savory/net/inner.h"
 #include "savory/platform/backend.h"
+#include "slots.h"
 
 #include <memory>
 #include <set>
@@ -32,15 +33,20 @@
   std::set<const void*> mCalls;
   BackendLoad mLoad;
   bool mReachable = false;
+  // The slots of the plain service; null beside an engine.
+  std::unique_ptr<Slots> mSlots;
 
 private:
   void OnStream(const std::shared_ptr<InnerStream>& aStream);
   void PollBackend();
+  void ReviewSlots();
+  void StopWhenDone();
   nlohmann::json State() const;
 
   Admin mAdmin;
   std::unique_ptr<InnerListener> mListener;
   std::set<std::shared_ptr<InnerStream>> mSubscribers;
+  TimeMs mLastReachableMs = 0;
   Timer mReportTimer;
   Timer mPollTimer;
   Timer mDrainTimer;
--- a/router/src/agent_exchange.cpp
+++ b/router/src/agent_exchange.cpp
@@ -34,6 +34,8 @@
   };
   exchange->mStream->Send(FrameType::Head, aHead);
   exchange->mStream->Send(FrameType::Body, aBody);
+  // A long body takes several frames; this one says that it is whole.
+  exchange->mStream->Send(FrameType::End, Encode(AnswerEnd{}));
   exchange->mStream->Finish();
   return exchange;
 }
--- a/router/src/service_call.cpp
+++ b/router/src/service_call.cpp
@@ -1,6 +1,7 @@
 #include "agent_exchange.h"
 #include "entry.h"
 #include "savory/core/identity.h"
+#include "slots.h"
 
 #include <algorithm>
 
@@ -10,6 +11,40 @@
 
 constexpr int kMaxAttempts = 4;
 
+// How long a call with a key waits for an owner of its slot: a take-over needs
+// the 5 s of a lease, then up to 2 s until an agent takes the free slot.
+constexpr TimeMs kOwnerWaitMs = 8000;
+constexpr TimeMs kOwnerRetryMs = 50;
+
+// A refusal after which a call with a key is sent again: it speaks of this
+// attempt or of the present owner only.
+bool
+MayAskAgain(ErrorCode aCode, Ran aRan)
+{
+  switch (aCode) {
+    case ErrorCode::NotOwner:
+    case ErrorCode::ConfigOlder:
+    case ErrorCode::ConfigStale:
+    case ErrorCode::NoConfiguration:
+    case ErrorCode::Draining:
+    case ErrorCode::NoBackend:
+      return true;
+    case ErrorCode::RecordUnavailable:
+      // The new owner reads the record. With NotRun, it has no witnesses.
+      return aRan != Ran::NotRun;
+    default:
+      return false;
+  }
+}
+
+// Whether a refusal comes from the record, and so speaks of the key.
+bool
+IsOwnersWord(ErrorCode aCode)
+{
+  return aCode != ErrorCode::NotOwner && aCode != ErrorCode::ConfigOlder &&
+         aCode != ErrorCode::ConfigStale && aCode != ErrorCode::NoConfiguration;
+}
+
 // Headers of a request that are passed on to the plain service.
 constexpr std::array<std::string_view, 3> kPassedHeaders{
   "content-type",
@@ -40,6 +75,12 @@
 private:
   void TryNext();
   std::string Choose() const;
+  std::string FindOwner() const;
+  void AskOwner();
+  void AskOwnerLater();
+  void OnOwnerRefused(const AnswerHead& aHead);
+  void OnOwnerBroken();
+  bool Send(const std::string& aAddress);
   void OnBroken(bool aAccepted);
   void OnEnd(const AnswerEnd& aEnd);
   void Leave();
@@ -56,6 +97,12 @@
   std::string mBody;
   bool mNonIdempotent = false;
   bool mSent = false;
+  // For a call with a key: its slot, the end of its attempts, and whether an
+  // attempt was lost, after which only the owner knows what became of it.
+  int mSlot = 0;
+  TimeMs mStartMs = 0;
+  bool mLost = false;
+  Timer mRetry;
   std::string mAddress;
   std::string mBackendHost;
   std::vector<std::string> mTried;
@@ -91,8 +138,9 @@
     .mPath = (path.empty() ? "/" : path) +
              (aRequest.mQuery.empty() ? "" : "?" + aRequest.mQuery),
     .mKey = mNonIdempotent ? mContext.mKey : "",
-    .mFingerprint =
-      HashOf(mBody, HashOf(aRequest.mMethod + " " + aRequest.mPath)),
+    .mFingerprint = HashOf(
+      mBody,
+      HashOf(aRequest.mMethod + " " + aRequest.mPath + "?" + aRequest.mQuery)),
     .mDeadlineMs = mContext.mDeadlineMs,
     .mHeaders = {},
   };
@@ -109,6 +157,11 @@
   auto self = shared_from_this();
   mDeadline = Timer::After(mEntry.mNode.mLoop, mContext.mDeadlineMs, [self] {
     self->Leave();
+    self->mRetry.Cancel();
+    if (self->mLost) {
+      self->Fail(self->mLastError);
+      return;
+    }
     self->Fail({ ErrorCode::DeadlineExceeded,
                  "the deadline has passed",
                  self->UnprovenRan(),
@@ -120,7 +173,17 @@
       self->mDeadline.Cancel();
     }
   };
-  TryNext();
+  if (mCall.mKey.empty()) {
+    TryNext();
+    return;
+  }
+  mStartMs = mEntry.mNode.mLoop.NowMs();
+  mSlot = SlotOfKey(mService, mCall.mCustomer, mCall.mKey);
+  mLastError = { ErrorCode::RecordUnavailable,
+                 "no agent owns the slot of the key",
+                 Ran::Unknown,
+                 500 };
+  AskOwner();
 }
 
 // What is known of a call that got no answer. A call with a key may have been
@@ -170,23 +233,12 @@
     Fail(mLastError);
     return;
   }
-  AgentLink* link = mEntry.mLinks.Find(address);
-  mAddress = address;
-  mBackendHost = link->mReport.mFrom.mHost;
   mTried.push_back(address);
-  mCall.mFrom = SenderOf(mEntry.mNode);
-  mExchange =
-    AgentExchange::Start(*link->mConnection, "/call", Encode(mCall), mBody);
-  if (!mExchange) {
+  if (!Send(address)) {
     TryNext();
     return;
   }
-  mSent = true;
-  ++link->mOwn;
   auto self = shared_from_this();
-  mExchange->mOnAccepted = [self](const AnswerHead& aHead) {
-    self->mHead = aHead;
-  };
   mExchange->mOnRefused = [self](const AnswerHead& aHead) {
     self->Leave();
     self->mLastError = {
@@ -199,11 +251,133 @@
       self->Fail(self->mLastError);
     }
   };
+  mExchange->mOnBroken = [self](bool aAccepted) { self->OnBroken(aAccepted); };
+}
+
+// Sends the call to an agent; false when nothing was sent.
+bool
+ServiceCall::Send(const std::string& aAddress)
+{
+  AgentLink* link = mEntry.mLinks.Find(aAddress);
+  mCall.mFrom = SenderOf(mEntry.mNode);
+  mExchange =
+    AgentExchange::Start(*link->mConnection, "/call", Encode(mCall), mBody);
+  if (!mExchange) {
+    return false;
+  }
+  mAddress = aAddress;
+  mBackendHost = link->mReport.mFrom.mHost;
+  mSent = true;
+  ++link->mOwn;
+  mAnswer.clear();
+  auto self = shared_from_this();
+  mExchange->mOnAccepted = [self](const AnswerHead& aHead) {
+    self->mHead = aHead;
+  };
   mExchange->mOnBody = [self](std::string_view aBytes) {
     self->mAnswer += aBytes;
   };
   mExchange->mOnEnd = [self](const AnswerEnd& aEnd) { self->OnEnd(aEnd); };
-  mExchange->mOnBroken = [self](bool aAccepted) { self->OnBroken(aAccepted); };
+  return true;
+}
+
+// The agent whose report claims the slot with the highest epoch.
+std::string
+ServiceCall::FindOwner() const
+{
+  std::string owner;
+  std::int64_t epoch = -1;
+  for (const auto& [address, link] : mEntry.mLinks.All()) {
+    const Report& report = link.mReport;
+    if (!link.mConnection || !report.mIsService ||
+        report.mPool != mService.mName) {
+      continue;
+    }
+    for (const auto& slot : report.mSlots) {
+      if (slot.mSlot == mSlot && slot.mEpoch > epoch) {
+        owner = address;
+        epoch = slot.mEpoch;
+      }
+    }
+  }
+  return owner;
+}
+
+void
+ServiceCall::AskOwner()
+{
+  std::string owner = FindOwner();
+  TimeMs spent = mEntry.mNode.mLoop.NowMs() - mStartMs;
+  mCall.mDeadlineMs = std::max<TimeMs>(mContext.mDeadlineMs - spent, 1);
+  if (owner.empty() || !Send(owner)) {
+    // What an earlier owner said of the key may have changed since.
+    mLastError.mRan = Ran::Unknown;
+    AskOwnerLater();
+    return;
+  }
+  auto self = shared_from_this();
+  mExchange->mOnRefused = [self](const AnswerHead& aHead) {
+    self->OnOwnerRefused(aHead);
+  };
+  mExchange->mOnBroken = [self](bool) { self->OnOwnerBroken(); };
+}
+
+// Asks again, or ends the call when no owner was found in time. After a lost
+// attempt the time is the caller's deadline, whose timer ends the call.
+void
+ServiceCall::AskOwnerLater()
+{
+  TimeMs spent = mEntry.mNode.mLoop.NowMs() - mStartMs;
+  if (!mLost && spent + kOwnerRetryMs >= kOwnerWaitMs) {
+    Fail(mLastError);
+    return;
+  }
+  mRetry = Timer::After(mEntry.mNode.mLoop,
+                        kOwnerRetryMs,
+                        [self = shared_from_this()] { self->AskOwner(); });
+}
+
+void
+ServiceCall::OnOwnerRefused(const AnswerHead& aHead)
+{
+  Leave();
+  bool owners = IsOwnersWord(aHead.mCode);
+  if (!owners && mLost) {
+    // A lost attempt may have run; only the owner knows.
+    AskOwnerLater();
+    return;
+  }
+  mLost = false;
+  mLastError = { aHead.mCode,
+                 aHead.mReason,
+                 owners ? aHead.mRan : Ran::Unknown,
+                 aHead.mRetryAfterMs };
+  if (mLastError.mCode == ErrorCode::NotOwner ||
+      (mLastError.mCode == ErrorCode::Draining &&
+       mLastError.mRan != Ran::NotRun)) {
+    mLastError.mCode = ErrorCode::RecordUnavailable;
+  } else if (mLastError.mCode == ErrorCode::BackendFailed) {
+    mLastError.mCode = ErrorCode::OutcomeUnknown;
+  }
+  if (MayAskAgain(aHead.mCode, aHead.mRan)) {
+    AskOwnerLater();
+  } else {
+    Fail(mLastError);
+  }
+}
+
+// The owner was lost after the call was sent to it. The record of the next
+// owner, or of the same one, knows what became of the key.
+void
+ServiceCall::OnOwnerBroken()
+{
+  Leave();
+  mLost = true;
+  mLastError = { ErrorCode::OutcomeUnknown,
+                 "the owner of the key's slot was lost",
+                 Ran::Unknown,
+                 kOwnerRetryMs };
+  AskOwnerLater();
 }
 
 // The agent was lost. An idempotent call goes to another one; any other may
--- /dev/null
+++ b/router/src/slots.cpp
@@ -0,0 +1,594 @@
+#include "slots.h"
+
+#include "savory/core/identity.h"
+#include "savory/net/http_server.h"
+#include "savory/net/log.h"
+
+#include <algorithm>
+
+namespace savory {
+
+namespace {
+
+constexpr int kLeaseSeconds = 5;
+constexpr TimeMs kRenewMs = 1500;
+constexpr TimeMs kPollMs = 500;
+constexpr TimeMs kHostsMs = 2000;
+constexpr TimeMs kPingMs = 1000;
+
+// A store that takes longer than this counts as unreachable: a claim would
+// wait as long, and the lease would soon be lost.
+constexpr TimeMs kSlowStoreMs = 1000;
+
+// One lost answer is no outage; two calls without an answer in between are.
+constexpr int kFailuresOfOutage = 2;
+
+// A slot beyond the agent's share is taken when nobody else wants it for this
+// time. After a start and after an outage, an agent waits as long before it
+// takes any, so that others register and former owners bind their leases.
+constexpr TimeMs kFreeMs = 2000;
+constexpr TimeMs kSettleMs = 1000;
+
+// The number of a text that consists of digits only.
+std::optional<int>
+ReadNumber(std::string_view aText)
+{
+  if (aText.empty() || aText.size() > 6 ||
+      !std::all_of(aText.begin(), aText.end(), [](char aChar) {
+        return aChar >= '0' && aChar <= '9';
+      })) {
+    return std::nullopt;
+  }
+  return std::stoi(std::string(aText));
+}
+
+} // namespace
+
+int
+SlotOfKey(const Service& aService,
+          const std::string& aCustomer,
+          const std::string& aKey)
+{
+  auto slots = static_cast<std::uint64_t>(std::max(aService.mSlots, 1));
+  return static_cast<int>(HashOf(aCustomer + '\0' + aKey) % slots);
+}
+
+Slots::Slots(Node& aNode, std::string aService)
+  : mNode(aNode)
+  , mService(std::move(aService))
+  , mStore(aNode.mHttp, aNode.mSettings.mStore)
+  , mSelf{ aNode.mSettings.mHost, aNode.mIncarnation }
+{
+}
+
+void
+Slots::Start()
+{
+  mStarted = true;
+  mMayTakeMs = MonotonicMs() + kSettleMs;
+  mPollTimer = Timer::Every(mNode.mLoop, kPollMs, [this] { Poll(); });
+  mHostsTimer = Timer::Every(mNode.mLoop, kHostsMs, [this] { PollHosts(); });
+  mLeaseTimer = Timer::Every(mNode.mLoop, kRenewMs, [this] { RenewLease(); });
+  mPingTimer =
+    Timer::Every(mNode.mLoop, kPingMs, [this] { PingLostWitnesses(); });
+  PollHosts();
+  RenewLease();
+  Poll();
+}
+
+std::string
+Slots::StatusKey(int aSlot) const
+{
+  return "slot/" + mService + "/" + std::to_string(aSlot);
+}
+
+std::string
+Slots::LeaseKey(int aSlot) const
+{
+  return StatusKey(aSlot) + "/lease";
+}
+
+std::string
+Slots::RecordKey(int aSlot, std::int64_t aEpoch, std::int64_t aSequence) const
+{
+  return "rec/" + mService + "/" + std::to_string(aSlot) + "/" +
+         std::to_string(aEpoch) + "/" + std::to_string(aSequence);
+}
+
+std::string
+Slots::LeaseValue() const
+{
+  return mSelf.mHost + " " + std::to_string(mSelf.mIncarnation) + " " +
+         std::to_string(mLease);
+}
+
+int
+Slots::SlotCount() const
+{
+  const Service* service =
+    mNode.mConfig ? FindService(*mNode.mConfig, mService) : nullptr;
+  return service ? service->mSlots : 0;
+}
+
+std::vector<OwnedSlot>
+Slots::Owned() const
+{
+  std::vector<OwnedSlot> owned;
+  for (const auto& [number, held] : mHeld) {
+    if (IsServing(held->mSlot)) {
+      owned.push_back({ number, held->mSlot.mStatus.mEpoch });
+    }
+  }
+  return owned;
+}
+
+nlohmann::json
+Slots::State() const
+{
+  nlohmann::json slots = nlohmann::json::array();
+  for (const auto& [number, held] : mHeld) {
+    const Slot& slot = held->mSlot;
+    slots.push_back({ { "slot", number },
+                      { "phase", NameOf(kSlotPhaseNames, slot.mPhase) },
+                      { "epoch", slot.mStatus.mEpoch },
+                      { "complete", IsComplete(slot, MonotonicMs()) },
+                      { "witnesses", slot.mStatus.mWitnesses.size() },
+                      { "witnesses_ready", WitnessesReady(slot) },
+                      { "bytes", RecordBytes(slot) } });
+  }
+  return { { "store_reachable", mStoreReachable }, { "held", slots } };
+}
+
+// Reads the status and the lease of every slot and the registered agents, in
+// one call and as of one revision. The same call probes the store.
+void
+Slots::Poll()
+{
+  TimeMs now = MonotonicMs();
+  if (mPolling) {
+    if (now - mPollSentMs > kSlowStoreMs) {
+      SetStoreReachable(false);
+    }
+    return;
+  }
+  mPolling = true;
+  mPollSentMs = now;
+  mStore.ReadPrefix(
+    "slot/" + mService + "/",
+    [this](const tl::expected<std::vector<StoreEntry>, StoreError>& aEntries) {
+      mPolling = false;
+      if (!aEntries) {
+        StoreCalled(false);
+        return;
+      }
+      StoreCalled(true);
+      if (MonotonicMs() - mPollSentMs <= kSlowStoreMs) {
+        SetStoreReachable(true);
+      }
+      if (mStoreReachable) {
+        OnPolled(*aEntries);
+      }
+    });
+}
+
+// Counts failures in a row. A first one is checked at once by another call.
+void
+Slots::StoreCalled(bool aReached)
+{
+  if (aReached) {
+    mFailures = 0;
+    return;
+  }
+  if (++mFailures >= kFailuresOfOutage) {
+    SetStoreReachable(false);
+  } else {
+    Poll();
+  }
+}
+
+void
+Slots::SetStoreReachable(bool aReachable)
+{
+  if (mStoreReachable == aReachable) {
+    return;
+  }
+  mStoreReachable = aReachable;
+  mFreeSinceMs.clear();
+  LogEvent(aReachable ? Event::StoreUp : Event::StoreDown,
+           { { "store", ToString(mNode.mSettings.mStore) } });
+  TimeMs now = MonotonicMs();
+  if (aReachable) {
+    mMayTakeMs = now + kFreeMs;
+    RenewLease();
+  }
+  auto all = mHeld;
+  for (const auto& [number, held] : all) {
+    Apply(held,
+          aReachable ? StoreReachable(held->mSlot, now)
+                     : StoreUnreachable(held->mSlot, now));
+    if (!aReachable && WitnessesReady(held->mSlot)) {
+      LogEvent(Event::WitnessMode,
+               { { "service", mService }, { "slot", std::to_string(number) } });
+    }
+  }
+}
+
+void
+Slots::OnPolled(const std::vector<StoreEntry>& aEntries)
+{
+  std::string prefix = "slot/" + mService + "/";
+  std::map<int, StoredSlot> stored;
+  std::map<std::string, std::int64_t> agents;
+  for (const auto& entry : aEntries) {
+    std::string_view name = std::string_view(entry.mKey).substr(prefix.size());
+    if (name.starts_with("agent/")) {
+      auto document = nlohmann::json::parse(entry.mValue, nullptr, false);
+      if (!document.is_object() || !document.contains("incarnation") ||
+          !document["incarnation"].is_number_integer()) {
+        continue;
+      }
+      std::string host(name.substr(std::string_view("agent/").size()));
+      agents[host] = document["incarnation"].get<std::int64_t>();
+      auto inner = ParseEndpoint(document.value("inner", std::string()));
+      if (inner && !mLiveHosts.contains(host)) {
+        mPeers[host].mAddress = *inner;
+      }
+      continue;
+    }
+    bool isLease = name.ends_with("/lease");
+    auto number = ReadNumber(name.substr(0, name.find('/')));
+    if (!number) {
+      continue;
+    }
+    StoredSlot& slot = stored[*number];
+    if (isLease) {
+      slot.mLease = entry.mValue;
+      continue;
+    }
+    slot.mRevision = entry.mModRevision;
+    auto status = ParseSlotStatus(entry.mValue);
+    slot.mUnreadable = !status;
+    if (status) {
+      slot.mStatus = *status;
+    }
+  }
+  mAgents = std::move(agents);
+  auto self = mAgents.find(mSelf.mHost);
+  mRegistered = self != mAgents.end() && self->second == mSelf.mIncarnation;
+  if (!mRegistered && !mLeaving) {
+    Register();
+  }
+  KeepUp(stored);
+  TakeFreeSlots(stored);
+}
+
+// Makes the agent known to the others of the service for as long as its lease
+// lasts.
+void
+Slots::Register()
+{
+  if (mLease == 0) {
+    return;
+  }
+  nlohmann::json value = { { "incarnation", mSelf.mIncarnation },
+                           { "inner", ToString(mNode.mSettings.mInner) } };
+  mStore.Commit({ .mConditions = {},
+                  .mPuts = { { "slot/" + mService + "/agent/" + mSelf.mHost,
+                               value.dump(),
+                               mLease } },
+                  .mDeletes = {} },
+                [this](const tl::expected<StoreCommit, StoreError>& aCommit) {
+                  StoreCalled(aCommit.has_value());
+                });
+}
+
+void
+Slots::TakeFreeSlots(std::map<int, StoredSlot>& aStored)
+{
+  TimeMs now = MonotonicMs();
+  int count = SlotCount();
+  if (mLeaving || !mWanted || !mRegistered || mLease == 0 || count == 0 ||
+      now < mMayTakeMs) {
+    return;
+  }
+  auto agents = static_cast<int>(std::max<std::size_t>(mAgents.size(), 1));
+  int share = (count + agents - 1) / agents;
+  // Agents begin at different slots, so that few of them lose a race.
+  int first =
+    static_cast<int>(HashOf(mSelf.mHost) % static_cast<std::uint64_t>(count));
+  for (int i = 0; i < count; ++i) {
+    int number = (first + i) % count;
+    const StoredSlot& stored = aStored[number];
+    if (!stored.mLease.empty() || stored.mUnreadable ||
+        mHeld.contains(number)) {
+      mFreeSinceMs.erase(number);
+      continue;
+    }
+    TimeMs since = mFreeSinceMs.try_emplace(number, now).first->second;
+    if (static_cast<int>(mHeld.size()) < share || now - since >= kFreeMs) {
+      Take(number, stored);
+    }
+  }
+}
+
+void
+Slots::Take(int aSlot, const StoredSlot& aStored)
+{
+  TimeMs now = MonotonicMs();
+  auto held = std::make_shared<HeldSlot>();
+  held->mNumber = aSlot;
+  held->mSlot = MakeSlot(mSelf, RecordOptions(), WallClockMs(), now);
+  held->mRevision = aStored.mRevision;
+  mHeld[aSlot] = held;
+  mFreeSinceMs.erase(aSlot);
+  Apply(held, TakeOver(held->mSlot, aStored.mStatus, now));
+}
+
+// Compares the slots held with what the store has.
+void
+Slots::KeepUp(const std::map<int, StoredSlot>& aStored)
+{
+  auto all = mHeld;
+  for (const auto& [number, held] : all) {
+    Slot& slot = held->mSlot;
+    auto found = aStored.find(number);
+    if (slot.mPhase == SlotPhase::TakingOver || found == aStored.end() ||
+        !found->second.mStatus) {
+      continue;
+    }
+    TimeMs now = MonotonicMs();
+    // 1. Another agent has taken the slot over. That is what a witness says
+    // by refusing an older epoch, too.
+    if (found->second.mStatus->mEpoch > slot.mStatus.mEpoch) {
+      Apply(held,
+            IsServing(slot) ? WitnessRefused(slot, 0, now)
+                            : Release(slot, false, now));
+      continue;
+    }
+    // 2. The lease key went with an earlier lease, or its write was lost.
+    if (!held->mHasLease && mLease != 0) {
+      if (found->second.mLease == LeaseValue()) {
+        held->mHasLease = true;
+        LeaseRenewed(slot, mLeaseSentMs);
+      } else if (found->second.mLease.empty()) {
+        BindLease(held);
+      }
+    }
+    // 3. Witnesses for the next outage.
+    RecordActions actions;
+    ChooseWitnesses(*held, actions);
+    Apply(held, actions);
+  }
+}
+
+// Proposes two other agents unless both present witnesses still live.
+void
+Slots::ChooseWitnesses(HeldSlot& aHeld, RecordActions& aActions)
+{
+  auto lives = [this](const AgentName& aAgent) {
+    auto found = mAgents.find(aAgent.mHost);
+    return found != mAgents.end() && found->second == aAgent.mIncarnation;
+  };
+  const auto& present = aHeld.mSlot.mStatus.mWitnesses;
+  if (present.size() == 2 && lives(present[0]) && lives(present[1]) &&
+      present[0].mHost != mSelf.mHost && present[1].mHost != mSelf.mHost) {
+    return;
+  }
+  std::vector<std::pair<std::uint64_t, AgentName>> ranked;
+  for (const auto& [host, incarnation] : mAgents) {
+    auto listed = mLiveHosts.find(host);
+    bool leaving = listed != mLiveHosts.end() && !listed->second;
+    if (host != mSelf.mHost && !leaving) {
+      auto rank = HashOf(host, static_cast<std::uint64_t>(aHeld.mNumber));
+      ranked.emplace_back(rank, AgentName{ host, incarnation });
+    }
+  }
+  if (ranked.size() < 2) {
+    return;
+  }
+  std::sort(
+    ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
+  aActions = ProposeWitnesses(
+    aHeld.mSlot, { ranked[0].second, ranked[1].second }, MonotonicMs());
+}
+
+void
+Slots::PollHosts()
+{
+  FetchHostList(
+    mNode.mHttp,
+    mNode.mSettings.mHosts,
+    [this](const tl::expected<std::vector<Host>, HostListError>& aHosts) {
+      if (!aHosts) {
+        return;
+      }
+      mLiveHosts.clear();
+      for (const auto& host : *aHosts) {
+        if (host.mRole == HostRole::Agent) {
+          mLiveHosts[host.mName] = host.mState == HostState::Live;
+          mPeers[host.mName].mAddress = host.mInner;
+        }
+      }
+      std::erase_if(mPeers, [this](const auto& aPeer) {
+        return !mLiveHosts.contains(aPeer.first) &&
+               !mAgents.contains(aPeer.first);
+      });
+    });
+}
+
+void
+Slots::RenewLease()
+{
+  if (mLease == 0) {
+    GrantLease();
+    return;
+  }
+  TimeMs sent = MonotonicMs();
+  std::int64_t lease = mLease;
+  mStore.RenewLease(
+    lease, [this, sent, lease](const tl::expected<bool, StoreError>& aRenewed) {
+      StoreCalled(aRenewed.has_value());
+      if (!aRenewed || lease != mLease) {
+        return;
+      }
+      if (!*aRenewed) {
+        LeaseLost();
+        return;
+      }
+      mLeaseSentMs = std::max(mLeaseSentMs, sent);
+      for (const auto& [number, held] : mHeld) {
+        if (held->mHasLease) {
+          LeaseRenewed(held->mSlot, sent);
+        }
+      }
+    });
+}
+
+void
+Slots::GrantLease()
+{
+  if (mGranting || mLeaving) {
+    return;
+  }
+  mGranting = true;
+  TimeMs sent = MonotonicMs();
+  mStore.GrantLease(
+    kLeaseSeconds,
+    [this, sent](const tl::expected<std::int64_t, StoreError>& aLease) {
+      mGranting = false;
+      StoreCalled(aLease.has_value());
+      if (!aLease) {
+        return;
+      }
+      mLease = *aLease;
+      mLeaseSentMs = sent;
+      Register();
+      for (const auto& [number, held] : mHeld) {
+        BindLease(held);
+      }
+    });
+}
+
+// The store has ended the lease with its keys, so that any agent may take the
+// slots over. They are kept as long as none has.
+void
+Slots::LeaseLost()
+{
+  mLease = 0;
+  for (const auto& [number, held] : mHeld) {
+    held->mHasLease = false;
+  }
+  GrantLease();
+}
+
+// Binds a held slot to the agent's lease, unless its status changed or another
+// lease holds it.
+void
+Slots::BindLease(const Held& aHeld)
+{
+  if (mLease == 0 || aHeld->mSlot.mPhase == SlotPhase::TakingOver) {
+    return;
+  }
+  std::int64_t lease = mLease;
+  mStore.Commit(
+    { .mConditions = { { StatusKey(aHeld->mNumber), aHeld->mRevision },
+                       { LeaseKey(aHeld->mNumber), 0 } },
+      .mPuts = { { LeaseKey(aHeld->mNumber), LeaseValue(), lease } },
+      .mDeletes = {} },
+    [this, aHeld, lease](const tl::expected<StoreCommit, StoreError>& aCommit) {
+      StoreCalled(aCommit.has_value());
+      if (aCommit && aCommit->mSucceeded && lease == mLease) {
+        aHeld->mHasLease = true;
+        LeaseRenewed(aHeld->mSlot, mLeaseSentMs);
+      }
+    });
+}
+
+void
+Slots::GiveUpAll()
+{
+  auto all = mHeld;
+  for (const auto& [number, held] : all) {
+    Apply(held, Release(held->mSlot, false, MonotonicMs()));
+  }
+}
+
+void
+Slots::SetWanted(bool aWanted)
+{
+  if (mWanted == aWanted) {
+    return;
+  }
+  mWanted = aWanted;
+  if (!mWanted) {
+    GiveUpAll();
+  }
+}
+
+void
+Slots::Leave()
+{
+  mLeaving = true;
+  mStore.Commit(
+    { .mConditions = {},
+      .mPuts = {},
+      .mDeletes = { "slot/" + mService + "/agent/" + mSelf.mHost } },
+    [](const tl::expected<StoreCommit, StoreError>& /*aCommit*/) {});
+  GiveUpAll();
+}
+
+CallId
+Slots::Arrive(int aSlot, KeyedCall aCall, KeyedHandlers aHandlers)
+{
+  auto found = mHeld.find(aSlot);
+  if (found == mHeld.end()) {
+    return 0;
+  }
+  Held held = found->second;
+  aCall.mId = ++mLastCall;
+  mCalls[aCall.mId] = { held, std::move(aHandlers) };
+  Apply(held, CallArrived(held->mSlot, aCall, MonotonicMs()));
+  return aCall.mId;
+}
+
+void
+Slots::Cancel(CallId aCall)
+{
+  auto found = mCalls.find(aCall);
+  if (found != mCalls.end()) {
+    Held held = found->second.mHeld;
+    Apply(held, CallCancelled(held->mSlot, aCall, MonotonicMs()));
+  }
+}
+
+void
+Slots::BackendDone(CallId aCall, const HttpResult& aResult)
+{
+  auto found = mCalls.find(aCall);
+  if (found == mCalls.end()) {
+    return;
+  }
+  Held held = found->second.mHeld;
+  found->second.mRunning = false;
+  TimeMs now = MonotonicMs();
+  if (aResult) {
+    Outcome outcome{ .mStatus = aResult->mStatus,
+                     .mHeaders = { { "Content-Type",
+                                     std::string(HeaderValue(
+                                       aResult->mHeaders, "content-type")) } },
+                     .mBody = aResult->mBody };
+    Apply(held, BackendAnswered(held->mSlot, aCall, std::move(outcome), now));
+  } else if (aResult.error() == HttpErrorCode::NotConnected) {
+    Apply(held, BackendNotReached(held->mSlot, aCall, now));
+  } else {
+    Apply(held, BackendBroke(held->mSlot, aCall, now));
+  }
+  found = mCalls.find(aCall);
+  if (found != mCalls.end() && found->second.mAnswered) {
+    mCalls.erase(found);
+  }
+}
+
+} // namespace savory
