--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -19,6 +19,10 @@
 // Time for the last answers and reports to leave the sockets at a shutdown.
 constexpr TimeMs kLingerMs = 200;
 
+// A backend server that is back within this time keeps its slots: a restart is
+// shorter than a take-over.
+constexpr TimeMs kBackendGoneMs = 3000;
+
 } // namespace
 
 Agent::Agent(Node& aNode)
@@ -31,6 +35,20 @@
              .mExplain = [](const std::string&) { return nlohmann::json(); },
              .mRefresh = [] {} })
 {
+  if (mNode.mSettings.mBackendKind == BackendKind::Service) {
+    mSlots = std::make_unique<Slots>(mNode, mNode.mSettings.mPool);
+    mSlots->mOnChanged = [this] {
+      ReportNow();
+      StopWhenDone();
+    };
+    mNode.mConfigChanged.connect([this] { ReviewSlots(); });
+  }
+}
+
+// The end of the slots ends calls, which this object must outlive.
+Agent::~Agent()
+{
+  mSlots.reset();
 }
 
 bool
@@ -50,6 +68,9 @@
   mNode.mConfigChanged.connect([this] { OnConfigChanged(); });
   mPollTimer = Timer::Every(mNode.mLoop, kPollMs, [this] { PollBackend(); });
   PollBackend();
+  if (mSlots) {
+    mSlots->Start();
+  }
   return true;
 }
 
@@ -61,6 +82,7 @@
     mNode.mSettings.mBackend,
     [this](const tl::expected<BackendLoad, BackendError>& aLoad) {
       OnLoad(aLoad);
+      ReviewSlots();
     });
 }
 
@@ -259,6 +281,24 @@
   PollQueue();
 }
 
+// Slots are held while the backend server answers and its zone takes work.
+void
+Agent::ReviewSlots()
+{
+  if (!mSlots) {
+    return;
+  }
+  TimeMs now = MonotonicMs();
+  if (mReachable) {
+    mLastReachableMs = now;
+  }
+  const Zone* zone =
+    mNode.mConfig ? FindZone(*mNode.mConfig, mNode.mSettings.mZone) : nullptr;
+  bool isOut = zone && zone->mState == ZoneState::Out;
+  bool gone = now - mLastReachableMs > kBackendGoneMs;
+  mSlots->SetWanted(mNode.mConfig && !isOut && !gone && mLastReachableMs > 0);
+}
+
 Report
 Agent::MakeReport() const
 {
@@ -279,7 +319,7 @@
     .mAllowance = Allowance(mWarmup, WarmupLimits()),
     .mTokensHeld = mAdmission.mTokensHeld,
     .mTokenCapacity = mLoad.mTokenCapacity,
-    .mSlots = {},
+    .mSlots = mSlots ? mSlots->Owned() : std::vector<OwnedSlot>(),
     .mSuspects = SuspectRows(mQuarantine, mNode.mLoop.NowMs()),
   };
 }
@@ -301,7 +341,8 @@
            { "allowance", Allowance(mWarmup, WarmupLimits()) },
            { "warmup_cause", mWarmup.mCause },
            { "unwritten_bills", mBills.Unwritten() },
-           { "suspects", mQuarantine.mSuspects.size() } };
+           { "suspects", mQuarantine.mSuspects.size() },
+           { "slots", mSlots ? mSlots->State() : nlohmann::json() } };
 }
 
 void
@@ -320,6 +361,8 @@
     StartAgentRun(*this, aStream);
   } else if (aStream->Path() == "/call") {
     StartAgentCall(*this, aStream);
+  } else if (aStream->Path() == "/witness" && mSlots) {
+    mSlots->OnWitnessStream(aStream);
   } else if (aStream->Path() == "/report") {
     mSubscribers.insert(aStream);
     aStream->mOnClosed = [this, aStream](bool) { mSubscribers.erase(aStream); };
@@ -399,14 +442,18 @@
                { "bills", std::to_string(mBills.Unwritten()) } });
     mNode.mLoop.Stop();
   });
+  if (mSlots) {
+    mSlots->Leave();
+  }
   mDrainTimer = Timer::Every(mNode.mLoop, kLingerMs, [this] { Stop(); });
 }
 
-// Ends the process once no call is under way and no bill is unwritten.
+// Ends the process once no call is under way, no slot is held and no
+// bill is unwritten.
 void
 Agent::Stop()
 {
-  if (!mCalls.empty()) {
+  if (!mCalls.empty() || (mSlots && !mSlots->HasLeft())) {
     return;
   }
   if (mBills.Unwritten() > 0) {
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -11,6 +11,7 @@
 #include "savory/core/wire.h"
 #include "savory/net/inner.h"
 #include "savory/platform/backend.h"
+#include "slots.h"
 
 #include <map>
 #include <memory>
@@ -36,6 +37,9 @@
 {
 public:
   explicit Agent(Node& aNode);
+  ~Agent();
+  Agent(const Agent&) = delete;
+  Agent& operator=(const Agent&) = delete;
 
   bool Listen();
   void Drain();
@@ -74,6 +78,8 @@
   bool mReachable = false;
   Warmup mWarmup;
   Quarantine mQuarantine;
+  // The slots of the plain service; null beside an engine.
+  std::unique_ptr<Slots> mSlots;
 
 private:
   void OnStream(const std::shared_ptr<InnerStream>& aStream);
@@ -88,6 +94,7 @@
   void PollQueue();
   void OnConfigChanged();
   AdmissionOptions AdmissionLimits() const;
+  void ReviewSlots();
   nlohmann::json State() const;
 
   // A request that broke, until it is known whether the backend server did.
@@ -103,8 +110,10 @@
   ZoneState mZoneState = ZoneState::In;
   Admin mAdmin;
   ConfigSync mSync;
-  std::unique_ptr<InnerListener> mListener;
+  // Outlives the listener, whose end closes the streams of the subscribers.
   std::set<std::shared_ptr<InnerStream>> mSubscribers;
+  std::unique_ptr<InnerListener> mListener;
+  TimeMs mLastReachableMs = 0;
   Timer mReportTimer;
   Timer mPollTimer;
   Timer mQueueTimer;
