--- a/ctl/src/changes.cpp
+++ b/ctl/src/changes.cpp
@@ -124,31 +124,6 @@
   }
 }
 
-// Copies the configuration in force to cfg/document, which entries read until
-// they read the head.
-void
-CopyDocument(Session& aSession)
-{
-  for (int attempt = 0; attempt < 5; ++attempt) {
-    auto config = aSession.ReadConfiguration();
-    auto present = aSession.Read("cfg/document");
-    if (!config || !present) {
-      return;
-    }
-    json old = *present ? json::parse((*present)->mValue, nullptr, false)
-                        : json::object();
-    if (old.is_object() &&
-        old.value("revision", std::int64_t(0)) >= config->mRevision) {
-      return;
-    }
-    StoreTransaction write;
-    write.mConditions.push_back(
-      { "cfg/document", *present ? (*present)->mModRevision : 0 });
-    write.mPuts.push_back({ "cfg/document", ToJson(*config).dump(), 0 });
-    aSession.Commit(write);
-  }
-}
-
 // Takes a change through the store and reports what became of it.
 CommandResult
 MakeChange(Session& aSession, const Step& aStep)
@@ -211,7 +186,6 @@
   }
 
   // 3. In force.
-  CopyDocument(aSession);
   if (settings.mWait) {
     AddConfirmation(aSession, change.mRevision, result);
   }
--- a/ctl/src/reports.cpp
+++ b/ctl/src/reports.cpp
@@ -7,7 +7,8 @@
 #include "savory/core/record.h"
 
 #include <algorithm>
-#include <cstdio>
+#include <iomanip>
+#include <sstream>
 
 namespace savory {
 
@@ -32,22 +33,19 @@
                   "the list of hosts does not answer: " + aError.mReason });
 }
 
-// One line of a table of hosts.
+// One line of the table of hosts.
 std::string
-HostLine(const Host& aHost,
-         const std::string& aRevision,
-         const std::string& aMore)
+HostLine(std::string_view aHost,
+         std::string_view aRole,
+         std::string_view aZone,
+         std::string_view aRevision,
+         const std::string& aState)
 {
-  char line[200];
-  std::snprintf(line,
-                sizeof line,
-                "%-20.60s %-6s %-12.40s %9s  %.60s\n",
-                aHost.mName.c_str(),
-                std::string(NameOf(kHostRoleNames, aHost.mRole)).c_str(),
-                aHost.mZone.c_str(),
-                aRevision.c_str(),
-                aMore.c_str());
-  return line;
+  std::ostringstream line;
+  line << std::left << std::setw(20) << aHost << ' ' << std::setw(6) << aRole
+       << ' ' << std::setw(12) << aZone << ' ' << std::right << std::setw(9)
+       << aRevision << "  " << aState << '\n';
+  return line.str();
 }
 
 // What a state dump says besides the revision, in a few words.
@@ -148,7 +146,10 @@
     return Failed(config.error());
   }
   json document = ShownDocument(*config, aSettings.mSecrets);
-  return { kExitOk, document.dump(2) + "\n", std::move(document) };
+  std::string text = document.dump(2) + "\n";
+  return { kExitOk,
+           std::move(text),
+           { { "configuration", std::move(document) } } };
 }
 
 CommandResult
@@ -200,8 +201,7 @@
   }
   CommandResult result;
   result.mJson = { { "hosts", json::array() } };
-  Host title{ .mName = "host", .mZone = "zone", .mInner = {}, .mAdmin = {} };
-  result.mText = HostLine(title, "revision", "state");
+  result.mText = HostLine("host", "role", "zone", "revision", "state");
   auto states =
     AskHosts(session, *hosts, "GET", "/state", aSettings.mTimeoutMs);
   for (std::size_t i = 0; i < hosts->size(); ++i) {
@@ -213,15 +213,19 @@
     json state = states[i] && states[i]->mStatus == 200
                    ? json::parse(states[i]->mBody, nullptr, false)
                    : json();
-    if (state.is_object()) {
-      result.mText += HostLine(
-        host, state.value("revision", json("?")).dump(), StateWords(state));
+    // A host that does not answer is part of the state, not a failure of the
+    // command.
+    bool known = state.is_object();
+    result.mText +=
+      HostLine(host.mName,
+               NameOf(kHostRoleNames, host.mRole),
+               host.mZone,
+               known ? state.value("revision", json("?")).dump() : "-",
+               known ? StateWords(state) : ReasonOf(states[i]));
+    if (known) {
       row["state"] = std::move(state);
     } else {
-      // A host that does not answer is part of the state, not a failure of
-      // the command.
       row["error"] = ReasonOf(states[i]);
-      result.mText += HostLine(host, "-", ReasonOf(states[i]));
     }
     result.mJson["hosts"].push_back(std::move(row));
   }
--- a/ctl/src/session.cpp
+++ b/ctl/src/session.cpp
@@ -264,12 +264,6 @@
   return PerformCommit(transaction);
 }
 
-void
-Session::Commit(const StoreTransaction& aTransaction)
-{
-  PerformCommit(aTransaction);
-}
-
 RunEnd
 Session::RunChange(Change& aChange)
 {
