--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -39,7 +39,7 @@
     mSlots = std::make_unique<Slots>(mNode, mNode.mSettings.mPool);
     mSlots->mOnChanged = [this] {
       ReportNow();
-      StopWhenDone();
+      Stop();
     };
     mNode.mConfigChanged.connect([this] { ReviewSlots(); });
   }
@@ -453,7 +453,7 @@
 void
 Agent::Stop()
 {
-  if (!mCalls.empty() || (mSlots && !mSlots->HasLeft())) {
+  if (!mNode.mDraining || !mCalls.empty() || (mSlots && !mSlots->HasLeft())) {
     return;
   }
   if (mBills.Unwritten() > 0) {
