--- a/bench/bench_cascade.cpp
+++ b/bench/bench_cascade.cpp
@@ -48,12 +48,14 @@
 
 using Day = std::vector<Window>;
 
-std::size_t Index(int aModel)
+std::size_t
+Index(int aModel)
 {
   return static_cast<std::size_t>(aModel);
 }
 
-bool InTime(const BenchRequest& aRequest, int aFirst, int aSecond)
+bool
+InTime(const BenchRequest& aRequest, int aFirst, int aSecond)
 {
   TimeMs time = aRequest.mStepMs[Index(aFirst)];
   if (aSecond != kNone) {
@@ -64,10 +66,11 @@
 
 // Carries out one or two steps for a request. The rating of the first step is
 // wrong or late as the request says.
-Taken CarryOut(const BenchRequest& aRequest,
-               int aFirst,
-               int aSecond,
-               bool aDeliverLate)
+Taken
+CarryOut(const BenchRequest& aRequest,
+         int aFirst,
+         int aSecond,
+         bool aDeliverLate)
 {
   const auto& rates = TrueRates(*aRequest.mTruth, aRequest.mAtMs);
   Taken taken{ aRequest.mCost[Index(aFirst)],
@@ -84,7 +87,8 @@
 
 // The cheapest steps by the true rates of the class that meet the target in
 // time; the best in time when none does.
-Taken BestPolicy(const BenchRequest& aRequest)
+Taken
+BestPolicy(const BenchRequest& aRequest)
 {
   const auto& rates = TrueRates(*aRequest.mTruth, aRequest.mAtMs);
   bool cascades = !aRequest.mStream && RatingUp(aRequest.mAtMs);
@@ -120,7 +124,8 @@
 }
 
 // The cheapest model whose answer passes, in time; the cheapest when none.
-Taken Oracle(const BenchRequest& aRequest)
+Taken
+Oracle(const BenchRequest& aRequest)
 {
   int chosen = 0;
   for (int model = kModelCount - 1; model >= 0; --model) {
@@ -133,7 +138,8 @@
   return taken;
 }
 
-void AddTo(Day& aDay, const BenchRequest& aRequest, const Taken& aTaken)
+void
+AddTo(Day& aDay, const BenchRequest& aRequest, const Taken& aTaken)
 {
   Window& window = aDay[static_cast<std::size_t>(aRequest.mAtMs / kWindowMs)];
   window.mCost += aTaken.mCost;
@@ -146,8 +152,9 @@
   window.mClassRequests[index] += 1;
 }
 
-Day RunPolicy(const std::vector<BenchRequest>& aRequests,
-              const std::function<Taken(const BenchRequest&)>& aPolicy)
+Day
+RunPolicy(const std::vector<BenchRequest>& aRequests,
+          const std::function<Taken(const BenchRequest&)>& aPolicy)
 {
   Day day(kWindows);
   for (const auto& request : aRequests) {
@@ -338,7 +345,8 @@
 };
 
 // The cost of the windows in [aFrom, aTo).
-double CostOf(const Day& aDay, std::size_t aFrom, std::size_t aTo)
+double
+CostOf(const Day& aDay, std::size_t aFrom, std::size_t aTo)
 {
   double cost = 0;
   for (std::size_t i = aFrom; i < aTo; ++i) {
@@ -348,7 +356,8 @@
 }
 
 // The lowest expected quality of the windows in [aFrom, aTo).
-double WorstOf(const Day& aDay, std::size_t aFrom, std::size_t aTo)
+double
+WorstOf(const Day& aDay, std::size_t aFrom, std::size_t aTo)
 {
   double worst = 1;
   for (std::size_t i = aFrom; i < aTo; ++i) {
@@ -359,7 +368,8 @@
 
 // The share of windows after the first whose sample of outcomes is below the
 // target; a policy that just meets the target has many.
-double SampledBelow(const Day& aDay)
+double
+SampledBelow(const Day& aDay)
 {
   double below = 0;
   for (std::size_t i = 1; i < aDay.size(); ++i) {
@@ -369,7 +379,8 @@
 }
 
 // The lowest expected quality of a class over the day after the first window.
-double WorstClass(const Day& aDay)
+double
+WorstClass(const Day& aDay)
 {
   double worst = 1;
   for (std::size_t index = 0; index < kClassCount; ++index) {
@@ -384,7 +395,8 @@
   return worst;
 }
 
-double ExploredShare(const Day& aDay)
+double
+ExploredShare(const Day& aDay)
 {
   double explored = 0;
   double requests = 0;
@@ -403,10 +415,11 @@
   "always cheapest", "random", "fixed threshold"
 };
 
-Days RunAll(Results& aResults,
-            const Workload& aWorkload,
-            std::uint64_t aSeed,
-            double& aPlanTime)
+Days
+RunAll(Results& aResults,
+       const Workload& aWorkload,
+       std::uint64_t aSeed,
+       double& aPlanTime)
 {
   auto requests = MakeRequests(aWorkload, aSeed);
   std::mt19937_64 random(aSeed);
@@ -438,12 +451,13 @@
 }
 
 // One line; `aMeasure` gives its value for a policy's day.
-Line MakeLine(const std::string& aName,
-              const std::string& aUnit,
-              Better aBetter,
-              double aTarget,
-              const std::vector<Days>& aSeeds,
-              const std::function<double(const Days&, const Day&)>& aMeasure)
+Line
+MakeLine(const std::string& aName,
+         const std::string& aUnit,
+         Better aBetter,
+         double aTarget,
+         const std::vector<Days>& aSeeds,
+         const std::function<double(const Days&, const Day&)>& aMeasure)
 {
   Line line;
   line.mName = aName;
@@ -469,7 +483,8 @@
   return line;
 }
 
-Plot CostPlot(const Workload& aWorkload, const Days& aDays)
+Plot
+CostPlot(const Workload& aWorkload, const Days& aDays)
 {
   Plot plot{ "cascade-cost-" + aWorkload.mName,
              "hour of the day",
@@ -495,7 +510,8 @@
 
 } // namespace
 
-void BenchCascade(Results& aResults)
+void
+BenchCascade(Results& aResults)
 {
   constexpr std::size_t kFrom = kOutageFromMs / kWindowMs;
   constexpr std::size_t kTo = kOutageToMs / kWindowMs;
--- a/bench/bench_rollout.cpp
+++ b/bench/bench_rollout.cpp
@@ -176,7 +176,8 @@
 
 // The version answers well for `aBefore` ratings, then fails at the bad rate
 // until the alarm; only a share of the answers is rated.
-WatchRun RunWatch(std::uint64_t aSeed, int aBefore)
+WatchRun
+RunWatch(std::uint64_t aSeed, int aBefore)
 {
   std::mt19937_64 random(aSeed);
   RegressionWatch watch;
@@ -200,7 +201,8 @@
 }
 
 // False alarms of the watch in a million ratings of a good version.
-double FalseAlarms(std::uint64_t aSeed)
+double
+FalseAlarms(std::uint64_t aSeed)
 {
   std::mt19937_64 random(aSeed);
   RegressionWatch watch;
@@ -232,7 +234,8 @@
   double mAlarms = 0;
 };
 
-SeedFigures MeasureSeed(Results& aResults, std::uint64_t aSeed)
+SeedFigures
+MeasureSeed(Results& aResults, std::uint64_t aSeed)
 {
   SeedFigures figures;
   std::string decisions;
@@ -278,7 +281,8 @@
 }
 
 // The number of ratings of a test of fixed size with the stated error rates.
-double FixedSize()
+double
+FixedSize()
 {
   constexpr double kOnePercent = 2.326;
   constexpr double kFivePercent = 1.645;
@@ -291,7 +295,8 @@
 
 } // namespace
 
-void BenchRollout(Results& aResults)
+void
+BenchRollout(Results& aResults)
 {
   std::vector<SeedFigures> all;
   all.reserve(kSeeds.size());
--- a/bench/plot.cpp
+++ b/bench/plot.cpp
@@ -31,7 +31,8 @@
   double mTo = 0;
 };
 
-Axis MakeAxis(double aLargest, double aFrom, double aTo)
+Axis
+MakeAxis(double aLargest, double aFrom, double aTo)
 {
   double rough = std::max(aLargest, 1e-9) / kTicks;
   double power = std::pow(10, std::floor(std::log10(rough)));
@@ -44,19 +45,22 @@
   return { std::ceil(aLargest / tick - 1e-9) * tick, tick, aFrom, aTo };
 }
 
-double Pixel(const Axis& aAxis, double aValue)
+double
+Pixel(const Axis& aAxis, double aValue)
 {
   return aAxis.mFrom + (aAxis.mTo - aAxis.mFrom) * aValue / aAxis.mEnd;
 }
 
-std::string Number(double aValue)
+std::string
+Number(double aValue)
 {
   char text[32];
   std::snprintf(text, sizeof text, "%.6g", aValue);
   return text;
 }
 
-std::string Escape(const std::string& aText)
+std::string
+Escape(const std::string& aText)
 {
   std::string text;
   for (char letter : aText) {
@@ -74,22 +78,22 @@
   return text;
 }
 
-std::string Text(double aX,
-                 double aY,
-                 const std::string& aText,
-                 const std::string& aMore)
+std::string
+Text(double aX, double aY, const std::string& aText, const std::string& aMore)
 {
   return "<text x='" + Number(aX) + "' y='" + Number(aY) + "' " + aMore + ">" +
          Escape(aText) + "</text>\n";
 }
 
-std::string Stroke(double aX1, double aY1, double aX2, double aY2)
+std::string
+Stroke(double aX1, double aY1, double aX2, double aY2)
 {
   return "<line x1='" + Number(aX1) + "' y1='" + Number(aY1) + "' x2='" +
          Number(aX2) + "' y2='" + Number(aY2) + "' ";
 }
 
-std::string DrawAxes(const Plot& aPlot, const Axis& aX, const Axis& aY)
+std::string
+DrawAxes(const Plot& aPlot, const Axis& aX, const Axis& aY)
 {
   std::string svg;
   for (double value = 0; value <= aX.mEnd + aX.mTick / 2; value += aX.mTick) {
@@ -119,7 +123,8 @@
 
 } // namespace
 
-std::string PlotToSvg(const Plot& aPlot)
+std::string
+PlotToSvg(const Plot& aPlot)
 {
   // 1. Ranges of both axes.
   double largestX = 0;
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -18,7 +18,8 @@
 constexpr double kMsPerHour = 3600000;
 
 // The load factor at a time: 1 at night, the peak at 13:00.
-double LoadAt(const Workload& aWorkload, TimeMs aAtMs)
+double
+LoadAt(const Workload& aWorkload, TimeMs aAtMs)
 {
   double hour = static_cast<double>(aAtMs) / kMsPerHour;
   double wave = std::sin(std::numbers::pi * (hour - 7) / 12);
@@ -27,7 +28,8 @@
 
 } // namespace
 
-const std::vector<Workload>& Deployments()
+const std::vector<Workload>&
+Deployments()
 {
   using enum SizeClass;
   static const std::vector<Workload> kDeployments{
@@ -85,7 +87,8 @@
   return kDeployments;
 }
 
-Configuration BenchConfiguration()
+Configuration
+BenchConfiguration()
 {
   Configuration config;
   Customer customer;
@@ -106,8 +109,8 @@
   return config;
 }
 
-std::vector<BenchRequest> MakeRequests(const Workload& aWorkload,
-                                       std::uint64_t aSeed)
+std::vector<BenchRequest>
+MakeRequests(const Workload& aWorkload, std::uint64_t aSeed)
 {
   std::mt19937_64 random(aSeed);
   std::uniform_real_distribution<> uniform(0, 1);
@@ -150,16 +153,17 @@
   return requests;
 }
 
-const std::array<double, kModelCount>& TrueRates(const ClassTruth& aTruth,
-                                                 TimeMs aAtMs)
+const std::array<double, kModelCount>&
+TrueRates(const ClassTruth& aTruth, TimeMs aAtMs)
 {
   return aAtMs < kNewVersionMs ? aTruth.mBefore : aTruth.mAfter;
 }
 
-double TrueQuality(const std::array<double, kModelCount>& aRates,
-                   int aFirst,
-                   int aSecond,
-                   bool aDeliverLate)
+double
+TrueQuality(const std::array<double, kModelCount>& aRates,
+            int aFirst,
+            int aSecond,
+            bool aDeliverLate)
 {
   double first = aRates[static_cast<std::size_t>(aFirst)];
   if (aSecond < 0) {
@@ -177,7 +181,8 @@
   return rated * (1 - kLateRatings) + late * kLateRatings;
 }
 
-bool RatingUp(TimeMs aAtMs)
+bool
+RatingUp(TimeMs aAtMs)
 {
   return aAtMs < kOutageFromMs || aAtMs >= kOutageToMs;
 }
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -57,10 +57,12 @@
   double mPeakLoad = 1;
 };
 
-const std::vector<Workload>& Deployments();
+const std::vector<Workload>&
+Deployments();
 
 // The models, presets and one customer of the deployments' example files.
-Configuration BenchConfiguration();
+Configuration
+BenchConfiguration();
 
 // One request with the outcome that each model would have.
 struct BenchRequest
@@ -77,21 +79,23 @@
   std::array<TimeMs, kModelCount> mStepMs{};
 };
 
-std::vector<BenchRequest> MakeRequests(const Workload& aWorkload,
-                                       std::uint64_t aSeed);
+std::vector<BenchRequest>
+MakeRequests(const Workload& aWorkload, std::uint64_t aSeed);
 
 // The true pass rates that hold at a time.
-const std::array<double, kModelCount>& TrueRates(const ClassTruth& aTruth,
-                                                 TimeMs aAtMs);
+const std::array<double, kModelCount>&
+TrueRates(const ClassTruth& aTruth, TimeMs aAtMs);
 
 // The expected share of passing answers of one step, or of two when `aSecond`
 // is a model, with the noise of ratings and late ratings. `aDeliverLate` says
 // whether the first answer is delivered when its rating is late.
-double TrueQuality(const std::array<double, kModelCount>& aRates,
-                   int aFirst,
-                   int aSecond,
-                   bool aDeliverLate);
-
-bool RatingUp(TimeMs aAtMs);
+double
+TrueQuality(const std::array<double, kModelCount>& aRates,
+            int aFirst,
+            int aSecond,
+            bool aDeliverLate);
+
+bool
+RatingUp(TimeMs aAtMs);
 
 } // namespace savory::bench
--- a/core/include/savory/core/cascade.h
+++ b/core/include/savory/core/cascade.h
@@ -42,11 +42,12 @@
 // The pass rate of a version as first step of a class. The prior is the
 // posterior of the version before it in the model's list, and the configured
 // quality for the first.
-PassRate PassRateOf(const Model& aModel,
-                    std::string_view aVersion,
-                    const RatingTable& aRatings,
-                    int aClass,
-                    const CascadeOptions& aOptions);
+PassRate
+PassRateOf(const Model& aModel,
+           std::string_view aVersion,
+           const RatingTable& aRatings,
+           int aClass,
+           const CascadeOptions& aOptions);
 
 // The expected time of a step at a model under its present load.
 struct StepTime
@@ -97,12 +98,13 @@
 };
 
 // Chooses the steps of a request under the preset in force.
-tl::expected<Plan, ErrorCode> PlanRequest(const Configuration& aConfig,
-                                          const Customer& aCustomer,
-                                          const RatingTable& aRatings,
-                                          const PlanInput& aInput,
-                                          const CascadeOptions& aOptions,
-                                          std::mt19937_64& aRandom);
+tl::expected<Plan, ErrorCode>
+PlanRequest(const Configuration& aConfig,
+            const Customer& aCustomer,
+            const RatingTable& aRatings,
+            const PlanInput& aInput,
+            const CascadeOptions& aOptions,
+            std::mt19937_64& aRandom);
 
 enum class AfterStep
 {
@@ -121,17 +123,17 @@
 // Decides after the answer of the first step of a plan. `aPassed` is nothing
 // when no rating came in time. The input holds the time that remains now. When
 // the planned second step may not run any more, the best other one is taken.
-StepDecision DecideAfterStep(const Configuration& aConfig,
-                             const Customer& aCustomer,
-                             const RatingTable& aRatings,
-                             const Plan& aPlan,
-                             std::optional<bool> aPassed,
-                             const PlanInput& aInput,
-                             const CascadeOptions& aOptions);
+StepDecision
+DecideAfterStep(const Configuration& aConfig,
+                const Customer& aCustomer,
+                const RatingTable& aRatings,
+                const Plan& aPlan,
+                std::optional<bool> aPassed,
+                const PlanInput& aInput,
+                const CascadeOptions& aOptions);
 
 // The key under which the rating of a step of a plan is counted.
-RatingKey RatingKeyOf(const Plan& aPlan,
-                      std::size_t aStep,
-                      const RequestClass& aClass);
+RatingKey
+RatingKeyOf(const Plan& aPlan, std::size_t aStep, const RequestClass& aClass);
 
 } // namespace savory
--- a/core/include/savory/core/ratings.h
+++ b/core/include/savory/core/ratings.h
@@ -39,13 +39,16 @@
 
 inline constexpr int kClassCount = 6;
 
-RequestClass ClassOf(std::int64_t aInputTokens, bool aPhotographs);
+RequestClass
+ClassOf(std::int64_t aInputTokens, bool aPhotographs);
 
 // The number of a class, in [0, kClassCount).
-int ClassIndex(const RequestClass& aClass);
+int
+ClassIndex(const RequestClass& aClass);
 
 // "short", or "short with photographs".
-std::string ClassText(const RequestClass& aClass);
+std::string
+ClassText(const RequestClass& aClass);
 
 // What a rating counts for: the class of the request, the "model@version" that
 // answered, and for a second step the "model@version" whose answer failed.
@@ -72,7 +75,8 @@
   bool operator==(const RatingCounts&) const = default;
 };
 
-std::int64_t TotalOf(const RatingCounts& aCounts);
+std::int64_t
+TotalOf(const RatingCounts& aCounts);
 
 using RatingCells = std::map<RatingKey, RatingCounts>;
 
@@ -89,36 +93,40 @@
 };
 
 // Adds one rating to the row of its writer.
-void AddRating(RatingTable& aTable,
-               const RatingWriter& aWriter,
-               const RatingKey& aKey,
-               bool aPassed);
+void
+AddRating(RatingTable& aTable,
+          const RatingWriter& aWriter,
+          const RatingKey& aKey,
+          bool aPassed);
 
 // Takes over the rows of another table. A counter never decreases.
-void MergeRatings(RatingTable& aTable, const RatingTable& aOther);
+void
+MergeRatings(RatingTable& aTable, const RatingTable& aOther);
 
 // Keeps the rows with the most ratings, at most `aRows`, and the row `aOwn`.
 // Bounds the memory that replaced entries leave behind.
-void TrimRatings(RatingTable& aTable,
-                 std::size_t aRows,
-                 const RatingWriter& aOwn);
+void
+TrimRatings(RatingTable& aTable, std::size_t aRows, const RatingWriter& aOwn);
 
 // The sum over all entries for one key.
-RatingCounts CountsOf(const RatingTable& aTable, const RatingKey& aKey);
+RatingCounts
+CountsOf(const RatingTable& aTable, const RatingKey& aKey);
 
 // The sum over all classes of the first steps of a "model@version".
-RatingCounts FirstStepCounts(const RatingTable& aTable,
-                             std::string_view aVersion);
+RatingCounts
+FirstStepCounts(const RatingTable& aTable, std::string_view aVersion);
 
 // A list of rows {host, incarnation, cells: [[class, version, after, passed,
 // failed]]}.
-nlohmann::json RatingsToJson(const RatingTable& aTable);
+nlohmann::json
+RatingsToJson(const RatingTable& aTable);
 
 // Reads what RatingsToJson writes; the error says what is wrong.
-tl::expected<RatingTable, std::string> RatingsFromJson(
-  const nlohmann::json& aDocument);
+tl::expected<RatingTable, std::string>
+RatingsFromJson(const nlohmann::json& aDocument);
 
 // "model@version".
-std::string VersionText(std::string_view aModel, std::string_view aVersion);
+std::string
+VersionText(std::string_view aModel, std::string_view aVersion);
 
 } // namespace savory
--- a/core/include/savory/core/rollout.h
+++ b/core/include/savory/core/rollout.h
@@ -49,17 +49,19 @@
   double mPass = 0;
 };
 
-SequentialTest MakeTest(double aGoodRate, const RolloutOptions& aOptions);
+SequentialTest
+MakeTest(double aGoodRate, const RolloutOptions& aOptions);
 
 // The log-likelihood ratio of counts; it depends on the totals alone, so that
 // any process computes the same from merged counts.
-double LogLikelihoodRatio(const SequentialTest& aTest,
-                          const RatingCounts& aCounts);
+double
+LogLikelihoodRatio(const SequentialTest& aTest, const RatingCounts& aCounts);
 
 // Wald's approximation of the mean number of ratings until the test ends when
 // answers fail at the bad rate.
-double MeanRatingsUntilStop(const SequentialTest& aTest,
-                            const RolloutOptions& aOptions);
+double
+MeanRatingsUntilStop(const SequentialTest& aTest,
+                     const RolloutOptions& aOptions);
 
 enum class RolloutAction
 {
@@ -88,34 +90,38 @@
 // alone. Stage N ends when the test has gone N+1 fifths of the way to its
 // passing bound; the test is never restarted, so that the error rates hold for
 // the whole roll-out.
-RolloutDecision DecideRollout(const Rollout& aRollout,
-                              const RatingTable& aRatings,
-                              bool aRatingUp,
-                              const RolloutOptions& aOptions = {});
+RolloutDecision
+DecideRollout(const Rollout& aRollout,
+              const RatingTable& aRatings,
+              bool aRatingUp,
+              const RolloutOptions& aOptions = {});
 
 // Starts the roll-out of a version that is in the list of its model, as a
 // candidate at the first stage. Nothing when the model has one already, a
 // version is missing, or the predecessor takes no new work.
-std::optional<Configuration> StartRollout(const Configuration& aConfig,
-                                          const std::string& aModel,
-                                          const std::string& aFrom,
-                                          const std::string& aTo);
+std::optional<Configuration>
+StartRollout(const Configuration& aConfig,
+             const std::string& aModel,
+             const std::string& aFrom,
+             const std::string& aTo);
 
 // The configuration after a decision, with the next revision, to be written by
 // compare-and-swap. Nothing for Continue and Pause and when the roll-out is
 // not in the configuration. Finish makes the candidate serve and drains its
 // predecessor, which keeps its sessions; Stop withdraws the candidate.
-std::optional<Configuration> ApplyRollout(const Configuration& aConfig,
-                                          const std::string& aModel,
-                                          RolloutAction aAction);
+std::optional<Configuration>
+ApplyRollout(const Configuration& aConfig,
+             const std::string& aModel,
+             RolloutAction aAction);
 
 // Whether an entry may send one more request to the candidate of a roll-out,
 // given its own answers that await a rating. The stage's limit is split over
 // the entries; each has at least one. False while the rating service is down.
-bool MayTakeCandidate(const Rollout& aRollout,
-                      int aOwnOutstanding,
-                      int aEntries,
-                      bool aRatingUp);
+bool
+MayTakeCandidate(const Rollout& aRollout,
+                 int aOwnOutstanding,
+                 int aEntries,
+                 bool aRatingUp);
 
 // How long an answer counts as awaiting its rating; a rating that never comes
 // must not block a roll-out for ever.
@@ -144,25 +150,28 @@
 
 // Takes the merged counts of a version and says whether it has turned bad.
 // The first call sets the reference rate to `aGoodRate`.
-bool ObserveVersion(RegressionWatch& aWatch,
-                    const RatingCounts& aCounts,
-                    double aGoodRate,
-                    const RegressionOptions& aOptions = {});
+bool
+ObserveVersion(RegressionWatch& aWatch,
+               const RatingCounts& aCounts,
+               double aGoodRate,
+               const RegressionOptions& aOptions = {});
 
 // The mean number of ratings from the change to the alarm, as the threshold
 // over the drift.
-double MeanDetectionDelay(double aGoodRate,
-                          const RegressionOptions& aOptions = {});
+double
+MeanDetectionDelay(double aGoodRate, const RegressionOptions& aOptions = {});
 
 // The configuration that withdraws a version which turned bad. The newest
 // draining version serves again when no other one is serving. Nothing when no
 // version would be left to serve.
-std::optional<Configuration> WithdrawVersion(const Configuration& aConfig,
-                                             const std::string& aModel,
-                                             const std::string& aVersion);
+std::optional<Configuration>
+WithdrawVersion(const Configuration& aConfig,
+                const std::string& aModel,
+                const std::string& aVersion);
 
 // The learned failure rate of a version over all classes, with `aPrior` as one
 // hundred ratings.
-double FailureRate(const RatingCounts& aCounts, double aPrior);
+double
+FailureRate(const RatingCounts& aCounts, double aPrior);
 
 } // namespace savory
--- a/core/src/cascade.cpp
+++ b/core/src/cascade.cpp
@@ -64,11 +64,10 @@
               int aClass,
               const CascadeOptions& aOptions)
 {
-  return Posterior(
-    aSecond.mRate.mMean,
-    kAfterPriorRatings,
-    CountsOf(aRatings, { aClass, aSecond.mText, aFirst.mText }),
-    aOptions.mCaution);
+  return Posterior(aSecond.mRate.mMean,
+                   kAfterPriorRatings,
+                   CountsOf(aRatings, { aClass, aSecond.mText, aFirst.mText }),
+                   aOptions.mCaution);
 }
 
 bool
--- a/core/src/permission.cpp
+++ b/core/src/permission.cpp
@@ -10,10 +10,11 @@
 namespace {
 
 // The oldest version that takes new work and that the customer may use.
-const Version* OldestServing(const Configuration& aConfig,
-                             const Customer& aCustomer,
-                             const Model& aModel,
-                             const SafetyChecks& aChecks)
+const Version*
+OldestServing(const Configuration& aConfig,
+              const Customer& aCustomer,
+              const Model& aModel,
+              const SafetyChecks& aChecks)
 {
   for (const auto& version : aModel.mVersions) {
     if (version.mState == VersionState::Serving && !MayRun(aConfig,
@@ -29,8 +30,8 @@
 }
 
 // The model of a session that neither carries nor names one.
-const Model* DefaultSessionModel(const Configuration& aConfig,
-                                 const Customer& aCustomer)
+const Model*
+DefaultSessionModel(const Configuration& aConfig, const Customer& aCustomer)
 {
   const Model* best = nullptr;
   for (const auto& model : aConfig.mModels) {
@@ -42,11 +43,11 @@
   return best;
 }
 
-tl::expected<SessionChoice, ErrorCode> ChooseUnbound(
-  const Configuration& aConfig,
-  const Customer& aCustomer,
-  std::string_view aModel,
-  const SafetyChecks& aChecks)
+tl::expected<SessionChoice, ErrorCode>
+ChooseUnbound(const Configuration& aConfig,
+              const Customer& aCustomer,
+              std::string_view aModel,
+              const SafetyChecks& aChecks)
 {
   const Model* model = aModel.empty() ? DefaultSessionModel(aConfig, aCustomer)
                                       : FindModel(aConfig, aModel);
@@ -76,12 +77,13 @@
 
 } // namespace
 
-std::optional<ErrorCode> MayRun(const Configuration& aConfig,
-                                const Customer& aCustomer,
-                                std::string_view aModel,
-                                std::string_view aVersion,
-                                WorkKind aKind,
-                                const SafetyChecks& aChecks)
+std::optional<ErrorCode>
+MayRun(const Configuration& aConfig,
+       const Customer& aCustomer,
+       std::string_view aModel,
+       std::string_view aVersion,
+       WorkKind aKind,
+       const SafetyChecks& aChecks)
 {
   const Model* model = FindModel(aConfig, aModel);
   if (!model) {
@@ -103,7 +105,8 @@
   return std::nullopt;
 }
 
-const Version* SessionVersion(const Model& aModel, const Customer& aCustomer)
+const Version*
+SessionVersion(const Model& aModel, const Customer& aCustomer)
 {
   for (const auto& version : aModel.mVersions) {
     if ((version.mState == VersionState::Serving ||
@@ -115,13 +118,13 @@
   return nullptr;
 }
 
-tl::expected<SessionChoice, ErrorCode> ChooseForSession(
-  const Configuration& aConfig,
-  const Customer& aCustomer,
-  std::string_view aSession,
-  std::string_view aModel,
-  bool aStrict,
-  const SafetyChecks& aChecks)
+tl::expected<SessionChoice, ErrorCode>
+ChooseForSession(const Configuration& aConfig,
+                 const Customer& aCustomer,
+                 std::string_view aSession,
+                 std::string_view aModel,
+                 bool aStrict,
+                 const SafetyChecks& aChecks)
 {
   // 1. A session without a binding.
   auto binding = ReadSession(aConfig, aSession);
--- a/core/src/ratings.cpp
+++ b/core/src/ratings.cpp
@@ -13,10 +13,11 @@
 constexpr std::size_t kCellFields = 5;
 
 // Raises a row's counter to the values given and the total by the difference.
-void RaiseCell(RatingTable& aTable,
-               RatingCells& aRow,
-               const RatingKey& aKey,
-               const RatingCounts& aCounts)
+void
+RaiseCell(RatingTable& aTable,
+          RatingCells& aRow,
+          const RatingKey& aKey,
+          const RatingCounts& aCounts)
 {
   RatingCounts& cell = aRow[aKey];
   RatingCounts& total = aTable.mTotals[aKey];
@@ -27,7 +28,8 @@
   cell = { passed, failed };
 }
 
-std::int64_t RowTotal(const RatingCells& aRow)
+std::int64_t
+RowTotal(const RatingCells& aRow)
 {
   std::int64_t total = 0;
   for (const auto& [key, counts] : aRow) {
@@ -36,7 +38,8 @@
   return total;
 }
 
-bool IsCell(const json& aCell)
+bool
+IsCell(const json& aCell)
 {
   return aCell.is_array() && aCell.size() == kCellFields &&
          aCell[0].is_number_integer() && aCell[0] >= 0 &&
@@ -45,7 +48,8 @@
          aCell[4].is_number_integer() && aCell[3] >= 0 && aCell[4] >= 0;
 }
 
-bool IsRow(const json& aRow)
+bool
+IsRow(const json& aRow)
 {
   return aRow.is_object() && aRow.contains("host") &&
          aRow["host"].is_string() && aRow.contains("incarnation") &&
@@ -55,7 +59,8 @@
 
 } // namespace
 
-RequestClass ClassOf(std::int64_t aInputTokens, bool aPhotographs)
+RequestClass
+ClassOf(std::int64_t aInputTokens, bool aPhotographs)
 {
   SizeClass size = aInputTokens <= kShortTokens    ? SizeClass::Short
                    : aInputTokens <= kMiddleTokens ? SizeClass::Middle
@@ -63,26 +68,30 @@
   return { size, aPhotographs };
 }
 
-int ClassIndex(const RequestClass& aClass)
+int
+ClassIndex(const RequestClass& aClass)
 {
   return static_cast<int>(aClass.mSize) * 2 + (aClass.mPhotographs ? 1 : 0);
 }
 
-std::string ClassText(const RequestClass& aClass)
+std::string
+ClassText(const RequestClass& aClass)
 {
   std::string text(NameOf(kSizeClassNames, aClass.mSize));
   return aClass.mPhotographs ? text + " with photographs" : text;
 }
 
-std::int64_t TotalOf(const RatingCounts& aCounts)
+std::int64_t
+TotalOf(const RatingCounts& aCounts)
 {
   return aCounts.mPassed + aCounts.mFailed;
 }
 
-void AddRating(RatingTable& aTable,
-               const RatingWriter& aWriter,
-               const RatingKey& aKey,
-               bool aPassed)
+void
+AddRating(RatingTable& aTable,
+          const RatingWriter& aWriter,
+          const RatingKey& aKey,
+          bool aPassed)
 {
   RatingCells& row = aTable.mRows[aWriter];
   RatingCounts counts = row[aKey];
@@ -90,7 +99,8 @@
   RaiseCell(aTable, row, aKey, counts);
 }
 
-void MergeRatings(RatingTable& aTable, const RatingTable& aOther)
+void
+MergeRatings(RatingTable& aTable, const RatingTable& aOther)
 {
   for (const auto& [writer, cells] : aOther.mRows) {
     RatingCells& row = aTable.mRows[writer];
@@ -100,9 +110,8 @@
   }
 }
 
-void TrimRatings(RatingTable& aTable,
-                 std::size_t aRows,
-                 const RatingWriter& aOwn)
+void
+TrimRatings(RatingTable& aTable, std::size_t aRows, const RatingWriter& aOwn)
 {
   if (aTable.mRows.size() <= aRows) {
     return;
@@ -130,14 +139,15 @@
   }
 }
 
-RatingCounts CountsOf(const RatingTable& aTable, const RatingKey& aKey)
+RatingCounts
+CountsOf(const RatingTable& aTable, const RatingKey& aKey)
 {
   auto found = aTable.mTotals.find(aKey);
   return found == aTable.mTotals.end() ? RatingCounts{} : found->second;
 }
 
-RatingCounts FirstStepCounts(const RatingTable& aTable,
-                             std::string_view aVersion)
+RatingCounts
+FirstStepCounts(const RatingTable& aTable, std::string_view aVersion)
 {
   RatingCounts sum;
   for (int index = 0; index < kClassCount; ++index) {
@@ -149,7 +159,8 @@
   return sum;
 }
 
-json RatingsToJson(const RatingTable& aTable)
+json
+RatingsToJson(const RatingTable& aTable)
 {
   json rows = json::array();
   for (const auto& [writer, cells] : aTable.mRows) {
@@ -168,7 +179,8 @@
   return rows;
 }
 
-tl::expected<RatingTable, std::string> RatingsFromJson(const json& aDocument)
+tl::expected<RatingTable, std::string>
+RatingsFromJson(const json& aDocument)
 {
   if (!aDocument.is_array()) {
     return tl::unexpected(std::string("must be a list of rows"));
@@ -197,7 +209,8 @@
   return table;
 }
 
-std::string VersionText(std::string_view aModel, std::string_view aVersion)
+std::string
+VersionText(std::string_view aModel, std::string_view aVersion)
 {
   std::string text(aModel);
   text += "@";
--- a/core/src/rollout.cpp
+++ b/core/src/rollout.cpp
@@ -19,30 +19,35 @@
   double mPassed = 0;
 };
 
-Gain GainOf(double aGoodRate, double aBadRate)
+Gain
+GainOf(double aGoodRate, double aBadRate)
 {
   return { std::log(aBadRate / aGoodRate),
            std::log((1 - aBadRate) / (1 - aGoodRate)) };
 }
 
-double BadRate(double aGoodRate, double aRatio)
+double
+BadRate(double aGoodRate, double aRatio)
 {
   return std::min(kHighestRate, aRatio * aGoodRate);
 }
 
-double CountedGain(const Gain& aGain, const RatingCounts& aCounts)
+double
+CountedGain(const Gain& aGain, const RatingCounts& aCounts)
 {
   return static_cast<double>(aCounts.mFailed) * aGain.mFailed +
          static_cast<double>(aCounts.mPassed) * aGain.mPassed;
 }
 
-std::size_t StageOf(const Rollout& aRollout)
+std::size_t
+StageOf(const Rollout& aRollout)
 {
   return static_cast<std::size_t>(
     std::clamp(aRollout.mStage, 0, static_cast<int>(kLastStage)));
 }
 
-Model* ModelIn(Configuration& aConfig, const std::string& aName)
+Model*
+ModelIn(Configuration& aConfig, const std::string& aName)
 {
   auto found =
     std::find_if(aConfig.mModels.begin(),
@@ -51,7 +56,8 @@
   return found == aConfig.mModels.end() ? nullptr : &*found;
 }
 
-Version* VersionIn(Model& aModel, const std::string& aName)
+Version*
+VersionIn(Model& aModel, const std::string& aName)
 {
   auto found = std::find_if(
     aModel.mVersions.begin(),
@@ -60,7 +66,8 @@
   return found == aModel.mVersions.end() ? nullptr : &*found;
 }
 
-bool AnyServing(const Model& aModel)
+bool
+AnyServing(const Model& aModel)
 {
   return std::any_of(aModel.mVersions.begin(),
                      aModel.mVersions.end(),
@@ -71,7 +78,8 @@
 
 } // namespace
 
-SequentialTest MakeTest(double aGoodRate, const RolloutOptions& aOptions)
+SequentialTest
+MakeTest(double aGoodRate, const RolloutOptions& aOptions)
 {
   double good =
     std::clamp(aGoodRate, aOptions.mLeastRate, kHighestRate / aOptions.mRatio);
@@ -81,14 +89,15 @@
            std::log(aOptions.mMiss / (1 - aOptions.mFalseStop)) };
 }
 
-double LogLikelihoodRatio(const SequentialTest& aTest,
-                          const RatingCounts& aCounts)
+double
+LogLikelihoodRatio(const SequentialTest& aTest, const RatingCounts& aCounts)
 {
   return CountedGain(GainOf(aTest.mGoodRate, aTest.mBadRate), aCounts);
 }
 
-double MeanRatingsUntilStop(const SequentialTest& aTest,
-                            const RolloutOptions& aOptions)
+double
+MeanRatingsUntilStop(const SequentialTest& aTest,
+                     const RolloutOptions& aOptions)
 {
   Gain gain = GainOf(aTest.mGoodRate, aTest.mBadRate);
   double drift =
@@ -97,10 +106,11 @@
   return ((1 - aOptions.mMiss) * stop + aOptions.mMiss * aTest.mPass) / drift;
 }
 
-RolloutDecision DecideRollout(const Rollout& aRollout,
-                              const RatingTable& aRatings,
-                              bool aRatingUp,
-                              const RolloutOptions& aOptions)
+RolloutDecision
+DecideRollout(const Rollout& aRollout,
+              const RatingTable& aRatings,
+              bool aRatingUp,
+              const RolloutOptions& aOptions)
 {
   // 1. Without ratings nothing is known of the candidate.
   if (!aRatingUp) {
@@ -144,10 +154,11 @@
   return { action, text };
 }
 
-std::optional<Configuration> StartRollout(const Configuration& aConfig,
-                                          const std::string& aModel,
-                                          const std::string& aFrom,
-                                          const std::string& aTo)
+std::optional<Configuration>
+StartRollout(const Configuration& aConfig,
+             const std::string& aModel,
+             const std::string& aFrom,
+             const std::string& aTo)
 {
   Configuration next = aConfig;
   Model* model = ModelIn(next, aModel);
@@ -170,9 +181,10 @@
   return next;
 }
 
-std::optional<Configuration> ApplyRollout(const Configuration& aConfig,
-                                          const std::string& aModel,
-                                          RolloutAction aAction)
+std::optional<Configuration>
+ApplyRollout(const Configuration& aConfig,
+             const std::string& aModel,
+             RolloutAction aAction)
 {
   Configuration next = aConfig;
   auto rollout = std::find_if(
@@ -217,19 +229,21 @@
   return next;
 }
 
-bool MayTakeCandidate(const Rollout& aRollout,
-                      int aOwnOutstanding,
-                      int aEntries,
-                      bool aRatingUp)
+bool
+MayTakeCandidate(const Rollout& aRollout,
+                 int aOwnOutstanding,
+                 int aEntries,
+                 bool aRatingUp)
 {
   int limit = kStageOutstanding[StageOf(aRollout)] / std::max(1, aEntries);
   return aRatingUp && aOwnOutstanding < std::max(1, limit);
 }
 
-bool ObserveVersion(RegressionWatch& aWatch,
-                    const RatingCounts& aCounts,
-                    double aGoodRate,
-                    const RegressionOptions& aOptions)
+bool
+ObserveVersion(RegressionWatch& aWatch,
+               const RatingCounts& aCounts,
+               double aGoodRate,
+               const RegressionOptions& aOptions)
 {
   if (!aWatch.mStarted) {
     aWatch = { std::clamp(aGoodRate,
@@ -253,7 +267,8 @@
   return aWatch.mSum >= std::log(aOptions.mRatingsBetweenFalseAlarms);
 }
 
-double MeanDetectionDelay(double aGoodRate, const RegressionOptions& aOptions)
+double
+MeanDetectionDelay(double aGoodRate, const RegressionOptions& aOptions)
 {
   double bad = BadRate(aGoodRate, aOptions.mRatio);
   Gain gain = GainOf(aGoodRate, bad);
@@ -261,9 +276,10 @@
          (bad * gain.mFailed + (1 - bad) * gain.mPassed);
 }
 
-std::optional<Configuration> WithdrawVersion(const Configuration& aConfig,
-                                             const std::string& aModel,
-                                             const std::string& aVersion)
+std::optional<Configuration>
+WithdrawVersion(const Configuration& aConfig,
+                const std::string& aModel,
+                const std::string& aVersion)
 {
   Configuration next = aConfig;
   Model* model = ModelIn(next, aModel);
@@ -292,7 +308,8 @@
   return next;
 }
 
-double FailureRate(const RatingCounts& aCounts, double aPrior)
+double
+FailureRate(const RatingCounts& aCounts, double aPrior)
 {
   return (aPrior * kPriorRatings + static_cast<double>(aCounts.mFailed)) /
          (kPriorRatings + static_cast<double>(TotalOf(aCounts)));
--- a/tests/core/test_cascade.cpp
+++ b/tests/core/test_cascade.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-Configuration ThreeModels()
+Configuration
+ThreeModels()
 {
   Configuration config;
   auto versions = std::vector<Version>{ { "v1", VersionState::Serving, 0 } };
@@ -29,7 +30,8 @@
   return config;
 }
 
-PlanInput Ordinary()
+PlanInput
+Ordinary()
 {
   PlanInput input;
   input.mInputTokens = 100;
@@ -40,7 +42,8 @@
   return input;
 }
 
-CascadeOptions Exploring(double aShare)
+CascadeOptions
+Exploring(double aShare)
 {
   CascadeOptions options;
   options.mExplorationShare = aShare;
@@ -50,9 +53,10 @@
 
 const CascadeOptions kNoExploration = Exploring(0);
 
-std::string PlanText(const Configuration& aConfig,
-                     const RatingTable& aRatings,
-                     const PlanInput& aInput)
+std::string
+PlanText(const Configuration& aConfig,
+         const RatingTable& aRatings,
+         const PlanInput& aInput)
 {
   std::mt19937_64 random(3);
   auto plan = PlanRequest(
@@ -64,7 +68,8 @@
   return text;
 }
 
-RatingTable Rated(const std::string& aVersion, int aPassed, int aFailed)
+RatingTable
+Rated(const std::string& aVersion, int aPassed, int aFailed)
 {
   RatingTable table;
   for (int i = 0; i < aPassed + aFailed; ++i) {
--- a/tests/core/test_permission.cpp
+++ b/tests/core/test_permission.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-Configuration TwoVersions()
+Configuration
+TwoVersions()
 {
   Configuration config;
   config.mSessionSecret = "secret";
@@ -28,7 +29,8 @@
 
 // Plans and follows cascades of customer "one" under every preset and a random
 // fate of each step. Returns how many steps it was not permitted to use.
-int ForbiddenSteps(const SafetyChecks& aChecks)
+int
+ForbiddenSteps(const SafetyChecks& aChecks)
 {
   Configuration config = TwoVersions();
   const Customer& customer = config.mCustomers[1];
@@ -73,7 +75,8 @@
 
 // Withdraws the version of a planned second step between the steps. Returns
 // how often the withdrawn version is run all the same.
-int WithdrawnSteps(const SafetyChecks& aChecks)
+int
+WithdrawnSteps(const SafetyChecks& aChecks)
 {
   CascadeOptions options;
   options.mChecks = aChecks;
@@ -103,7 +106,8 @@
 // Follows signed sessions and sessions of the caller's own id through the
 // stages of a roll-out, asking a different entry each time. Returns how often
 // one of them changes its version.
-int SessionChanges(const SafetyChecks& aChecks)
+int
+SessionChanges(const SafetyChecks& aChecks)
 {
   Configuration config = TwoVersions();
   const Customer& customer = config.mCustomers[0];
--- a/tests/core/test_rollout.cpp
+++ b/tests/core/test_rollout.cpp
@@ -10,7 +10,8 @@
 
 const std::string kModel = "small";
 
-Configuration Prepared()
+Configuration
+Prepared()
 {
   Configuration config;
   config.mRevision = 7;
@@ -23,16 +24,18 @@
 }
 
 // One fresh rating of the candidate and of a predecessor that fails at 5%.
-void AddRatings(RatingTable& aTable,
-                const RatingWriter& aWriter,
-                double aFails,
-                std::mt19937_64& aRandom)
+void
+AddRatings(RatingTable& aTable,
+           const RatingWriter& aWriter,
+           double aFails,
+           std::mt19937_64& aRandom)
 {
   std::bernoulli_distribution fails(aFails);
   AddRating(aTable, aWriter, { 0, "small@v2", "" }, !fails(aRandom));
 }
 
-RatingTable Predecessor()
+RatingTable
+Predecessor()
 {
   RatingTable table;
   for (int i = 0; i < 4000; ++i) {
@@ -49,7 +52,8 @@
 
 // Runs a roll-out to its end. After each `aHandOver` ratings another process
 // goes on, which knows the configuration and the gossiped counts only.
-Outcome RunRollout(double aFails, std::uint64_t aSeed, int aHandOver)
+Outcome
+RunRollout(double aFails, std::uint64_t aSeed, int aHandOver)
 {
   std::mt19937_64 random(aSeed);
   Outcome outcome{ *StartRollout(Prepared(), kModel, "v1", "v2"), 0 };
@@ -69,7 +73,8 @@
   return outcome;
 }
 
-bool Stopped(const Outcome& aOutcome)
+bool
+Stopped(const Outcome& aOutcome)
 {
   return aOutcome.mConfig.mModels[0].mVersions[1].mState ==
          VersionState::Withdrawn;
