--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -13,16 +13,42 @@
 constexpr TimeMs kReportMs = 1000;
 constexpr TimeMs kPollMs = 250;
 
+// How long an agent keeps its copy of a step for the entry to write.
+constexpr TimeMs kBillHoldMs = 10000;
+
+// Time for the last answers and reports to leave the sockets at a shutdown.
+constexpr TimeMs kLingerMs = 200;
+
+// A backend server that is back within this time keeps its slots: a restart is
+// shorter than a take-over.
+constexpr TimeMs kBackendGoneMs = 3000;
+
 } // namespace
 
 Agent::Agent(Node& aNode)
   : mNode(aNode)
+  , mStore(aNode.mHttp, aNode.mSettings.mStore)
+  , mBills(aNode, mStore, kBillHoldMs, [](const SendSettled&) {})
   , mAdmin(aNode,
            { .mState = [this] { return State(); },
              .mMetrics = [this] { return mMetrics.Text(); },
              .mExplain = [](const std::string&) { return nlohmann::json(); },
              .mRefresh = [] {} })
 {
+  if (mNode.mSettings.mBackendKind == BackendKind::Service) {
+    mSlots = std::make_unique<Slots>(mNode, mNode.mSettings.mPool);
+    mSlots->mOnChanged = [this] {
+      ReportNow();
+      StopWhenDone();
+    };
+    mNode.mConfigChanged.connect([this] { ReviewSlots(); });
+  }
+}
+
+// The end of the slots ends calls, which this object must outlive.
+Agent::~Agent()
+{
+  mSlots.reset();
 }
 
 bool
@@ -42,6 +68,9 @@
   mNode.mConfigChanged.connect([this] { OnConfigChanged(); });
   mPollTimer = Timer::Every(mNode.mLoop, kPollMs, [this] { PollBackend(); });
   PollBackend();
+  if (mSlots) {
+    mSlots->Start();
+  }
   return true;
 }
 
@@ -53,6 +82,7 @@
     mNode.mSettings.mBackend,
     [this](const tl::expected<BackendLoad, BackendError>& aLoad) {
       OnLoad(aLoad);
+      ReviewSlots();
     });
 }
 
@@ -251,6 +281,24 @@
   PollQueue();
 }
 
+// Slots are held while the backend server answers and its zone takes work.
+void
+Agent::ReviewSlots()
+{
+  if (!mSlots) {
+    return;
+  }
+  TimeMs now = MonotonicMs();
+  if (mReachable) {
+    mLastReachableMs = now;
+  }
+  const Zone* zone =
+    mNode.mConfig ? FindZone(*mNode.mConfig, mNode.mSettings.mZone) : nullptr;
+  bool isOut = zone && zone->mState == ZoneState::Out;
+  bool gone = now - mLastReachableMs > kBackendGoneMs;
+  mSlots->SetWanted(mNode.mConfig && !isOut && !gone && mLastReachableMs > 0);
+}
+
 Report
 Agent::MakeReport() const
 {
@@ -271,7 +319,7 @@
     .mAllowance = Allowance(mWarmup, WarmupLimits()),
     .mTokensHeld = mAdmission.mTokensHeld,
     .mTokenCapacity = mLoad.mTokenCapacity,
-    .mSlots = {},
+    .mSlots = mSlots ? mSlots->Owned() : std::vector<OwnedSlot>(),
     .mSuspects = SuspectRows(mQuarantine, mNode.mLoop.NowMs()),
   };
 }
@@ -292,7 +340,9 @@
            { "tokens_held", mAdmission.mTokensHeld },
            { "allowance", Allowance(mWarmup, WarmupLimits()) },
            { "warmup_cause", mWarmup.mCause },
-           { "suspects", mQuarantine.mSuspects.size() } };
+           { "unwritten_bills", mBills.Unwritten() },
+           { "suspects", mQuarantine.mSuspects.size() },
+           { "slots", mSlots ? mSlots->State() : nlohmann::json() } };
 }
 
 void
@@ -311,10 +361,17 @@
     StartAgentRun(*this, aStream);
   } else if (aStream->Path() == "/call") {
     StartAgentCall(*this, aStream);
+  } else if (aStream->Path() == "/witness" && mSlots) {
+    mSlots->OnWitnessStream(aStream);
   } else if (aStream->Path() == "/report") {
     mSubscribers.insert(aStream);
     aStream->mOnClosed = [this, aStream](bool) { mSubscribers.erase(aStream); };
     aStream->Send(FrameType::Head, Encode(MakeReport()));
+  } else if (aStream->Path() == "/settled") {
+    aStream->mOnFrame = [this, aStream](const Frame& aFrame) {
+      OnSettled(aFrame);
+      aStream->Finish();
+    };
   } else if (aStream->Path() == "/config") {
     aStream->mOnFrame = [this, aStream](const Frame& aFrame) {
       OnConfig(aStream, aFrame);
@@ -324,6 +381,24 @@
   }
 }
 
+// Takes an entry's word that steps are in the store.
+void
+Agent::OnSettled(const Frame& aFrame)
+{
+  auto document = DecodeDocument(aFrame.mPayload);
+  if (!document || !document->contains("steps") ||
+      !(*document)["steps"].is_array()) {
+    return;
+  }
+  std::vector<StepId> steps;
+  for (const auto& step : (*document)["steps"]) {
+    if (auto id = ParseStepId(step)) {
+      steps.push_back(*id);
+    }
+  }
+  mBills.TakeSettled(steps);
+}
+
 // Takes a configuration that an entry brings. When it is a difference to one
 // that this agent lacks, the stream carries back what to send instead.
 void
@@ -361,12 +436,31 @@
   PollQueue();
   LogEvent(Event::DrainStarted, { { "calls", std::to_string(mCalls.size()) } });
   ReportNow();
-  mDrainTimer = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
+  mDrainLimit = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
     LogEvent(Event::AbandonedAtStop,
-             { { "calls", std::to_string(mCalls.size()) } });
+             { { "calls", std::to_string(mCalls.size()) },
+               { "bills", std::to_string(mBills.Unwritten()) } });
     mNode.mLoop.Stop();
   });
-  CallEnded(nullptr);
+  if (mSlots) {
+    mSlots->Leave();
+  }
+  mDrainTimer = Timer::Every(mNode.mLoop, kLingerMs, [this] { Stop(); });
+}
+
+// Ends the process once no call is under way, no slot is held and no
+// bill is unwritten.
+void
+Agent::Stop()
+{
+  if (!mCalls.empty() || (mSlots && !mSlots->HasLeft())) {
+    return;
+  }
+  if (mBills.Unwritten() > 0) {
+    mBills.Flush();
+    return;
+  }
+  mNode.mLoop.Stop();
 }
 
 void
@@ -379,11 +473,6 @@
 Agent::CallEnded(const void* aCall)
 {
   mCalls.erase(aCall);
-  if (mNode.mDraining && mCalls.empty()) {
-    // The report and the last answer still have to leave the socket.
-    mDrainTimer =
-      Timer::After(mNode.mLoop, 200, [this] { mNode.mLoop.Stop(); });
-  }
 }
 
 void
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admin.h"
+#include "bill_keeper.h"
 #include "node.h"
 #include "savory/core/admission.h"
 #include "savory/core/config_sync.h"
@@ -10,6 +11,7 @@
 #include "savory/core/wire.h"
 #include "savory/net/inner.h"
 #include "savory/platform/backend.h"
+#include "slots.h"
 
 #include <map>
 #include <memory>
@@ -35,6 +37,9 @@
 {
 public:
   explicit Agent(Node& aNode);
+  ~Agent();
+  Agent(const Agent&) = delete;
+  Agent& operator=(const Agent&) = delete;
 
   bool Listen();
   void Drain();
@@ -65,24 +70,31 @@
   bool IsZoneOut() const;
 
   Node& mNode;
+  StoreClient mStore;
+  BillKeeper mBills;
   Metrics mMetrics;
   std::set<const void*> mCalls;
   BackendLoad mLoad;
   bool mReachable = false;
   Warmup mWarmup;
   Quarantine mQuarantine;
+  // The slots of the plain service; null beside an engine.
+  std::unique_ptr<Slots> mSlots;
 
 private:
   void OnStream(const std::shared_ptr<InnerStream>& aStream);
+  void OnSettled(const Frame& aFrame);
   void OnConfig(const std::shared_ptr<InnerStream>& aStream,
                 const Frame& aFrame);
   void PollBackend();
+  void Stop();
   void OnLoad(const tl::expected<BackendLoad, BackendError>& aLoad);
   void TellBroken(bool aCrashed);
   void ApplyChanges(const AdmissionChanges& aChanges);
   void PollQueue();
   void OnConfigChanged();
   AdmissionOptions AdmissionLimits() const;
+  void ReviewSlots();
   nlohmann::json State() const;
 
   // A request that broke, until it is known whether the backend server did.
@@ -98,12 +110,15 @@
   ZoneState mZoneState = ZoneState::In;
   Admin mAdmin;
   ConfigSync mSync;
-  std::unique_ptr<InnerListener> mListener;
+  // Outlives the listener, whose end closes the streams of the subscribers.
   std::set<std::shared_ptr<InnerStream>> mSubscribers;
+  std::unique_ptr<InnerListener> mListener;
+  TimeMs mLastReachableMs = 0;
   Timer mReportTimer;
   Timer mPollTimer;
   Timer mQueueTimer;
   Timer mDrainTimer;
+  Timer mDrainLimit;
 };
 
 // Serve one stream of an entry to its end.
