--- a/core/include/savory/core/balancer.h
+++ b/core/include/savory/core/balancer.h
@@ -45,7 +45,7 @@
   TimeMs mRefusalMs = 1000;
   double mAgentQueue = 0.25;
   TimeMs mZoneStepMs = 5000;
-  double mCachedBonus = 1.0;
+  double mCachedBonus = 2.0;
   double mOtherZonePenalty = 0.02;
   bool mUseAllowance = true;
   bool mUseZones = true;
