--- /dev/null
+++ b/tests/process/test_models.py
@@ -0,0 +1,347 @@
+"""The guarantees for model calls while operators change the configuration and
+the store fails: bills, withdrawn versions, sessions, permission, cold starts
+and zones. The checks read what engines, store and callers saw."""
+
+import threading
+import time
+
+from fleet import SIGCONT, SIGSTOP, wait_until
+from traffic import (Call, Traffic, check_bills, crashes, missing_bills, now_ms,
+                     ready, run_matrix, runs, settled, together, versions_of)
+
+# Targets of docs/design.md: a change takes effect within 3 s, an agent writes
+# its copy of a bill after 10 s, which leaves 5 s for the write and the batch.
+IN_FORCE_MS = 3000
+AGENT_BILL_S = 15
+
+
+# Bills.
+
+
+def bill_of_killed_entry(fleet):
+    """Guards against a bill that is lost with the entry that held it."""
+    for _ in range(4):
+        entry = fleet.entries[0]
+        calls = [Call(fleet, entry, "killed %f %d" % (now_ms(), index))
+                 for index in range(5)]
+        entry.kill()
+        lost = missing_bills(fleet, calls)
+        killed_ms = now_ms()
+        fleet.entries.remove(entry)
+        fleet.entries.insert(0, fleet.start_entry(entry.name, entry.zone))
+        fleet.entries.pop()
+        fleet.publish_hosts()
+        assert all(call.is_whole() for call in calls), calls
+        if lost:
+            break
+    assert lost, "the entry wrote each batch before it was killed"
+    wait_until(lambda: not missing_bills(fleet, calls),
+               "the agents' copies are written",
+               AGENT_BILL_S - (now_ms() - killed_ms) / 1000)
+    check_bills(fleet, calls)
+    ready(fleet)
+
+
+def bills_of_store_outage(fleet):
+    """Guards against bills that are lost or doubled by an outage of the store."""
+    fleet.fault(fleet.store, down=True)
+    try:
+        with Traffic(fleet, per_entry=1, pause_s=0.1) as traffic:
+            time.sleep(5)
+    finally:
+        fleet.fault(fleet.store, down=False)
+    served = [call for call in traffic.calls if call.status == 200]
+    assert len(served) >= 10, traffic.calls
+    wait_until(lambda: not missing_bills(fleet, served),
+               "all bills are in the store", AGENT_BILL_S)
+    # The agents' own copies are due after 10 s; they must add nothing.
+    time.sleep(11)
+    check_bills(fleet, served)
+
+
+def bills_of_lost_store_answers(fleet):
+    """Guards against a bill that is doubled, or changed, when it is written
+    again after the answer to the first write was lost."""
+    fleet.fault(fleet.store, lose_prefix="bill/")
+    with Traffic(fleet, per_entry=1, pause_s=0.1) as traffic:
+        time.sleep(4)
+    fleet.fault(fleet.store, lose_prefix="")
+    served = [call for call in traffic.calls if call.status == 200]
+    assert len(served) >= 10, traffic.calls
+    wait_until(lambda: not missing_bills(fleet, served),
+               "all bills are in the store", AGENT_BILL_S)
+    check_bills(fleet, served)
+
+
+def bill_of_retried_call(fleet):
+    """Guards against a second bill for a call that its caller sends again."""
+    headers = {"Idempotency-Key": "retry-%f" % now_ms()}
+    calls = [Call(fleet, entry, "asked again", headers=headers)
+             for entry in fleet.entries]
+    assert all(call.is_whole() for call in calls), calls
+    assert len({call.id for call in calls}) == 1, calls
+    wait_until(lambda: not missing_bills(fleet, calls), "the bill", AGENT_BILL_S)
+    time.sleep(2)
+    check_bills(fleet, calls)
+    assert len([key for key in settled(fleet) if key[0] == calls[0].id]) == 1
+
+
+# Withdrawn versions, permission and zones.
+
+
+def serve_v2(fleet):
+    """Lets small@v2 serve beside small@v1 and waits until it does."""
+    fleet.ctl("version", "add", "small", "v2", check=False)
+    fleet.ctl("version", "serve", "small", "v2")
+    for entry in fleet.entries:
+        wait_until(lambda: Call(fleet, entry, "v2?", "small@v2").status == 200,
+                   entry.name + " serves small@v2")
+
+
+def check_withdrawal(fleet, withdraw):
+    """Runs withdraw() under traffic for both versions."""
+    serve_v2(fleet)
+    with Traffic(fleet, model="small@v2") as named:
+        with Traffic(fleet, per_entry=1) as free:
+            time.sleep(1)
+            said_ms = withdraw()
+            time.sleep(IN_FORCE_MS / 1000 + 3)
+    before = [call for call in named.calls if call.received < said_ms]
+    assert any(call.status == 200 for call in before), before[:3]
+    late = [run for run in runs(fleet) if run["version"] == "v2"
+            and run["arrived_ms"] > said_ms + IN_FORCE_MS]
+    assert not late, (said_ms, late[:3])
+    after = [call for call in free.calls if call.sent > said_ms + IN_FORCE_MS]
+    assert after and all(call.status == 200 for call in after), after[:5]
+
+
+def withdrawn_version(fleet):
+    """Guards against new work for a version after its withdrawal."""
+    def withdraw():
+        _, text = fleet.ctl("version", "withdraw", "small", "v2")
+        assert "in force everywhere" in text, text
+        return now_ms()
+    check_withdrawal(fleet, withdraw)
+
+
+def withdrawn_while_entry_paused(fleet):
+    """Guards against an entry that goes on under the configuration it had
+    before it was paused."""
+    entry = fleet.entries[1]
+
+    def withdraw():
+        entry.signal(SIGSTOP)
+        try:
+            fleet.ctl("version", "withdraw", "small", "v2", check=False)
+            said_ms = now_ms()
+            # The entry goes on when the 3 s have passed.
+            time.sleep(4)
+        finally:
+            entry.signal(SIGCONT)
+        return said_ms
+    check_withdrawal(fleet, withdraw)
+
+
+def withdrawn_then_store_down(fleet):
+    """Guards against a change that only the store knew when it went down."""
+    def withdraw():
+        revision = fleet.store_value("cfg/head")["revision"]
+        result = []
+        thread = threading.Thread(target=lambda: result.append(fleet.ctl(
+            "version", "withdraw", "small", "v2", check=False)))
+        thread.start()
+        wait_until(lambda: fleet.store_value("cfg/head")["revision"] > revision,
+                   "the change is accepted")
+        fleet.fault(fleet.store, down=True)
+        thread.join()
+        print("withdrawn_then_store_down: savoryctl ended with", result[0][0])
+        return now_ms()
+    try:
+        check_withdrawal(fleet, withdraw)
+    finally:
+        fleet.fault(fleet.store, down=False)
+        time.sleep(1)
+
+
+def denied_customer(fleet):
+    """Guards against runs of a model that its customer may no longer use."""
+    customer = fleet.customers[1]
+    with Traffic(fleet, model="large", customer=customer) as denied:
+        time.sleep(1)
+        fleet.ctl("customer", "deny", customer, "large")
+        said_ms = now_ms()
+        time.sleep(IN_FORCE_MS / 1000 + 2)
+    assert any(call.status == 200 for call in denied.calls), denied.calls[:3]
+    late = [run for run in runs(fleet) if run["customer"] == customer
+            and run["model"] == "large"
+            and run["arrived_ms"] > said_ms + IN_FORCE_MS]
+    assert not late, late[:3]
+    last = denied.calls[-1]
+    assert last.status == 403 and last.error["ran"] == "not_run", last
+    fleet.ctl("customer", "allow", customer, "large")
+
+
+def zone_out(fleet):
+    """Guards against new work in a zone that is out, and against calls that
+    fail though another zone could serve them."""
+    zone = fleet.zones[0]
+    inside = [agent.backend for agent in fleet.agents if agent.zone == zone]
+    with Traffic(fleet) as traffic:
+        time.sleep(1)
+        fleet.ctl("zone", "out", zone)
+        said_ms = now_ms()
+        time.sleep(IN_FORCE_MS / 1000 + 3)
+        back_ms = now_ms()
+        fleet.ctl("zone", "in", zone)
+        fleet.ctl("zone", "in", zone)
+        wait_until(lambda: any(run["arrived_ms"] > back_ms
+                               for run in runs(fleet, inside)),
+                   "the zone has work again", 30)
+    seen = [run["arrived_ms"] for run in runs(fleet, inside)]
+    assert any(at < said_ms for at in seen), "the zone had no work before"
+    late = [at for at in seen if said_ms + IN_FORCE_MS < at < back_ms]
+    assert not late, (said_ms, late[:5])
+    failed = [call for call in traffic.calls if not call.is_whole()]
+    assert not failed, failed[:5]
+
+
+def last_zone(fleet):
+    """Guards against a change that leaves no zone to serve."""
+    for zone in fleet.zones[:-1]:
+        fleet.ctl("zone", "out", zone)
+    with Traffic(fleet, per_entry=1) as traffic:
+        code, text = fleet.ctl("zone", "out", fleet.zones[-1], check=False)
+        assert code == 1, (code, text)
+        time.sleep(3)
+    failed = [call for call in traffic.calls if not call.is_whole()]
+    assert not failed, failed[:5]
+    for zone in fleet.zones[:-1]:
+        for _ in range(2):
+            fleet.ctl("zone", "in", zone)
+
+
+# Sessions.
+
+
+def one_version_a_session(fleet):
+    """Guards against a session whose version changes with roll-outs, restarts
+    or zones."""
+    first = Call(fleet, fleet.entries[0], "begin", headers={"x-session-id": "new"})
+    session = first.headers["x-session-id"]
+    assert first.is_whole() and session != "new", first
+    calls = [first]
+
+    def ask(entry, number):
+        calls.append(Call(fleet, fleet.entries[entry], "turn %d" % number,
+                          headers={"x-session-id": session}))
+    fleet.ctl("version", "add", "small", "v2")
+    for number in range(50):
+        if number == 10:
+            fleet.ctl("rollout", "start", "small", "v1", "v2")
+        if number == 20:
+            old = fleet.entries.pop()
+            old.kill()
+            fleet.start_entry(old.name, old.zone)
+            fleet.publish_hosts()
+            ready(fleet)
+        if number == 30:
+            fleet.ctl("zone", "out", fleet.zones[0])
+        if number == 40:
+            fleet.ctl("rollout", "continue", "small", "v1", "v2")
+        ask(number % 3, number)
+    assert all(call.is_whole() for call in calls), calls
+    assert versions_of(fleet, calls) == {"v1"}
+    # A change of a byte makes the id one that the caller chose.
+    changed = ("A" if session[0] != "A" else "B") + session[1:]
+    call = Call(fleet, fleet.entries[1], "forged",
+                headers={"x-session-id": changed})
+    assert call.headers.get("x-session-id") != changed, call
+    for _ in range(2):
+        fleet.ctl("zone", "in", fleet.zones[0])
+    fleet.old_session = session
+
+
+def same_first_requests(fleet):
+    """Guards against two versions for one session id that its caller chose."""
+    for number in range(10):
+        headers = {"x-session-id": "mine-%d" % number}
+        pair = together([
+            lambda entry=entry: Call(fleet, entry, "first of %d at %s" % (
+                number, entry.name), headers=headers)
+            for entry in fleet.entries[:2]])
+        assert all(call.is_whole() for call in pair), pair
+        assert len(versions_of(fleet, pair)) == 1, (number, pair)
+
+
+def withdrawn_session(fleet):
+    """Guards against a session that moves in silence, or stays on a version
+    that was withdrawn."""
+    headers = {"x-session-id": fleet.old_session}
+    for _ in range(4):
+        if fleet.ctl("rollout", "continue", "small", "v1", "v2",
+                     check=False)[0] != 0:
+            break
+    fleet.ctl("version", "withdraw", "small", "v1")
+    for entry in fleet.entries:
+        call = Call(fleet, entry, "moved at " + entry.name, headers=headers)
+        assert call.is_whole(), call
+        assert call.headers.get("x-savory-session-moved"), call.headers
+        assert versions_of(fleet, [call]) == {"v2"}, call
+        strict = Call(fleet, entry, "strict at " + entry.name,
+                      headers={**headers, "x-session-strict": "true"})
+        assert strict.status == 409, strict
+        assert strict.error["code"] == "session_version_withdrawn", strict
+        assert strict.error["ran"] == "not_run", strict
+
+
+# Cold starts.
+
+
+def ask_until_answered(fleet, entry, prompt):
+    """A caller that resends at once, for at most 40 s."""
+    end = time.monotonic() + 40
+    while time.monotonic() < end:
+        call = Call(fleet, entry, prompt)
+        if call.status == 200:
+            return call
+        time.sleep(0.1)
+    return call
+
+
+def cold_fleet(fleet):
+    """Guards against a full share of load on backend servers that have just
+    started."""
+    calls = together([
+        lambda index=index: ask_until_answered(
+            fleet, fleet.entries[index % 3], "cold question %d" % index)
+        for index in range(30)])
+    assert crashes(fleet) == [], crashes(fleet)
+    assert all(call.is_whole() for call in calls), calls
+
+
+def cold_again(fleet):
+    """Guards against the old share of load on a backend server that has become
+    cold without a warning."""
+    with Traffic(fleet, per_entry=5, pause_s=0) as traffic:
+        for engine in fleet.engines[:2]:
+            time.sleep(2)
+            fleet.fault(engine, restart=True)
+        time.sleep(7)
+    assert crashes(fleet) == ["restart", "restart"], crashes(fleet)
+    served = [call for call in traffic.calls if call.status == 200]
+    assert len(served) > 50 and all(call.is_whole() for call in served)
+
+
+V2 = {"engine_options": ["--serves", "small@v2"]}
+COLD = {"engine_options": ["--cold-ms", "4000", "--cold-concurrency", "1"]}
+
+if __name__ == "__main__":
+    run_matrix([
+        ({}, [bill_of_retried_call, bill_of_killed_entry, bills_of_store_outage,
+              bills_of_lost_store_answers]),
+        (V2, [withdrawn_version, withdrawn_while_entry_paused,
+              withdrawn_then_store_down]),
+        (V2, [one_version_a_session, same_first_requests, withdrawn_session]),
+        ({}, [denied_customer, zone_out, last_zone]),
+        (COLD, [cold_fleet, cold_again]),
+    ])
--- /dev/null
+++ b/tests/process/traffic.py
@@ -0,0 +1,237 @@
+"""Model calls as their callers saw them, steady traffic, and the reading of what
+the stand-in engines and the stand-in store saw."""
+
+import base64
+import hashlib
+import http.client
+import json
+import sys
+import threading
+import time
+import traceback
+
+from fleet import Fleet, decode, request, wait_until
+
+
+def now_ms():
+    """The clock of the stand-ins' records, which is the machine's."""
+    return time.monotonic() * 1000
+
+
+class Call:
+    """What a caller saw of one model call."""
+
+    def __init__(self, fleet, entry, prompt, model="small", customer=None,
+                 headers=None, stream=False, max_tokens=16, timeout=60):
+        self.prompt, self.stream, self.max_tokens = prompt, stream, max_tokens
+        self.status, self.headers, body = None, {}, b""
+        self.broken = False
+        self.sent = now_ms()
+        host, port = entry.listen.split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+        try:
+            connection.request(
+                "POST", "/v1/chat/completions",
+                json.dumps({"model": model, "stream": stream,
+                            "max_tokens": max_tokens,
+                            "messages": [{"role": "user", "content": prompt}]}),
+                {"Authorization": "Bearer key-" + (customer or fleet.customers[0]),
+                 "Content-Type": "application/json", **(headers or {})})
+            response = connection.getresponse()
+            self.status = response.status
+            self.headers = {name.lower(): value
+                            for name, value in response.getheaders()}
+            body = response.read()
+        except http.client.IncompleteRead as error:
+            body, self.broken = error.partial, True
+        except (OSError, http.client.HTTPException):
+            self.broken = True
+        finally:
+            connection.close()
+        self.received = now_ms()
+        self.body = body.decode()
+        self.id = self.headers.get("x-savory-request-id", "")
+        self.text, self.done, self.error = "", False, {}
+        if self.status == 200 and stream:
+            self._read_events()
+        elif self.status == 200 and not self.broken:
+            answer = json.loads(self.body)
+            self.done = True
+            self.text = answer["choices"][0]["message"]["content"]
+        elif self.status is not None and not self.broken:
+            self.error = json.loads(self.body)["error"]
+
+    def _read_events(self):
+        for event in self.body.split("\n\n"):
+            if event == "data: [DONE]":
+                self.done = True
+            elif event.startswith("data: {"):
+                try:
+                    document = json.loads(event[len("data: "):])
+                except ValueError:
+                    continue  # cut in the middle, which the text will show
+                self.error = document.get("error", self.error)
+                for choice in document.get("choices", []):
+                    self.text += choice["delta"].get("content", "")
+
+    def claims_whole(self):
+        return self.status == 200 and not self.broken and self.done
+
+    def is_whole(self):
+        """Whether the text is the engine's whole answer to this very prompt."""
+        mark = hashlib.sha256(self.prompt.encode()).hexdigest()[:8]
+        return self.text == "".join("%s.%d " % (mark, index)
+                                    for index in range(self.max_tokens))
+
+    def __repr__(self):
+        return "%s %s %s broken=%s done=%s after %.0f ms" % (
+            self.prompt[:40], self.status, self.error or self.text[:30],
+            self.broken, self.done, self.received - self.sent)
+
+
+class Traffic:
+    """Callers that each send one call after another to one entry."""
+
+    def __init__(self, fleet, per_entry=2, pause_s=0.02, entries=None, **options):
+        self.calls = []
+        self.stopping = False
+
+        def loop(entry, name):
+            count = 0
+            while not self.stopping:
+                count += 1
+                self.calls.append(Call(
+                    fleet, entry, "%s question %d" % (name, count), **options))
+                time.sleep(pause_s)
+        self.threads = [
+            threading.Thread(target=loop, daemon=True, args=(
+                entry, "%s %d %.3f" % (entry.name, index, now_ms())))
+            for entry in entries or fleet.entries for index in range(per_entry)]
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stopping = True
+        for thread in self.threads:
+            thread.join(70)
+
+
+def together(tasks):
+    """Runs functions at the same time; returns their results in order."""
+    results = [None] * len(tasks)
+
+    def run(index):
+        results[index] = tasks[index]()
+    threads = [threading.Thread(target=run, args=(index,), daemon=True)
+               for index in range(len(tasks))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(90)
+    return results
+
+
+def runs(fleet, engines=None):
+    """All runs that the engines received, refused ones left out."""
+    found = []
+    for engine in engines or fleet.engines:
+        for run in fleet.seen(engine)["runs"]:
+            if run["outcome"] != "refused":
+                found.append(run)
+    return found
+
+
+def versions_of(fleet, calls):
+    """The versions that ran for a list of calls."""
+    ids = {call.id for call in calls}
+    return {run["version"] for run in runs(fleet) if run["request"] in ids}
+
+
+def crashes(fleet):
+    return [crash["cause"] for engine in fleet.engines
+            for crash in fleet.seen(engine)["crash_list"]]
+
+
+def settled(fleet):
+    """The steps in the store under bill/, a list by (request id, step)."""
+    rows = json.loads(request(
+        fleet.store.address, "POST", "/v3/kv/range",
+        {"key": base64.b64encode(b"bill/").decode(),
+         "range_end": base64.b64encode(b"bill0").decode()})[2]).get("kvs", [])
+    steps = {}
+    for row in rows:
+        for step in json.loads(decode(row["value"]))["steps"]:
+            steps.setdefault((step["request"], step["step"]), []).append(step)
+    return steps
+
+
+def missing_bills(fleet, calls):
+    steps = settled(fleet)
+    return [call for call in calls if (call.id, 0) not in steps]
+
+
+def check_bills(fleet, calls):
+    """Each answered call is one settled step with the usage of its answer, and
+    nothing is billed that no engine ran."""
+    steps = settled(fleet)
+    ran = {run["request"] for run in runs(fleet)}
+    assert all(key[0] in ran for key in steps), set(steps) - ran
+    for call in calls:
+        rows = [key for key in steps if key[0] == call.id]
+        assert rows == [(call.id, 0)], (call, rows)
+        whole = {step["attempt"]: step for step in steps[(call.id, 0)]
+                 if step["complete"]}
+        assert whole, (call, steps[(call.id, 0)])
+        for step in whole.values():
+            assert step["output_tokens"] == call.max_tokens, (call, step)
+
+
+def ready(fleet):
+    for entry in fleet.entries:
+        wait_until(lambda: Call(fleet, entry, "ready?").status == 200,
+                   entry.name + " serves a model call", 30)
+
+
+def run_matrix(groups):
+    """Runs the cells of each group in order on a fleet of its own, the groups at
+    the same time; arguments after the directory of binaries choose cells."""
+    binaries, only = sys.argv[1], sys.argv[2:]
+    results = {}
+
+    def run_group(options, cells):
+        cells = [cell for cell in cells if not only or cell.__name__ in only]
+        if not cells:
+            return
+        for cell in cells:
+            results[cell.__name__] = "not run"
+        try:
+            with Fleet(binaries, services=0, **options) as fleet:
+                if not any(o.startswith("--cold") for o in fleet.engine_options):
+                    ready(fleet)
+                for cell in cells:
+                    begin = time.monotonic()
+                    try:
+                        cell(fleet)
+                        results[cell.__name__] = None
+                        print("ok %s (%.1f s)" % (
+                            cell.__name__, time.monotonic() - begin), flush=True)
+                    except Exception:
+                        results[cell.__name__] = traceback.format_exc()[-3000:]
+                        print("FAILED %s\n%s" % (
+                            cell.__name__, results[cell.__name__]), flush=True)
+        except Exception:
+            print("FAILED fleet of %s\n%s" % (
+                cells[0].__name__, traceback.format_exc()), flush=True)
+    threads = [threading.Thread(target=run_group, args=group)
+               for group in groups]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    passed = sum(result is None for result in results.values())
+    print("matrix models: %d cells run, %d passed" % (
+        sum(result != "not run" for result in results.values()), passed))
+    sys.exit(0 if passed == len(results) else 1)
