End an entry's connections before its members

Ruled out: skipping destruction by _Exit; it would hide leaks and lose logs. Change: Entry, AgentLinks and Fleet close their connections first.

--- a/router/src/agent_links.cpp
+++ b/router/src/agent_links.cpp
@@ -53,6 +53,18 @@
   Maintain();
 }
 
+void
+AgentLinks::Close()
+{
+  mMaintain.Cancel();
+  for (auto& [address, link] : mLinks) {
+    if (auto connection = std::exchange(link.mConnection, nullptr)) {
+      connection->mOnClosed = {};
+      connection->Close();
+    }
+  }
+}
+
 AgentLink*
 AgentLinks::Find(const std::string& aAddress)
 {
--- a/router/src/agent_links.h
+++ b/router/src/agent_links.h
@@ -35,6 +35,9 @@
   // that are gone.
   void SetHosts(const std::vector<Host>& aHosts);
 
+  // Closes all connections, which ends the requests on them.
+  void Close();
+
   // The link to an agent's inner address, or null.
   AgentLink* Find(const std::string& aAddress);
   const std::map<std::string, AgentLink>& All() const { return mLinks; }
--- a/router/src/entry.cpp
+++ b/router/src/entry.cpp
@@ -46,6 +46,18 @@
     "Time from the caller's request to the first token of its answer.");
 }
 
+// Closes every connection while all members are still there, because the end
+// of a connection calls back into them.
+Entry::~Entry()
+{
+  mPump.Cancel();
+  mCallers.reset();
+  mLinks.Close();
+  mFleet.Close();
+  mInner.reset();
+  mKept.clear();
+}
+
 bool
 Entry::Listen()
 {
--- a/router/src/entry.h
+++ b/router/src/entry.h
@@ -31,6 +31,9 @@
 {
 public:
   explicit Entry(Node& aNode);
+  ~Entry();
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
 
   // Listens on all addresses; false when one cannot be used.
   bool Listen();
--- a/router/src/fleet.cpp
+++ b/router/src/fleet.cpp
@@ -494,6 +494,19 @@
   SetLeaving(mMembers, mNode.mLoop.NowMs());
 }
 
+void
+Fleet::Close()
+{
+  mTick.Cancel();
+  mHostsTimer.Cancel();
+  mWatchEnd.Cancel();
+  for (auto& [address, connection] : mPeers) {
+    if (connection) {
+      connection->Close();
+    }
+  }
+}
+
 nlohmann::json
 Fleet::State() const
 {
--- a/router/src/fleet.h
+++ b/router/src/fleet.h
@@ -47,6 +47,9 @@
   // Tells the other entries that this one is leaving.
   void Leave();
 
+  // Ends gossip and closes all connections to peers.
+  void Close();
+
   nlohmann::json State() const;
 
   Membership mMembers;
