Use the renamed type of the store call in tests and benchmark

Cause: config_store.h names its type StoreCallAnswer since the record has an enumeration StoreAnswer; the fleet simulation, its checker and bench_control still used the old name, so that test_core and savory_bench did not build.

Change: the name.

--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -128,7 +128,7 @@
     auto call = NextCall(*aChange);
     if (call) {
       mFleet.CallStore(
-        "r0", *call, [this, aChange](const StoreAnswer& aAnswer) {
+        "r0", *call, [this, aChange](const StoreCallAnswer& aAnswer) {
           OnAnswer(*aChange, aAnswer);
           Step(aChange);
         });
@@ -174,7 +174,7 @@
   Configuration config = FullConfiguration();
   Change first = StartFirstConfiguration("first", config);
   while (auto call = NextCall(first)) {
-    StoreAnswer answer;
+    StoreCallAnswer answer;
     for (const auto& key : call->mKeys) {
       auto found = aFleet.mStore.mValues.find(key);
       answer.mValues.push_back(found == aFleet.mStore.mValues.end()
--- a/tests/core/config_checker.cpp
+++ b/tests/core/config_checker.cpp
@@ -32,7 +32,7 @@
   // The first configuration is there before the processes start.
   Change first = StartFirstConfiguration("first", aFirst);
   while (auto call = NextCall(first)) {
-    StoreAnswer answer;
+    StoreCallAnswer answer;
     for (const auto& key : call->mKeys) {
       answer.mValues.push_back(mFleet.mStore.mValues.contains(key)
                                  ? std::optional(mFleet.mStore.mValues[key])
@@ -189,7 +189,7 @@
     mFleet.CallStore(
       who.mRegion,
       *call,
-      [this, aOperator, aChange, aStartMs](const StoreAnswer& aAnswer) {
+      [this, aOperator, aChange, aStartMs](const StoreCallAnswer& aAnswer) {
         OnAnswer(*aChange, aAnswer);
         Step(aOperator, aChange, aStartMs);
       });
--- a/tests/core/fleet_sim.cpp
+++ b/tests/core/fleet_sim.cpp
@@ -469,7 +469,7 @@
       }
       StoreCall call;
       call.mKeys = aAction.mKeys;
-      StoreAnswer answer;
+      StoreCallAnswer answer;
       Apply(call, answer);
       for (const auto& value : answer.mValues) {
         mNodes[aNode].mUsage.mStoreBytes +=
@@ -489,7 +489,7 @@
     });
 }
 
-void Fleet::Apply(const StoreCall& aCall, StoreAnswer& aAnswer)
+void Fleet::Apply(const StoreCall& aCall, StoreCallAnswer& aAnswer)
 {
   // Each key of a call is one call of the store.
   mStore.mCalls += std::max<std::int64_t>(
@@ -508,7 +508,7 @@
   }
   std::string& head = mStore.mValues[std::string(kHeadKey)];
   if (head != aCall.mExpected) {
-    aAnswer.mStatus = StoreAnswer::Status::Mismatch;
+    aAnswer.mStatus = StoreCallAnswer::Status::Mismatch;
     return;
   }
   head = aCall.mValue;
@@ -522,10 +522,10 @@
 
 void Fleet::CallStore(const std::string& aRegion,
                       StoreCall aCall,
-                      std::function<void(const StoreAnswer&)> aAnswer)
+                      std::function<void(const StoreCallAnswer&)> aAnswer)
 {
   auto open = std::make_shared<bool>(true);
-  auto finish = [open, aAnswer](const StoreAnswer& aResult) {
+  auto finish = [open, aAnswer](const StoreCallAnswer& aResult) {
     if (*open) {
       *open = false;
       aAnswer(aResult);
@@ -539,7 +539,7 @@
       if (!mStore.mUp) {
         return;
       }
-      StoreAnswer answer;
+      StoreCallAnswer answer;
       Apply(aCall, answer);
       StoreLeg(aRegion, false, mStore.mLoseAnswers, [finish, answer] {
         finish(answer);
@@ -547,8 +547,8 @@
     });
   }
   At(mNow + kCallTimeoutMs, [finish] {
-    StoreAnswer lost;
-    lost.mStatus = StoreAnswer::Status::Lost;
+    StoreCallAnswer lost;
+    lost.mStatus = StoreCallAnswer::Status::Lost;
     finish(lost);
   });
 }
--- a/tests/core/fleet_sim.h
+++ b/tests/core/fleet_sim.h
@@ -117,7 +117,7 @@
   // answer after a second is given as Lost.
   void CallStore(const std::string& aRegion,
                  StoreCall aCall,
-                 std::function<void(const StoreAnswer&)> aAnswer);
+                 std::function<void(const StoreCallAnswer&)> aAnswer);
 
   // Lets an entry take work and send it to an agent.
   void OfferWork(int aEntry, int aAgent);
@@ -156,7 +156,7 @@
   void Pull(int aNode, const std::string& aHost, const nlohmann::json& aBody);
   void WatchHead(int aNode, const SyncAction& aAction);
   void ReadSections(int aNode, const SyncAction& aAction);
-  void Apply(const StoreCall& aCall, StoreAnswer& aAnswer);
+  void Apply(const StoreCall& aCall, StoreCallAnswer& aAnswer);
   void RunAt(int aNode, std::int64_t aIncarnation, std::function<void()> aRun);
   void Deliver(int aFrom,
                int aTo,
