--- a/net/include/savory/net/http_client.h
+++ b/net/include/savory/net/http_client.h
@@ -21,7 +21,7 @@
   bool operator==(const Endpoint&) const = default;
 };
 
-// Reads "IP:PORT".
+// Reads "IP:PORT" with an address of IP version 4.
 tl::expected<Endpoint, std::string>
 ParseEndpoint(std::string_view aText);
 
--- a/net/src/http_client.cpp
+++ b/net/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "savory/net/http_client.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <cctype>
 #include <charconv>
 #include <event2/buffer.h>
@@ -74,6 +75,10 @@
   }
   Endpoint endpoint;
   endpoint.mAddress = aText.substr(0, colon);
+  in_addr address{};
+  if (inet_pton(AF_INET, endpoint.mAddress.c_str(), &address) != 1) {
+    return tl::unexpected("\"" + endpoint.mAddress + "\" is not an IP address");
+  }
   std::string_view port = aText.substr(colon + 1);
   auto [end, error] =
     std::from_chars(port.data(), port.data() + port.size(), endpoint.mPort);
