--- a/core/include/savory/core/cascade.h
+++ b/core/include/savory/core/cascade.h
@@ -13,15 +13,20 @@
 // Parameters of the choice of steps.
 struct CascadeOptions
 {
-  // Share of requests that go to the least rated version.
-  double mExplorationShare = 0.02;
+  // Share of requests that go to the least rated version, and the share that
+  // goes to a cheaper choice which may meet the target, where there is one.
+  // Over all requests both stay within 2%.
+  double mExplorationShare = 0.01;
+  double mPromisingShare = 0.08;
   // Ratings that the configured quality counts as.
   double mPriorRatings = 20;
   // Standard deviations of the posterior by which a pass rate is discounted.
-  double mCaution = 1;
+  double mCaution = 0.5;
   // Ratings in the class from which a version is used without the rating
   // service.
   std::int64_t mProvenRatings = 30;
+  // Ratings up to which the last step of a plan has its answers rated.
+  std::int64_t mWantedRatings = 300;
   SafetyChecks mChecks;
 };
 
@@ -77,7 +82,9 @@
 };
 
 // The steps of a request, one or two; the second runs only when the rating of
-// the first fails. `mReason` is the text for the explanation.
+// the first fails. `mRateAnswer` asks for a rating of the answer of the last
+// step, which a sample would otherwise get. `mReason` is the text for the
+// explanation.
 struct Plan
 {
   std::vector<Step> mSteps;
@@ -85,6 +92,7 @@
   double mCost = 0;
   TimeMs mExpectedMs = 0;
   bool mExploration = false;
+  bool mRateAnswer = false;
   std::string mReason;
 };
 
--- a/core/src/balancer.cpp
+++ b/core/src/balancer.cpp
@@ -15,7 +15,6 @@
 void RebuildIndex(Balancer& aBalancer, const BalancerOptions& aOptions)
 {
   aBalancer.mIndex.clear();
-  aBalancer.mPoolAllowance.clear();
   for (std::size_t i = 0; i < aBalancer.mRows.size(); ++i) {
     const auto& row = aBalancer.mRows[i];
     if (!row.mPresent) {
@@ -24,8 +23,6 @@
     // A pool stays known while all its members are unusable, so that a refusal
     // can say which of the two it is.
     auto& all = aBalancer.mIndex[IndexKey(row.mPool, {})];
-    auto& most = aBalancer.mPoolAllowance[IndexKey(row.mPool, {})];
-    most = std::max(most, row.mAllowance);
     bool zoneOut =
       row.mZone < 0 || aBalancer.mZones[row.mZone].mState == ZoneState::Out;
     if ((aOptions.mUseZones && zoneOut) || !row.mReachable ||
@@ -149,16 +146,23 @@
   int load = aRow.mOthers + aRow.mOwn;
   if (options.mUseAllowance) {
     // Below the pool's largest allowance a backend server counts as cold and
-    // its allowance is a hard limit. At it, the agent's queue takes as much
-    // again.
+    // its allowance is a hard limit. At it, a part more waits at the agent, so
+    // that a place that becomes free does not stay empty for a round trip.
     bool cold = aRow.mAllowance < aSelection.mPoolAllowance;
     if (cold && load >= aRow.mAllowance) {
       return Unfit::Cold;
     }
-    if (load >= 2 * aRow.mAllowance) {
+    int queue = static_cast<int>(options.mAgentQueue * aRow.mAllowance);
+    if (load >= aRow.mAllowance + queue) {
       return Unfit::Full;
     }
   }
+  // An agent that refused is not asked again at the same load, or requests
+  // would go back and forth between entry and agent for as long as they wait.
+  if (aRow.mRefusedAt > 0 && load >= aRow.mRefusedAt &&
+      aSelection.mNowMs - aRow.mRefusedMs < options.mRefusalMs) {
+    return Unfit::Full;
+  }
   if (aRow.mTokenCapacity > 0 &&
       aRow.mOtherTokens + aRow.mOwnTokens + aSelection.mRequest.mTokens >
         aRow.mTokenCapacity) {
--- a/ctl/src/main.cpp
+++ b/ctl/src/main.cpp
@@ -1,84 +1,28 @@
-#include "savory/core/config.h"
-#include "savory/core/config_store.h"
-#include "savory/net/log.h"
-#include "savory/platform/store.h"
+#include "settings.h"
 
+#include <csignal>
 #include <cstdio>
-#include <cstdlib>
-#include <fstream>
-#include <nlohmann/json.hpp>
 
 using namespace savory;
 
-namespace {
-
-// Carries out the next call of a change, until it is done.
-void
-Step(StoreClient& aStore, Change& aChange, sigc::slot<void()> aDone)
-{
-  auto call = NextCall(aChange);
-  if (!call) {
-    aDone();
-    return;
-  }
-  auto answer = [&aStore, &aChange, aDone](const StoreCallAnswer& aAnswer) {
-    OnAnswer(aChange, aAnswer);
-    Step(aStore, aChange, aDone);
-  };
-  if (call->mKind == StoreCall::Kind::Read) {
-    answer({ StoreCallAnswer::Status::Ok,
-             std::vector<std::optional<std::string>>(call->mKeys.size()) });
-    return;
-  }
-  StoreTransaction transaction;
-  for (const auto& [key, value] : call->mEntries) {
-    transaction.mPuts.push_back({ key, value, 0 });
-  }
-  if (call->mKind == StoreCall::Kind::SwapHead) {
-    transaction.mConditions.push_back({ std::string(kHeadKey), 0 });
-    transaction.mPuts.push_back({ std::string(kHeadKey), call->mValue, 0 });
-  }
-  aStore.Commit(transaction,
-                [answer](const tl::expected<StoreCommit, StoreError>& aCommit) {
-                  answer({ !aCommit ? StoreCallAnswer::Status::Lost
-                           : aCommit->mSucceeded
-                             ? StoreCallAnswer::Status::Ok
-                             : StoreCallAnswer::Status::Mismatch,
-                           {} });
-                });
-}
-
-} // namespace
-
+// Runs one command. With --json one object goes to standard output; else text
+// does, or, when the command failed, to standard error.
 int
 main(int aCount, char** aArguments)
 {
-  const char* store = std::getenv("SAVORY_STORE");
-  if (aCount != 3 || !store || std::string_view(aArguments[1]) != "init") {
-    std::fprintf(stderr, "usage: SAVORY_STORE=IP:PORT savoryctl init FILE\n");
-    return 2;
-  }
-  std::ifstream file(aArguments[2]);
-  auto document = nlohmann::json::parse(file, nullptr, false);
-  auto config = ParseConfiguration(document);
-  if (!config) {
-    for (const auto& error : config.error()) {
-      std::fprintf(stderr,
-                   "%s: %s: %s\n",
-                   aArguments[2],
-                   error.mPath.c_str(),
-                   error.mReason.c_str());
-    }
-    return 1;
-  }
-  EventLoop loop;
-  HttpClient http(loop);
-  StoreClient client(http, *ParseEndpoint(store));
-  Change change = StartFirstConfiguration("init", *config);
-  Step(client, change, [&] { loop.Stop(); });
-  loop.Run();
-  for (const auto& reason : change.mReasons) {
-    std::fprintf(stderr, "%s\n", reason.c_str());
+  std::signal(SIGPIPE, SIG_IGN);
+  std::vector<std::string> arguments(aArguments, aArguments + aCount);
+  auto settings = ParseCtlSettings(arguments);
+  CommandResult result = settings
+                           ? FindCommand(settings->mCommand)->mRun(*settings)
+                           : settings.error();
+  if (settings && settings->mJson) {
+    result.mJson["exit"] = result.mExit;
+    std::string text = result.mJson.dump(
+      2, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::printf("%s\n", text.c_str());
+  } else {
+    std::fputs(result.mText.c_str(), result.mExit == 0 ? stdout : stderr);
   }
-  return change.mState == ChangeState::Accepted ? 0 : 1;
+  return result.mExit;
 }
--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -1,5 +1,7 @@
 #include "agent.h"
 
+#include "agent_run.h"
+
 #include "savory/net/log.h"
 
 #include <nlohmann/json.hpp>
@@ -11,16 +13,42 @@
 constexpr TimeMs kReportMs = 1000;
 constexpr TimeMs kPollMs = 250;
 
+// How long an agent keeps its copy of a step for the entry to write.
+constexpr TimeMs kBillHoldMs = 10000;
+
+// Time for the last answers and reports to leave the sockets at a shutdown.
+constexpr TimeMs kLingerMs = 200;
+
+// A backend server that is back within this time keeps its slots: a restart is
+// shorter than a take-over.
+constexpr TimeMs kBackendGoneMs = 3000;
+
 } // namespace
 
 Agent::Agent(Node& aNode)
   : mNode(aNode)
+  , mStore(aNode.mHttp, aNode.mSettings.mStore)
+  , mBills(aNode, mStore, kBillHoldMs, [](const SendSettled&) {})
   , mAdmin(aNode,
            { .mState = [this] { return State(); },
-             .mMetrics = [] { return std::string(); },
+             .mMetrics = [this] { return mMetrics.Text(); },
              .mExplain = [](const std::string&) { return nlohmann::json(); },
              .mRefresh = [] {} })
 {
+  if (mNode.mSettings.mBackendKind == BackendKind::Service) {
+    mSlots = std::make_unique<Slots>(mNode, mNode.mSettings.mPool);
+    mSlots->mOnChanged = [this] {
+      ReportNow();
+      StopWhenDone();
+    };
+    mNode.mConfigChanged.connect([this] { ReviewSlots(); });
+  }
+}
+
+// The end of the slots ends calls, which this object must outlive.
+Agent::~Agent()
+{
+  mSlots.reset();
 }
 
 bool
@@ -36,8 +64,13 @@
     return false;
   }
   mReportTimer = Timer::Every(mNode.mLoop, kReportMs, [this] { ReportNow(); });
+  mQueueTimer = Timer::Every(mNode.mLoop, 100, [this] { PollQueue(); });
+  mNode.mConfigChanged.connect([this] { OnConfigChanged(); });
   mPollTimer = Timer::Every(mNode.mLoop, kPollMs, [this] { PollBackend(); });
   PollBackend();
+  if (mSlots) {
+    mSlots->Start();
+  }
   return true;
 }
 
@@ -48,37 +81,246 @@
     mNode.mHttp,
     mNode.mSettings.mBackend,
     [this](const tl::expected<BackendLoad, BackendError>& aLoad) {
-      bool changed = mReachable != aLoad.has_value() ||
-                     (aLoad && aLoad->mInstance != mLoad.mInstance);
-      mReachable = aLoad.has_value();
-      if (aLoad) {
-        mLoad = *aLoad;
-      }
-      if (changed) {
-        ReportNow();
-      }
+      OnLoad(aLoad);
+      ReviewSlots();
     });
 }
 
+// Takes the load report of the backend server, or its absence.
+void
+Agent::OnLoad(const tl::expected<BackendLoad, BackendError>& aLoad)
+{
+  // 1. A crash: another instance, or none at all.
+  bool changed = mReachable != aLoad.has_value();
+  bool restarted =
+    aLoad && !mLoad.mInstance.empty() && aLoad->mInstance != mLoad.mInstance;
+  TellBroken(restarted || !aLoad);
+  mReachable = aLoad.has_value();
+  if (!aLoad) {
+    if (changed) {
+      LogEvent(Event::BackendLost, { { "reason", aLoad.error().mReason } });
+      ResetWarmup(mWarmup, "not reachable");
+      ReportNow();
+    }
+    return;
+  }
+
+  // 2. The load itself.
+  mLoad = *aLoad;
+  if (OnIncarnation(mWarmup, mLoad.mInstance) || restarted) {
+    LogEvent(
+      Event::BackendCold,
+      { { "cause", mWarmup.mCause },
+        { "instance", mLoad.mInstance },
+        { "allowance", std::to_string(Allowance(mWarmup, WarmupLimits())) } });
+    changed = true;
+  }
+  if (changed) {
+    ReportNow();
+  }
+}
+
+// Tells the requests that broke whether the backend server crashed, and marks
+// them as suspects if so.
+void
+Agent::TellBroken(bool aCrashed)
+{
+  auto broken = std::exchange(mBroken, {});
+  if (broken.empty()) {
+    return;
+  }
+  std::uint64_t crash = 0;
+  if (aCrashed) {
+    crash = CrashId(ToString(mNode.mSettings.mInner), mLoad.mInstance);
+    std::vector<std::uint64_t> fingerprints;
+    for (const auto& run : broken) {
+      fingerprints.push_back(run.mFingerprint);
+    }
+    OnCrash(mQuarantine, {}, crash, fingerprints, mNode.mLoop.NowMs());
+    LogEvent(Event::RequestSuspected,
+             { { "requests", std::to_string(broken.size()) },
+               { "crash", std::to_string(crash) } });
+    ReportNow();
+  }
+  for (const auto& run : broken) {
+    run.mTold(crash);
+  }
+}
+
+void
+Agent::RunBroke(std::uint64_t aFingerprint,
+                const sigc::slot<void(std::uint64_t)>& aTold)
+{
+  mBroken.push_back({ aFingerprint, aTold });
+  if (mBroken.size() == 1) {
+    // Requests of one crash break in the same turn; the question goes out
+    // after all of them.
+    Defer(mNode.mLoop, [this] { PollBackend(); });
+  }
+}
+
+WarmupOptions
+Agent::WarmupLimits() const
+{
+  WarmupOptions options;
+  if (mNode.mConfig && !mNode.mConfig->mModels.empty()) {
+    options.mCold = mNode.mConfig->mModels[0].mColdConcurrency;
+    for (const auto& model : mNode.mConfig->mModels) {
+      options.mCold = std::min(options.mCold, model.mColdConcurrency);
+    }
+  }
+  options.mFull =
+    mLoad.mMaxRunning > 0 ? mLoad.mMaxRunning : mNode.mSettings.mMaxRunning;
+  return options;
+}
+
+AdmissionOptions
+Agent::AdmissionLimits() const
+{
+  AdmissionOptions options;
+  options.mTokenCapacity = mLoad.mTokenCapacity;
+  return options;
+}
+
+AdmissionAnswer
+Agent::AdmitRun(const std::shared_ptr<AgentRun>& aRun,
+                const AdmissionRequest& aRequest)
+{
+  WarmupOptions warmup = WarmupLimits();
+  AdmissionChanges changes;
+  mRuns[aRequest.mId] = aRun;
+  AdmissionAnswer answer = Admit(mAdmission,
+                                 AdmissionLimits(),
+                                 Allowance(mWarmup, warmup),
+                                 IsCold(mWarmup, warmup),
+                                 aRequest,
+                                 mNode.mLoop.NowMs(),
+                                 changes);
+  if (answer.mAdmitted == Admitted::Refused) {
+    mRuns.erase(aRequest.mId);
+  }
+  ApplyChanges(changes);
+  return answer;
+}
+
+void
+Agent::ApplyChanges(const AdmissionChanges& aChanges)
+{
+  for (const auto& refused : aChanges.mRefused) {
+    auto found = mRuns.find(refused.mId);
+    auto run = found == mRuns.end() ? nullptr : found->second.lock();
+    if (run) {
+      run->Reject(refused.mAnswer);
+    }
+    mRuns.erase(refused.mId);
+  }
+  for (const auto& started : aChanges.mStarted) {
+    auto found = mRuns.find(started.mId);
+    auto run = found == mRuns.end() ? nullptr : found->second.lock();
+    if (run) {
+      run->Begin();
+    } else {
+      OnLeft(mAdmission, started.mId, mNode.mLoop.NowMs());
+    }
+  }
+}
+
+void
+Agent::PollQueue()
+{
+  WarmupOptions warmup = WarmupLimits();
+  ApplyChanges(PollAdmission(mAdmission,
+                             AdmissionLimits(),
+                             Allowance(mWarmup, warmup),
+                             IsCold(mWarmup, warmup),
+                             mNode.mLoop.NowMs()));
+}
+
+void
+Agent::RunLeft(const std::string& aId)
+{
+  mRuns.erase(aId);
+  if (!CancelQueued(mAdmission, aId)) {
+    OnLeft(mAdmission, aId, mNode.mLoop.NowMs());
+  }
+  PollQueue();
+}
+
+void
+Agent::RunGenerated(const std::string& aId, std::int64_t aTokens)
+{
+  auto cut = OnGenerated(mAdmission, AdmissionLimits(), aId, aTokens);
+  for (const auto& id : cut) {
+    auto found = mRuns.find(id);
+    auto run = found == mRuns.end() ? nullptr : found->second.lock();
+    mRuns.erase(id);
+    if (run) {
+      run->CutForMemory();
+    }
+  }
+}
+
+bool
+Agent::IsZoneOut() const
+{
+  const Zone* zone =
+    mNode.mConfig ? FindZone(*mNode.mConfig, mNode.mSettings.mZone) : nullptr;
+  return zone && zone->mState == ZoneState::Out;
+}
+
+// A zone that returns has cold caches and cold backend servers.
+void
+Agent::OnConfigChanged()
+{
+  const Zone* zone = FindZone(*mNode.mConfig, mNode.mSettings.mZone);
+  ZoneState state = zone ? zone->mState : ZoneState::In;
+  if (mZoneState == ZoneState::Out && state != ZoneState::Out) {
+    ResetWarmup(mWarmup, "the availability zone returned");
+  }
+  mZoneState = state;
+  PollQueue();
+}
+
+// Slots are held while the backend server answers and its zone takes work.
+void
+Agent::ReviewSlots()
+{
+  if (!mSlots) {
+    return;
+  }
+  TimeMs now = MonotonicMs();
+  if (mReachable) {
+    mLastReachableMs = now;
+  }
+  const Zone* zone =
+    mNode.mConfig ? FindZone(*mNode.mConfig, mNode.mSettings.mZone) : nullptr;
+  bool isOut = zone && zone->mState == ZoneState::Out;
+  bool gone = now - mLastReachableMs > kBackendGoneMs;
+  mSlots->SetWanted(mNode.mConfig && !isOut && !gone && mLastReachableMs > 0);
+}
+
 Report
 Agent::MakeReport() const
 {
   const Settings& settings = mNode.mSettings;
+  bool engine = settings.mBackendKind == BackendKind::Engine;
   return {
     .mFrom = SenderOf(mNode),
     .mPool = settings.mPool,
     .mZone = settings.mZone,
     .mAddress = ToString(settings.mInner),
-    .mIsService = settings.mBackendKind == BackendKind::Service,
+    .mIsService = !engine,
     .mLeaving = mNode.mDraining,
     .mReachable = mReachable,
     .mVersions = mLoad.mVersions,
-    .mRunning = static_cast<int>(mCalls.size()),
-    .mQueued = 0,
-    .mAllowance = settings.mMaxRunning,
-    .mTokensHeld = mLoad.mTokensHeld,
+    .mRunning =
+      static_cast<int>(engine ? mAdmission.mRunning.size() : mCalls.size()),
+    .mQueued = static_cast<int>(mAdmission.mQueue.size()),
+    .mAllowance = Allowance(mWarmup, WarmupLimits()),
+    .mTokensHeld = mAdmission.mTokensHeld,
     .mTokenCapacity = mLoad.mTokenCapacity,
-    .mSlots = {},
+    .mSlots = mSlots ? mSlots->Owned() : std::vector<OwnedSlot>(),
+    .mSuspects = SuspectRows(mQuarantine, mNode.mLoop.NowMs()),
   };
 }
 
@@ -91,7 +333,16 @@
            { "revision", SenderOf(mNode).mRevision },
            { "draining", mNode.mDraining },
            { "reachable", mReachable },
-           { "calls", mCalls.size() } };
+           { "calls", mCalls.size() },
+           { "instance", mLoad.mInstance },
+           { "running", mAdmission.mRunning.size() },
+           { "queued", mAdmission.mQueue.size() },
+           { "tokens_held", mAdmission.mTokensHeld },
+           { "allowance", Allowance(mWarmup, WarmupLimits()) },
+           { "warmup_cause", mWarmup.mCause },
+           { "unwritten_bills", mBills.Unwritten() },
+           { "suspects", mQuarantine.mSuspects.size() },
+           { "slots", mSlots ? mSlots->State() : nlohmann::json() } };
 }
 
 void
@@ -110,10 +361,17 @@
     StartAgentRun(*this, aStream);
   } else if (aStream->Path() == "/call") {
     StartAgentCall(*this, aStream);
+  } else if (aStream->Path() == "/witness" && mSlots) {
+    mSlots->OnWitnessStream(aStream);
   } else if (aStream->Path() == "/report") {
     mSubscribers.insert(aStream);
     aStream->mOnClosed = [this, aStream](bool) { mSubscribers.erase(aStream); };
     aStream->Send(FrameType::Head, Encode(MakeReport()));
+  } else if (aStream->Path() == "/settled") {
+    aStream->mOnFrame = [this, aStream](const Frame& aFrame) {
+      OnSettled(aFrame);
+      aStream->Finish();
+    };
   } else if (aStream->Path() == "/config") {
     aStream->mOnFrame = [this, aStream](const Frame& aFrame) {
       OnConfig(aStream, aFrame);
@@ -123,6 +381,24 @@
   }
 }
 
+// Takes an entry's word that steps are in the store.
+void
+Agent::OnSettled(const Frame& aFrame)
+{
+  auto document = DecodeDocument(aFrame.mPayload);
+  if (!document || !document->contains("steps") ||
+      !(*document)["steps"].is_array()) {
+    return;
+  }
+  std::vector<StepId> steps;
+  for (const auto& step : (*document)["steps"]) {
+    if (auto id = ParseStepId(step)) {
+      steps.push_back(*id);
+    }
+  }
+  mBills.TakeSettled(steps);
+}
+
 // Takes a configuration that an entry brings. When it is a difference to one
 // that this agent lacks, the stream carries back what to send instead.
 void
@@ -156,14 +432,35 @@
     return;
   }
   mNode.mDraining = true;
+  mAdmission.mDraining = true;
+  PollQueue();
   LogEvent(Event::DrainStarted, { { "calls", std::to_string(mCalls.size()) } });
   ReportNow();
-  mDrainTimer = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
+  mDrainLimit = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
     LogEvent(Event::AbandonedAtStop,
-             { { "calls", std::to_string(mCalls.size()) } });
+             { { "calls", std::to_string(mCalls.size()) },
+               { "bills", std::to_string(mBills.Unwritten()) } });
     mNode.mLoop.Stop();
   });
-  CallEnded(nullptr);
+  if (mSlots) {
+    mSlots->Leave();
+  }
+  mDrainTimer = Timer::Every(mNode.mLoop, kLingerMs, [this] { Stop(); });
+}
+
+// Ends the process once no call is under way, no slot is held and no
+// bill is unwritten.
+void
+Agent::Stop()
+{
+  if (!mCalls.empty() || (mSlots && !mSlots->HasLeft())) {
+    return;
+  }
+  if (mBills.Unwritten() > 0) {
+    mBills.Flush();
+    return;
+  }
+  mNode.mLoop.Stop();
 }
 
 void
@@ -176,11 +473,6 @@
 Agent::CallEnded(const void* aCall)
 {
   mCalls.erase(aCall);
-  if (mNode.mDraining && mCalls.empty()) {
-    // The report and the last answer still have to leave the socket.
-    mDrainTimer =
-      Timer::After(mNode.mLoop, 200, [this] { mNode.mLoop.Stop(); });
-  }
 }
 
 void
