--- a/bench/bench_rollout.cpp
+++ b/bench/bench_rollout.cpp
@@ -175,8 +175,10 @@
 };
 
 // The version answers well for `aBefore` ratings, then fails at the bad rate
-// until the alarm; only a share of the answers is rated.
-WatchRun RunWatch(std::uint64_t aSeed, int aBefore)
+// until the alarm. It has `aEarlier` ratings from its roll-out; which answers
+// are rated follows from the total.
+WatchRun
+RunWatch(std::uint64_t aSeed, int aBefore, std::int64_t aEarlier)
 {
   std::mt19937_64 random(aSeed);
   RegressionWatch watch;
@@ -193,14 +195,18 @@
   bool alarm = false;
   while (!alarm) {
     run.mRatings += 1;
-    run.mExposed += 1 + std::geometric_distribution<int>(kRatedShare)(random);
+    run.mExposed +=
+      1 + std::geometric_distribution<int>(
+            WantsRating(aEarlier + TotalOf(counts)) ? kRatedOnRequest
+                                                    : kRatedShare)(random);
     alarm = observe(kBadRate);
   }
   return run;
 }
 
 // False alarms of the watch in a million ratings of a good version.
-double FalseAlarms(std::uint64_t aSeed)
+double
+FalseAlarms(std::uint64_t aSeed)
 {
   std::mt19937_64 random(aSeed);
   RegressionWatch watch;
@@ -232,7 +238,8 @@
   double mAlarms = 0;
 };
 
-SeedFigures MeasureSeed(Results& aResults, std::uint64_t aSeed)
+SeedFigures
+MeasureSeed(Results& aResults, std::uint64_t aSeed)
 {
   SeedFigures figures;
   std::string decisions;
@@ -248,7 +255,7 @@
       figures.mRatings += run.mRatings;
     } else {
       figures.mMisses += 1.0 / kBadRuns;
-      exposed += RunWatch(seed, 0).mExposed;
+      exposed += RunWatch(seed, 0, run.mRatings).mExposed;
     }
     figures.mExposure += exposed / kDayRequests / kBadRuns;
     figures.mWorstExposure =
@@ -267,7 +274,7 @@
   // 3. Versions that turn bad after their roll-out.
   for (int i = 0; i < kWatchRuns; ++i) {
     WatchRun run =
-      RunWatch(aSeed * 100000 + 90000 + static_cast<std::uint64_t>(i), 2000);
+      RunWatch(aSeed * 100000 + 90000 + static_cast<std::uint64_t>(i), 2000, 0);
     figures.mDelay += run.mRatings / kWatchRuns;
     figures.mDelayExposure += run.mExposed / kDayRequests / kWatchRuns;
     decisions += std::to_string(static_cast<int>(run.mRatings)) + "w";
@@ -278,7 +285,8 @@
 }
 
 // The number of ratings of a test of fixed size with the stated error rates.
-double FixedSize()
+double
+FixedSize()
 {
   constexpr double kOnePercent = 2.326;
   constexpr double kFivePercent = 1.645;
@@ -291,7 +299,8 @@
 
 } // namespace
 
-void BenchRollout(Results& aResults)
+void
+BenchRollout(Results& aResults)
 {
   std::vector<SeedFigures> all;
   all.reserve(kSeeds.size());
