Add bills to savoryctl and a demo of both deployments

Cause: operators could not see what is owed, and nothing showed both deployments at their sizes. Change: bills settles bill/ by core/billing. demo.py starts 12 + 3 and 18 + 4 backend servers with three entries, makes model calls and streams, switches the preset, withdraws a version and takes a zone out and in. relay.py adds the delays between zones and to clients; each zone reads its own list of hosts. Parts that the router lacks are named and not counted. Ruled out: delays by options of the stand-ins, which would not delay the inner protocol between entries and agents of different zones.

--- /dev/null
+++ b/ctl/src/bills.cpp
@@ -0,0 +1,95 @@
+#include "bills.h"
+
+#include "exit_codes.h"
+#include "savory/core/billing.h"
+#include "session.h"
+
+#include <iomanip>
+#include <sstream>
+
+namespace savory {
+
+using nlohmann::json;
+
+namespace {
+
+json
+RowOf(const std::string& aCustomer, const CustomerTotal& aTotal)
+{
+  return { { "customer", aCustomer },
+           { "requests", aTotal.mRequests },
+           { "steps", aTotal.mSteps },
+           { "input_tokens", aTotal.mInputTokens },
+           { "output_tokens", aTotal.mOutputTokens },
+           { "cost_micros", aTotal.mCost },
+           { "run_cost_micros", aTotal.mRunCost } };
+}
+
+std::string
+LineOf(const std::string& aCustomer, const CustomerTotal& aTotal)
+{
+  std::ostringstream line;
+  line << std::left << std::setw(24) << aCustomer << std::right << std::setw(9)
+       << aTotal.mRequests << std::setw(8) << aTotal.mSteps << std::setw(13)
+       << aTotal.mInputTokens << std::setw(14) << aTotal.mOutputTokens
+       << std::setw(14) << aTotal.mCost << std::setw(14) << aTotal.mRunCost
+       << "\n";
+  return line.str();
+}
+
+} // namespace
+
+CommandResult
+BillsCommand(const CtlSettings& aSettings)
+{
+  // 1. All batches.
+  Session session(aSettings);
+  CommandResult result;
+  auto entries = session.ReadPrefix("bill/");
+  if (!entries) {
+    std::string reason =
+      "the store does not answer: " + entries.error().mReason;
+    result.mExit = kExitUnreachable;
+    result.mText = reason + "\n";
+    result.mJson = { { "outcome", "failed" }, { "reasons", { reason } } };
+    return result;
+  }
+
+  // 2. Their union.
+  Settlement settlement;
+  json damaged = json::array();
+  for (const auto& entry : *entries) {
+    auto batch = ParseBillBatch(entry.mValue);
+    if (batch) {
+      Settle(settlement, *batch);
+    } else {
+      result.mExit = kExitCorrupt;
+      damaged.push_back(entry.mKey + ": " + batch.error().mReason);
+    }
+  }
+
+  // 3. The sums, in millionths of the currency.
+  std::ostringstream title;
+  title << std::left << std::setw(24) << "customer" << std::right
+        << std::setw(9) << "requests" << std::setw(8) << "steps"
+        << std::setw(13) << "input tokens" << std::setw(14) << "output tokens"
+        << std::setw(14) << "cost, micros" << std::setw(14) << "run cost"
+        << "\n";
+  result.mText = title.str();
+  json customers = json::array();
+  for (const auto& [customer, total] : TotalsByCustomer(settlement)) {
+    if (aSettings.mCustomer.empty() || aSettings.mCustomer == customer) {
+      customers.push_back(RowOf(customer, total));
+      result.mText += LineOf(customer, total);
+    }
+  }
+  for (const auto& fault : damaged) {
+    result.mText += fault.get<std::string>() + "\n";
+  }
+  result.mJson = { { "customers", std::move(customers) },
+                   { "batches", entries->size() },
+                   { "damaged", std::move(damaged) } };
+  return result;
+}
+
+} // namespace savory
--- a/ctl/src/commands.cpp
+++ b/ctl/src/commands.cpp
@@ -1,3 +1,4 @@
+#include "bills.h"
 #include "changes.h"
 #include "reports.h"
 #include "settings.h"
@@ -195,6 +196,14 @@
       false,
       "Shows what the entries decided about a request, and why.",
       &ExplainCommand },
+    { "bills",
+      "[--customer NAME]",
+      0,
+      0,
+      Needs::Store,
+      false,
+      "Settles the bills in the store and shows the sums by customer.",
+      &BillsCommand },
     { "record",
       "SERVICE CUSTOMER KEY",
       3,
--- /dev/null
+++ b/tests/process/demo.py
@@ -0,0 +1,304 @@
+"""Both deployments of section 1.1 at their sizes, on loopback: what was served
+where, at what cost, and what was billed. Exits with 1 when something was not as
+promised. Times hold for this machine and for stand-ins of the backend servers;
+the delays between zones and to clients come from relay.py."""
+
+import collections
+import json
+import statistics
+import sys
+import threading
+import time
+
+from fleet import Fleet, request, wait_until
+from relay import Relays
+
+# Parts of the path that the shipped binaries do not have yet. A part that is
+# off is named in the account and not counted as kept.
+PARTS = {
+    "sessions": False,
+    "record of keys": False,
+    "bills": False,
+    "zone states": False,
+}
+
+DEPLOYMENTS = {
+    "gulfway": {"title": "Gulfway Thermal Lending", "engines": 12, "services": 3,
+                "zone_ms": 0.5, "client_ms": 3},
+    "bengal": {"title": "Bengal Horological Restoration", "engines": 18,
+               "services": 4, "zone_ms": 1.5, "client_ms": 1},
+}
+
+# Characters of a prompt; a token has about four.
+PROMPTS = {"short": 80, "middle": 3000, "long": 14000}
+
+
+class DemoFleet(Fleet):
+    """A fleet whose zones and clients are apart: each zone reads a list of hosts
+    in which the processes of the other zones are behind a relay."""
+
+    def __init__(self, binaries, name):
+        self.shape = DEPLOYMENTS[name]
+        self.relays = Relays()
+        self.zone_hosts = {}
+        self.zone_relays = {}
+        super().__init__(binaries, name, engines=self.shape["engines"],
+                         services=self.shape["services"], entries=3,
+                         engine_options=["--first-token-ms", "20",
+                                         "--token-ms", "1"])
+
+    def prepare(self, config):
+        # A second serving version of the middle model, to withdraw.
+        config["models"][1]["versions"].append(
+            {"name": "v2", "state": "serving", "share": 0})
+
+    def hosts_for(self, zone):
+        if zone not in self.zone_hosts:
+            self.zone_hosts[zone] = self._standin("hosts")
+        return self.zone_hosts[zone].address
+
+    def start_entry(self, name, zone):
+        super().start_entry(name, zone)
+        entry = self.entries[-1]
+        entry.listen = self.relays.add(entry.listen, self.shape["client_ms"])
+
+    def publish_hosts(self):
+        super().publish_hosts()
+        for zone, standin in self.zone_hosts.items():
+            hosts = [
+                {"name": p.name, "role": p.role, "zone": p.zone,
+                 "inner": self.inner_from(zone, p), "admin": p.admin,
+                 "state": "leaving" if p.leaving else "live"}
+                for p in self.entries + self.agents
+            ]
+            assert request(standin.address, "PUT", "/hosts",
+                           {"hosts": hosts})[0] == 200
+
+    def inner_from(self, zone, process):
+        if zone == process.zone:
+            return process.inner
+        # The delay depends on the two zones being different, not on which.
+        if process.name not in self.zone_relays:
+            self.zone_relays[process.name] = self.relays.add(
+                process.inner, self.shape["zone_ms"])
+        return self.zone_relays[process.name]
+
+    def close(self):
+        super().close()
+        self.relays.close()
+
+
+class Account:
+    """What was promised and kept, and what each call cost."""
+
+    def __init__(self, fleet):
+        self.broken = []
+        self.lock = threading.Lock()
+        self.served = collections.Counter()
+        self.cost = collections.Counter()
+        self.zone_of = {agent.name: agent.zone for agent in fleet.agents}
+        self.price = {model["name"]: (model["input_cost"], model["output_cost"])
+                      for model in fleet.config["models"]}
+
+    def promise(self, kept, text):
+        print("   %-6s %s" % ("kept" if kept else "BROKEN", text), flush=True)
+        if not kept:
+            self.broken.append(text)
+
+    def call(self, fleet, index, size, model="auto"):
+        """One model call; returns status, zone, model, version and seconds."""
+        customer = fleet.customers[index % len(fleet.customers)]
+        entry = fleet.entries[index % len(fleet.entries)]
+        mark = "request %d of %s: " % (index, customer)
+        prompt = mark + "x" * (PROMPTS[size] - len(mark))
+        start = time.monotonic()
+        status, headers, body = fleet.chat(
+            entry, customer, prompt, model, {"x-savory-explain": "true"})
+        seconds = time.monotonic() - start
+        if status != 200:
+            return status, body.decode(errors="replace"), "", "", seconds
+        usage = json.loads(body)["usage"]
+        name, version = headers["x-savory-model"], headers["x-savory-version"]
+        zone = self.zone_of.get(headers["x-savory-backend"], "?")
+        price = self.price[name]
+        with self.lock:
+            self.served[(size, name + "@" + version, zone)] += 1
+            self.cost[customer] += (usage["prompt_tokens"] * price[0] +
+                                    usage["completion_tokens"] * price[1])
+        return status, zone, name, version, seconds
+
+
+def in_parallel(work, items, threads=8):
+    """Runs work(item) for all items; returns the results in order."""
+    items = list(items)
+    results = [None] * len(items)
+    position = iter(range(len(items)))
+    lock = threading.Lock()
+
+    def run():
+        while True:
+            with lock:
+                index = next(position, None)
+            if index is None:
+                return
+            try:
+                results[index] = work(items[index])
+            except Exception as error:  # Shown by the promise that it breaks.
+                results[index] = (0, repr(error), "", "", 0)
+    workers = [threading.Thread(target=run) for _ in range(threads)]
+    for worker in workers:
+        worker.start()
+    for worker in workers:
+        worker.join()
+    return results
+
+
+def model_calls(fleet, account):
+    sizes = [size for size in PROMPTS for _ in range(40)]
+    results = in_parallel(lambda item: account.call(fleet, *item),
+                          list(enumerate(sizes)))
+    good = [result for result in results if result[0] == 200]
+    account.promise(len(good) == len(sizes),
+                    "%d of %d model calls answered" % (len(good), len(sizes)))
+    for failed in [result for result in results if result[0] != 200][:3]:
+        print("          ", failed[0], failed[1][:200])
+    if good:
+        print("          median %.0f ms for 16 tokens"
+              % (1000 * statistics.median(result[4] for result in good)))
+    for (size, version, zone), count in sorted(account.served.items()):
+        print("          %-7s %-12s %-10s %4d" % (size, version, zone, count))
+
+
+def streams(fleet, account):
+    results = in_parallel(
+        lambda index: fleet.chat(fleet.entries[index % 3],
+                                 fleet.customers[index % 10],
+                                 "stream %d" % index, stream=True,
+                                 max_tokens=60), range(20))
+    whole = [result for result in results if result[0] == 200 and
+             result[2].decode().rstrip().endswith("data: [DONE]")]
+    account.promise(len(whole) == 20, "%d of 20 streams came whole" % len(whole))
+
+
+def bookings(fleet, account):
+    call = fleet.config["services"][0]["non_idempotent"][0]
+    status, _, body = fleet.call(fleet.entries[0], "GET", "/stock?item=7")
+    account.promise(status == 200, "a lookup of %s answered" % fleet.service_name)
+    if not PARTS["record of keys"]:
+        return
+    answers = []
+    for index in range(10):
+        answers.append(fleet.call(fleet.entries[index % 3], call["method"],
+                                  call["path_prefix"], {"item": index},
+                                  key="demo-%d" % index))
+    account.promise(all(answer[0] == 200 for answer in answers),
+                    "10 calls that must run once answered")
+    again = fleet.call(fleet.entries[1], call["method"], call["path_prefix"],
+                       {"item": 0}, key="demo-0")
+    runs = sum(len(fleet.seen(service)["by_key"].get("demo-0", []))
+               for service in fleet.services)
+    account.promise(again[0] == 200 and again[2] == answers[0][2] and runs == 1,
+                    "a retry got the first answer; the call ran %d time" % runs)
+    code, text = fleet.ctl("record", fleet.service_name, fleet.customers[0],
+                           "demo-0", check=False)
+    account.promise(code == 0 and "outcome" in text,
+                    "savoryctl record shows the outcome of the key")
+
+
+def change(fleet, account, *words):
+    start = time.monotonic()
+    code, text = fleet.ctl(*words, check=False)
+    account.promise(code == 0, "savoryctl %s: %s, %.1f s" % (
+        " ".join(words), "in force everywhere" if code == 0 else text.strip(),
+        time.monotonic() - start))
+
+
+def presets(fleet, account):
+    change(fleet, account, "preset", "peak")
+    status, _, _, _, _ = account.call(fleet, 0, "short")
+    account.promise(status == 200, "a call after the switch answered")
+    change(fleet, account, "preset", "ordinary")
+
+
+def versions(fleet, account):
+    model = fleet.config["models"][1]["name"]
+    change(fleet, account, "version", "withdraw", model, "v1")
+    results = in_parallel(
+        lambda index: account.call(fleet, index, "short", model), range(30))
+    used = collections.Counter(result[3] for result in results)
+    account.promise(set(used) == {"v2"},
+                    "30 calls of %s after the withdrawal of v1 ran on %s"
+                    % (model, dict(used)))
+
+
+def zone_service(fleet, account):
+    zone = fleet.zones[0]
+    change(fleet, account, "zone", "out", zone)
+    results = in_parallel(
+        lambda index: account.call(fleet, index, "short"), range(40))
+    if PARTS["zone states"]:
+        in_zone = sum(result[1] == zone for result in results)
+        answered = sum(result[0] == 200 for result in results)
+        account.promise(in_zone == 0 and answered == 40,
+                        "%d of 40 calls answered, %d of them in %s"
+                        % (answered, in_zone, zone))
+    change(fleet, account, "zone", "in", zone)
+    change(fleet, account, "zone", "in", zone)
+    if PARTS["zone states"]:
+        def serves():
+            account.call(fleet, 0, "short")
+            calls = in_parallel(
+                lambda index: account.call(fleet, index, "short"), range(40))
+            return any(result[1] == zone for result in calls)
+        wait_until(serves, zone + " serves again", 20)
+        account.promise(True, zone + " serves again")
+
+
+def money(fleet, account):
+    total = sum(account.cost.values())
+    print("          cost of the %d model calls at the prices of the "
+          "configuration: %d micros" % (sum(account.served.values()), total))
+    if not PARTS["bills"]:
+        return
+
+    def billed():
+        code, text = fleet.ctl("bills", "--json", check=False)
+        rows = json.loads(text[:text.rindex("}") + 1])["customers"]
+        return {row["customer"]: row["cost_micros"] for row in rows}
+    wait_until(lambda: sum(billed().values()) >= total, "bills are written", 15)
+    print(fleet.ctl("bills")[1])
+
+
+def run(binaries, name):
+    shape = DEPLOYMENTS[name]
+    start = time.monotonic()
+    print("%s: %d + %d backend servers, %.1f ms between zones, %.0f ms to "
+          "clients" % (shape["title"], shape["engines"], shape["services"],
+                       shape["zone_ms"], shape["client_ms"]), flush=True)
+    with DemoFleet(binaries, name) as fleet:
+        fleet.wait_ready()
+        account = Account(fleet)
+        # All agents are connected once a change is confirmed by all.
+        for step in (model_calls, streams, bookings, presets, versions,
+                     zone_service, money):
+            print(" " + step.__name__.replace("_", " "), flush=True)
+            try:
+                step(fleet, account)
+            except AssertionError as error:
+                account.promise(False, str(error))
+    print("%s: %d promises broken, %.0f s\n"
+          % (shape["title"], len(account.broken), time.monotonic() - start))
+    return not account.broken
+
+
+def main():
+    results = [run(sys.argv[1], name) for name in DEPLOYMENTS]
+    missing = [part for part, there in PARTS.items() if not there]
+    if missing:
+        print("not shown, because the router does not have it yet:",
+              ", ".join(missing))
+    sys.exit(0 if all(results) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -98,6 +98,7 @@
         self.config = json.load(
             open(os.path.join(ROOT, "docs", "examples", deployment + ".json"))
         )
+        self.prepare(self.config)
         self.zones = [zone["name"] for zone in self.config["zones"]]
         self.region = self.config["zones"][0]["region"]
         self.service_name = self.config["services"][0]["name"]
@@ -134,6 +135,9 @@
             self.start_entry("entry-%d" % index, self.zones[index % len(self.zones)])
         self.publish_hosts()
 
+    def prepare(self, config):
+        """Changes the first configuration; for other kinds of fleets."""
+
     def __enter__(self):
         return self
 
@@ -170,7 +174,7 @@
             name,
             [os.path.join(self.binaries, "savorystream"), role,
              "--host", name, "--zone", zone, "--region", self.region,
-             "--store", self.store.address, "--hosts", self.hosts.address,
+             "--store", self.store.address, "--hosts", self.hosts_for(zone),
              *options],
         )
         self.processes.append(process)
@@ -183,6 +187,10 @@
         process.leaving = False
         return process
 
+    def hosts_for(self, zone):
+        """The list of hosts that a process of a zone reads."""
+        return self.hosts.address
+
     def start_entry(self, name, zone):
         options = ["--rating", self.rating.address] if self.rating else []
         entry = self._start("entry", name, zone, *options)
