--- a/ctl/src/session.cpp
+++ b/ctl/src/session.cpp
@@ -2,8 +2,6 @@
 
 #include "exit_codes.h"
 
-#include <cstdio>
-
 namespace savory {
 
 namespace {
@@ -29,17 +27,6 @@
 
 } // namespace
 
-std::string
-OldHeadKey(std::int64_t aRevision)
-{
-  char digits[24];
-  std::snprintf(digits,
-                sizeof digits,
-                "%012llx",
-                static_cast<unsigned long long>(aRevision));
-  return std::string(kOldHeadPrefix) + digits;
-}
-
 Session::Session(const CtlSettings& aSettings)
   : mSettings(aSettings)
   , mHttp(mLoop)
@@ -254,13 +241,7 @@
   transaction.mConditions.push_back(
     { std::string(kHeadKey), mHeadModRevision });
   transaction.mPuts.push_back({ std::string(kHeadKey), aCall.mValue, 0 });
-  std::int64_t revision = aChange.mHead.mRevision;
-  if (revision > 0) {
-    transaction.mPuts.push_back({ OldHeadKey(revision), aCall.mExpected, 0 });
-  }
-  if (revision > kOldHeads) {
-    transaction.mDeletes.push_back(OldHeadKey(revision - kOldHeads));
-  }
+  KeepOldHead(transaction, aChange.mHead.mRevision, aCall.mExpected);
   return PerformCommit(transaction);
 }
 
--- a/ctl/src/session.h
+++ b/ctl/src/session.h
@@ -2,23 +2,13 @@
 
 #include "savory/core/config_store.h"
 #include "savory/net/loop.h"
+#include "savory/platform/config_history.h"
 #include "savory/platform/host_list.h"
 #include "savory/platform/store.h"
 #include "settings.h"
 
-#include <map>
-
 namespace savory {
 
-// The superseded heads that savoryctl keeps in the store, cfg/h/REVISION in
-// twelve hexadecimal digits, so that a document which an operator read at an
-// earlier revision can be merged with what has changed since.
-inline constexpr std::string_view kOldHeadPrefix = "cfg/h/";
-inline constexpr std::int64_t kOldHeads = 256;
-
-std::string
-OldHeadKey(std::int64_t aRevision);
-
 // Why a configuration could not be read.
 struct ReadFault
 {
--- a/router/src/config_writer.cpp
+++ b/router/src/config_writer.cpp
@@ -1,5 +1,7 @@
 #include "config_writer.h"
 
+#include "savory/platform/config_history.h"
+
 namespace savory {
 
 namespace {
@@ -73,6 +75,8 @@
     transaction.mConditions.push_back(
       { std::string(kHeadKey), aRunning->mHeadRevision });
     transaction.mPuts.push_back({ std::string(kHeadKey), aCall.mValue, 0 });
+    KeepOldHead(
+      transaction, aRunning->mChange->mHead.mRevision, aCall.mExpected);
   }
   aRunning->mStore.Commit(
     transaction,
--- a/tests/process/demo.py
+++ b/tests/process/demo.py
@@ -13,15 +13,6 @@
 from fleet import Fleet, request, wait_until
 from relay import Relays
 
-# Parts of the path that the shipped binaries do not have yet. A part that is
-# off is named in the account and not counted as kept.
-PARTS = {
-    "sessions": False,
-    "record of keys": False,
-    "bills": False,
-    "zone states": False,
-}
-
 DEPLOYMENTS = {
     "gulfway": {"title": "Gulfway Thermal Lending", "engines": 12, "services": 3,
                 "zone_ms": 0.5, "client_ms": 3},
@@ -42,16 +33,31 @@
         self.relays = Relays()
         self.zone_hosts = {}
         self.zone_relays = {}
+        self.answered = set()
         super().__init__(binaries, name, engines=self.shape["engines"],
                          services=self.shape["services"], entries=3,
                          engine_options=["--first-token-ms", "20",
-                                         "--token-ms", "1"])
+                                         "--token-ms", "1"],
+                         rating=["--score", "small@v1=0.78",
+                                 "--other-score", "0.95"])
 
     def prepare(self, config):
         # A second serving version of the middle model, to withdraw.
         config["models"][1]["versions"].append(
             {"name": "v2", "state": "serving", "share": 0})
 
+    def chat(self, *arguments, **options):
+        return self.note(super().chat(*arguments, **options))
+
+    def call(self, *arguments, **options):
+        return self.note(super().call(*arguments, **options))
+
+    def note(self, answer):
+        """Keeps the request id of an answered call, each of which is billed."""
+        if answer[0] == 200:
+            self.answered.add(answer[1]["x-savory-request-id"])
+        return answer
+
     def hosts_for(self, zone):
         if zone not in self.zone_hosts:
             self.zone_hosts[zone] = self._standin("hosts")
@@ -180,12 +186,31 @@
     account.promise(len(whole) == 20, "%d of 20 streams came whole" % len(whole))
 
 
+def sessions(fleet, account):
+    model = fleet.config["models"][1]["name"]
+    stayed = 0
+    for index in range(5):
+        used = set()
+        headers = {"x-session-id": "new", "x-savory-explain": "true"}
+        for turn in range(4):
+            status, answer, body = fleet.chat(
+                fleet.entries[(index + turn) % 3], fleet.customers[index],
+                "turn %d of session %d" % (turn, index), model, headers)
+            if status != 200 or "x-session-id" not in answer:
+                used.add("status %d %s" % (status, body[:200]))
+                break
+            used.add(answer["x-savory-version"])
+            headers["x-session-id"] = answer["x-session-id"]
+        stayed += len(used) == 1 and used <= {"v1", "v2"}
+    account.promise(stayed == 5, "%d of 5 sessions of %s stayed with one version "
+                    "over three entries" % (stayed, model))
+
+
 def bookings(fleet, account):
     call = fleet.config["services"][0]["non_idempotent"][0]
+    customer = fleet.customers[0]
     status, _, body = fleet.call(fleet.entries[0], "GET", "/stock?item=7")
     account.promise(status == 200, "a lookup of %s answered" % fleet.service_name)
-    if not PARTS["record of keys"]:
-        return
     answers = []
     for index in range(10):
         answers.append(fleet.call(fleet.entries[index % 3], call["method"],
@@ -199,7 +224,7 @@
                for service in fleet.services)
     account.promise(again[0] == 200 and again[2] == answers[0][2] and runs == 1,
                     "a retry got the first answer; the call ran %d time" % runs)
-    code, text = fleet.ctl("record", fleet.service_name, fleet.customers[0],
+    code, text = fleet.ctl("record", fleet.service_name, customer,
                            "demo-0", check=False)
     account.promise(code == 0 and "outcome" in text,
                     "savoryctl record shows the outcome of the key")
@@ -236,37 +261,43 @@
     change(fleet, account, "zone", "out", zone)
     results = in_parallel(
         lambda index: account.call(fleet, index, "short"), range(40))
-    if PARTS["zone states"]:
-        in_zone = sum(result[1] == zone for result in results)
-        answered = sum(result[0] == 200 for result in results)
-        account.promise(in_zone == 0 and answered == 40,
-                        "%d of 40 calls answered, %d of them in %s"
-                        % (answered, in_zone, zone))
+    in_zone = sum(result[1] == zone for result in results)
+    answered = sum(result[0] == 200 for result in results)
+    account.promise(in_zone == 0 and answered == 40,
+                    "%d of 40 calls answered, %d of them in %s"
+                    % (answered, in_zone, zone))
     change(fleet, account, "zone", "in", zone)
     change(fleet, account, "zone", "in", zone)
-    if PARTS["zone states"]:
-        def serves():
-            account.call(fleet, 0, "short")
-            calls = in_parallel(
-                lambda index: account.call(fleet, index, "short"), range(40))
-            return any(result[1] == zone for result in calls)
-        wait_until(serves, zone + " serves again", 20)
-        account.promise(True, zone + " serves again")
+
+    def serves():
+        calls = in_parallel(
+            lambda index: account.call(fleet, index, "short"), range(40))
+        return any(result[1] == zone for result in calls)
+    wait_until(serves, zone + " serves again", 20)
+    account.promise(True, zone + " serves again")
 
 
 def money(fleet, account):
-    total = sum(account.cost.values())
-    print("          cost of the %d model calls at the prices of the "
-          "configuration: %d micros" % (sum(account.served.values()), total))
-    if not PARTS["bills"]:
-        return
+    shown = sum(account.cost.values())
+    print("          the last steps of %d model calls cost %d micros at the "
+          "prices of the configuration" % (sum(account.served.values()), shown))
 
     def billed():
         code, text = fleet.ctl("bills", "--json", check=False)
-        rows = json.loads(text[:text.rindex("}") + 1])["customers"]
-        return {row["customer"]: row["cost_micros"] for row in rows}
-    wait_until(lambda: sum(billed().values()) >= total, "bills are written", 15)
-    print(fleet.ctl("bills")[1])
+        rows = json.loads(text)["customers"]
+        return (sum(row["requests"] for row in rows),
+                sum(row["cost_micros"] for row in rows))
+    try:
+        wait_until(lambda: billed()[0] >= len(fleet.answered),
+                   "a bill for each call", 15)
+    except AssertionError:
+        pass
+    requests, cost = billed()
+    account.promise(requests == len(fleet.answered),
+                    "%d answered calls, %d billed" % (len(fleet.answered), requests))
+    account.promise(cost >= shown, "%d micros billed for all steps" % cost)
+    for line in fleet.ctl("bills")[1].splitlines():
+        print("          " + line)
 
 
 def run(binaries, name):
@@ -278,8 +309,7 @@
     with DemoFleet(binaries, name) as fleet:
         fleet.wait_ready()
         account = Account(fleet)
-        # All agents are connected once a change is confirmed by all.
-        for step in (model_calls, streams, bookings, presets, versions,
+        for step in (model_calls, streams, sessions, bookings, presets, versions,
                      zone_service, money):
             print(" " + step.__name__.replace("_", " "), flush=True)
             try:
@@ -293,10 +323,6 @@
 
 def main():
     results = [run(sys.argv[1], name) for name in DEPLOYMENTS]
-    missing = [part for part, there in PARTS.items() if not there]
-    if missing:
-        print("not shown, because the router does not have it yet:",
-              ", ".join(missing))
     sys.exit(0 if all(results) else 1)
 
 
--- /dev/null
+++ b/tests/process/test_pages.py
@@ -0,0 +1,132 @@
+"""Guards against reference pages that differ from the shipped binaries and the
+code: settings, exit codes, error codes and log events."""
+
+import os
+import re
+import subprocess
+import sys
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+
+def read(*parts):
+    with open(os.path.join(ROOT, *parts), encoding="utf-8") as file:
+        return file.read()
+
+
+def rows(text):
+    """The cells of all rows of the tables of a text, without the headings."""
+    lines = [line for line in text.splitlines() if line.startswith("|")]
+    cells = [[cell.strip().strip("`") for cell in line.strip("|").split("|")]
+             for line in lines]
+    return [row for index, row in enumerate(cells)
+            if not set("".join(row)) <= {"-"} and
+            not (index + 1 < len(cells) and
+                 set("".join(cells[index + 1])) <= {"-"})]
+
+
+def section(page, title):
+    found = re.search(r"^## %s\n(.*?)(?=^## |\Z)" % re.escape(title), page,
+                      re.M | re.S)
+    assert found, "no section " + title
+    return found.group(1)
+
+
+def help_settings(text):
+    """Flag to (variable, default, required by, help) of a --help."""
+    settings = {}
+    for found in re.finditer(
+            r"^  --(\S+)(?:  \((\w+)\))?(?:  default (\S+))?"
+            r"(?:  required by (\w+))?\n      (.+)$", text, re.M):
+        flag, *rest = found.groups()
+        settings["--" + flag] = [part or "" for part in rest]
+    return settings
+
+
+def settings(binaries):
+    page = read("docs", "settings.md")
+    for binary in ("savorystream", "savoryctl"):
+        text = subprocess.run([os.path.join(binaries, binary), "--help"],
+                              capture_output=True, text=True, check=True).stdout
+        shown = help_settings(text)
+        assert shown, text
+        written = {row[0]: row[1:] for row in rows(section(page, binary))}
+        assert written == shown, (
+            binary, [flag for flag in set(written) | set(shown)
+                     if written.get(flag) != shown.get(flag)])
+    codes = dict(re.findall(r"^  (\d)  (.+)$", text, re.M))
+    assert len(codes) == 9, codes
+    written = {row[0]: row[1] for row in rows(section(page, "Exit codes of savoryctl"))}
+    assert written == codes, written
+    source = read("router", "src", "settings.h")
+    codes = set(re.findall(r"constexpr int kExit\w+ = (\d);", source))
+    written = {row[0] for row in rows(section(page, "Exit codes of savorystream"))}
+    assert written == codes, (written, codes)
+
+
+def cases_before(source, function, result):
+    """The error codes of a switch that return a result."""
+    body = re.search(r"^%s\(.*?\n}\n" % function, source, re.M | re.S).group(0)
+    groups = re.findall(r"((?:case ErrorCode::\w+:\s*)+)return ([^;]+);", body)
+    return {name for cases, value in groups if value == result
+            for name in re.findall(r"ErrorCode::(\w+)", cases)}
+
+
+def errors(_):
+    types = read("core", "include", "savory", "core", "types.h")
+    names = dict(re.findall(r'\{ ErrorCode::(\w+), "(\w+)" \}', types))
+    assert len(names) >= 28, names
+    source = read("core", "src", "types.cpp")
+    api = read("router", "src", "caller_api.cpp")
+    final = cases_before(api, "MayRetry", "false")
+    default = re.search(r"default:\s*return (\d+);", source).group(1)
+    status = {}
+    for value in set(re.findall(r"return (\d+);", source)):
+        for name in cases_before(source, "HttpStatus", value):
+            status[name] = value
+    expected = {code: (status.get(name, default),
+                       "no" if name in final else "yes")
+                for name, code in names.items()}
+    page = {row[0]: (row[1], row[3]) for row in rows(read("docs", "errors.md"))}
+    assert page == expected, [code for code in set(page) | set(expected)
+                              if page.get(code) != expected.get(code)]
+    ran = set(re.findall(r'\{ Ran::\w+, "(\w+)" \}', types))
+    for row in rows(read("docs", "errors.md")):
+        assert set(row[2].split(", ")) <= ran and row[4], row
+
+
+def log_events(_):
+    source = read("core", "include", "savory", "core", "events.h")
+    numbers = dict(re.findall(r"^  (\w+) = (\d+),", source, re.M))
+    table = re.findall(r'\{ Event::(\w+), "([\w-]+)", Severity::(\w+) \}', source)
+    assert table and len(table) == len(numbers), (table, numbers)
+    used = set()
+    for folder in ("router", "net", "platform"):
+        for name in os.listdir(os.path.join(ROOT, folder, "src")):
+            used |= set(re.findall(r"Event::(\w+)", read(folder, "src", name)))
+    expected = [[numbers[event], name, severity.lower(),
+                 "yes" if event in used else "no"]
+                for event, name, severity in table]
+    page = [row[:3] + row[4:] for row in rows(read("docs", "log-events.md"))]
+    assert page == expected, [row for row in expected if row not in page]
+
+
+def commands(binaries):
+    text = subprocess.run([os.path.join(binaries, "savoryctl"), "--help"],
+                          capture_output=True, text=True, check=True).stdout
+    shown = re.search(r"^Commands:\n\n(.*?)\n\n", text, re.M | re.S).group(1)
+    names = re.findall(r"^  ([a-z]+(?: [a-z]+)?)", shown, re.M)
+    assert len(names) >= 24, names
+    page = read("docs", "operators.md")
+    missing = [name for name in names
+               if "savoryctl " + name not in page and "`%s`" % name not in page]
+    assert not missing, missing
+
+
+def main():
+    for check in (settings, errors, log_events, commands):
+        check(sys.argv[1])
+        print("ok", check.__name__)
+
+
+main()
