--- a/tests/process/demo.py
+++ b/tests/process/demo.py
@@ -175,6 +175,15 @@
         print("          %-7s %-12s %-10s %4d" % (size, version, zone, count))
 
 
+def explanations(fleet, account):
+    _, headers, _ = fleet.chat(fleet.entries[1], fleet.customers[1], "Why?")
+    code, text = fleet.ctl("explain", headers["x-savory-request-id"],
+                           check=False)
+    account.promise(code == 0, "savoryctl explain tells what was decided:")
+    for line in text.splitlines()[:12]:
+        print("          " + line[:110])
+
+
 def streams(fleet, account):
     results = in_parallel(
         lambda index: fleet.chat(fleet.entries[index % 3],
@@ -309,8 +318,8 @@
     with DemoFleet(binaries, name) as fleet:
         fleet.wait_ready()
         account = Account(fleet)
-        for step in (model_calls, streams, sessions, bookings, presets, versions,
-                     zone_service, money):
+        for step in (model_calls, explanations, streams, sessions, bookings,
+                     presets, versions, zone_service, money):
             print(" " + step.__name__.replace("_", " "), flush=True)
             try:
                 step(fleet, account)
--- a/tests/process/test_ctl.py
+++ b/tests/process/test_ctl.py
@@ -382,6 +382,52 @@
     assert run(fleet, "preset", "ordinary")[0] == 0
 
 
+def reports(fleet):
+    """Guards against reports that differ from what callers were told, and
+    against a bill or a record of another customer."""
+    customer = fleet.customers[3]
+    status, headers, body = fleet.chat(fleet.entries[2], customer)
+    assert status == 200, body
+    identity = headers["x-savory-request-id"]
+    code, answer = run(fleet, "explain", identity)
+    assert code == 0, answer
+    assert answer["explanations"][0]["host"] == fleet.entries[2].name, answer
+    explanation = answer["explanations"][0]["explanation"]
+    assert explanation["customer"] == customer, explanation
+    assert explanation["decisions"], explanation
+
+    call = fleet.config["services"][0]["non_idempotent"][0]
+    status, _, body = fleet.call(fleet.entries[0], call["method"],
+                                 call["path_prefix"], {"item": 1},
+                                 key="ctl-1", customer=customer)
+    assert status == 200, body
+
+    def outcome():
+        return "outcome" in [item["kind"] for item in run(
+            fleet, "record", fleet.service_name, customer, "ctl-1")[1]["items"]]
+    wait_until(outcome, "the outcome is in the store")
+    code, answer = run(fleet, "record", fleet.service_name, customer, "ctl-1")
+    kinds = [item["kind"] for item in answer["items"]]
+    assert code == 0 and kinds == ["claim", "outcome"], answer
+    for other in ((fleet.customers[0], "ctl-1"), (customer, "ctl-2")):
+        code, answer = run(fleet, "record", fleet.service_name, *other)
+        assert code == NOT_FOUND, answer
+
+    def billed():
+        found = run(fleet, "bills", "--customer", customer)[1]["customers"]
+        return found and found[0]["requests"] == 2 and found
+    row = wait_until(billed, "two requests are billed")
+    assert len(row) == 1 and row[0]["customer"] == customer, row
+    assert row[0]["output_tokens"] > 0 and row[0]["cost_micros"] > 0, row
+    everyone = run(fleet, "bills")[1]["customers"]
+    assert row[0] in everyone and len(everyone) > 1, everyone
+    fleet.fault(fleet.store, down=True)
+    codes = [run(fleet, *words, "--timeout-ms", "300")[0]
+             for words in (["bills"], ["record", "x", "y", "z"])]
+    fleet.fault(fleet.store, down=None)
+    assert codes == [UNREACHABLE, UNREACHABLE], codes
+
+
 def wrong_usage(fleet):
     """Guards against a mistyped command that does something else."""
     before = shown(fleet)
@@ -408,7 +454,7 @@
         wait_until(lambda: run(fleet, "preset", "ordinary")[0] == 0,
                    "every host has the configuration")
         for check in (first_configuration, bad_files, small_changes, customers,
-                      documents, lost_answers, store_failures, races,
+                      documents, lost_answers, reports, store_failures, races,
                       unconfirmed, wrong_usage):
             check(fleet)
             print("ok", check.__name__, flush=True)
