--- a/router/src/service_call.cpp
+++ b/router/src/service_call.cpp
@@ -260,6 +260,7 @@
 {
   AgentLink* link = mEntry.mLinks.Find(aAddress);
   mCall.mFrom = SenderOf(mEntry.mNode);
+  mEntry.mFleet.BringUpToDate(*link);
   mExchange =
     AgentExchange::Start(*link->mConnection, "/call", Encode(mCall), mBody);
   if (!mExchange) {
