--- a/ctl/src/session.h
+++ b/ctl/src/session.h
@@ -60,9 +60,6 @@
   // Takes a change through the store to its end, or gives up at the timeout.
   RunEnd RunChange(Change& aChange);
 
-  // Makes one transaction; nothing is said about its effect.
-  void Commit(const StoreTransaction& aTransaction);
-
   // Makes HTTP calls at the same time and waits for all results, in order.
   std::vector<HttpResult> Fetch(std::vector<HttpCall> aCalls);
   tl::expected<std::vector<Host>, HostListError> Hosts();
--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -13,6 +13,12 @@
 constexpr TimeMs kReportMs = 1000;
 constexpr TimeMs kPollMs = 250;
 
+// How long an agent keeps its copy of a step for the entry to write.
+constexpr TimeMs kBillHoldMs = 10000;
+
+// Time for the last answers and reports to leave the sockets at a shutdown.
+constexpr TimeMs kLingerMs = 200;
+
 // A backend server that is back within this time keeps its slots: a restart is
 // shorter than a take-over.
 constexpr TimeMs kBackendGoneMs = 3000;
@@ -21,6 +27,8 @@
 
 Agent::Agent(Node& aNode)
   : mNode(aNode)
+  , mStore(aNode.mHttp, aNode.mSettings.mStore)
+  , mBills(aNode, mStore, kBillHoldMs, [](const SendSettled&) {})
   , mAdmin(aNode,
            { .mState = [this] { return State(); },
              .mMetrics = [this] { return mMetrics.Text(); },
@@ -29,10 +37,7 @@
 {
   if (mNode.mSettings.mBackendKind == BackendKind::Service) {
     mSlots = std::make_unique<Slots>(mNode, mNode.mSettings.mPool);
-    mSlots->mOnChanged = [this] {
-      ReportNow();
-      StopWhenDone();
-    };
+    mSlots->mOnChanged = [this] { ReportNow(); };
     mNode.mConfigChanged.connect([this] { ReviewSlots(); });
   }
 }
@@ -78,22 +83,6 @@
     });
 }
 
-// Slots are held while the backend server answers and its zone takes work.
-void
-Agent::ReviewSlots()
-{
-  if (!mSlots) {
-    return;
-  }
-  TimeMs now = MonotonicMs();
-  if (mReachable) {
-    mLastReachableMs = now;
-  }
-  bool gone = now - mLastReachableMs > kBackendGoneMs;
-  mSlots->SetWanted(mNode.mConfig && !IsZoneOut() && !gone &&
-                    mLastReachableMs > 0);
-}
-
 // Takes the load report of the backend server, or its absence.
 void
 Agent::OnLoad(const tl::expected<BackendLoad, BackendError>& aLoad)
@@ -289,6 +278,24 @@
   PollQueue();
 }
 
+// Slots are held while the backend server answers and its zone takes work.
+void
+Agent::ReviewSlots()
+{
+  if (!mSlots) {
+    return;
+  }
+  TimeMs now = MonotonicMs();
+  if (mReachable) {
+    mLastReachableMs = now;
+  }
+  const Zone* zone =
+    mNode.mConfig ? FindZone(*mNode.mConfig, mNode.mSettings.mZone) : nullptr;
+  bool isOut = zone && zone->mState == ZoneState::Out;
+  bool gone = now - mLastReachableMs > kBackendGoneMs;
+  mSlots->SetWanted(mNode.mConfig && !isOut && !gone && mLastReachableMs > 0);
+}
+
 Report
 Agent::MakeReport() const
 {
@@ -324,14 +331,15 @@
            { "draining", mNode.mDraining },
            { "reachable", mReachable },
            { "calls", mCalls.size() },
-           { "slots", mSlots ? mSlots->State() : nlohmann::json() },
            { "instance", mLoad.mInstance },
            { "running", mAdmission.mRunning.size() },
            { "queued", mAdmission.mQueue.size() },
            { "tokens_held", mAdmission.mTokensHeld },
            { "allowance", Allowance(mWarmup, WarmupLimits()) },
            { "warmup_cause", mWarmup.mCause },
-           { "suspects", mQuarantine.mSuspects.size() } };
+           { "unwritten_bills", mBills.Unwritten() },
+           { "suspects", mQuarantine.mSuspects.size() },
+           { "slots", mSlots ? mSlots->State() : nlohmann::json() } };
 }
 
 void
@@ -356,6 +364,11 @@
     mSubscribers.insert(aStream);
     aStream->mOnClosed = [this, aStream](bool) { mSubscribers.erase(aStream); };
     aStream->Send(FrameType::Head, Encode(MakeReport()));
+  } else if (aStream->Path() == "/settled") {
+    aStream->mOnFrame = [this, aStream](const Frame& aFrame) {
+      OnSettled(aFrame);
+      aStream->Finish();
+    };
   } else if (aStream->Path() == "/config") {
     aStream->mOnFrame = [this, aStream](const Frame& aFrame) {
       OnConfig(aStream, aFrame);
@@ -365,6 +378,24 @@
   }
 }
 
+// Takes an entry's word that steps are in the store.
+void
+Agent::OnSettled(const Frame& aFrame)
+{
+  auto document = DecodeDocument(aFrame.mPayload);
+  if (!document || !document->contains("steps") ||
+      !(*document)["steps"].is_array()) {
+    return;
+  }
+  std::vector<StepId> steps;
+  for (const auto& step : (*document)["steps"]) {
+    if (auto id = ParseStepId(step)) {
+      steps.push_back(*id);
+    }
+  }
+  mBills.TakeSettled(steps);
+}
+
 // Takes a configuration that an entry brings. When it is a difference to one
 // that this agent lacks, the stream carries back what to send instead.
 void
@@ -402,39 +433,43 @@
   PollQueue();
   LogEvent(Event::DrainStarted, { { "calls", std::to_string(mCalls.size()) } });
   ReportNow();
-  mDrainTimer = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
+  mDrainLimit = Timer::After(mNode.mLoop, mNode.mSettings.mDrainMs, [this] {
     LogEvent(Event::AbandonedAtStop,
-             { { "calls", std::to_string(mCalls.size()) } });
+             { { "calls", std::to_string(mCalls.size()) },
+               { "bills", std::to_string(mBills.Unwritten()) } });
     mNode.mLoop.Stop();
   });
   if (mSlots) {
     mSlots->Leave();
   }
-  StopWhenDone();
+  mDrainTimer = Timer::Every(mNode.mLoop, kLingerMs, [this] { Stop(); });
 }
 
+// Ends the process once no call is under way, no slot is held and no
+// bill is unwritten.
 void
-Agent::CallStarted(const void* aCall)
+Agent::Stop()
 {
-  mCalls.insert(aCall);
+  if (!mCalls.empty() || (mSlots && !mSlots->HasLeft())) {
+    return;
+  }
+  if (mBills.Unwritten() > 0) {
+    mBills.Flush();
+    return;
+  }
+  mNode.mLoop.Stop();
 }
 
 void
-Agent::CallEnded(const void* aCall)
+Agent::CallStarted(const void* aCall)
 {
-  mCalls.erase(aCall);
-  StopWhenDone();
+  mCalls.insert(aCall);
 }
 
-// Ends a graceful shutdown once no call runs and no slot is held.
 void
-Agent::StopWhenDone()
+Agent::CallEnded(const void* aCall)
 {
-  if (mNode.mDraining && mCalls.empty() && (!mSlots || mSlots->HasLeft())) {
-    // The report and the last answer still have to leave the socket.
-    mDrainTimer =
-      Timer::After(mNode.mLoop, 200, [this] { mNode.mLoop.Stop(); });
-  }
+  mCalls.erase(aCall);
 }
 
 void
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admin.h"
+#include "bill_keeper.h"
 #include "node.h"
 #include "savory/core/admission.h"
 #include "savory/core/config_sync.h"
@@ -69,28 +70,31 @@
   bool IsZoneOut() const;
 
   Node& mNode;
+  StoreClient mStore;
+  BillKeeper mBills;
   Metrics mMetrics;
   std::set<const void*> mCalls;
   BackendLoad mLoad;
   bool mReachable = false;
-  // The slots of the plain service; null beside an engine.
-  std::unique_ptr<Slots> mSlots;
   Warmup mWarmup;
   Quarantine mQuarantine;
+  // The slots of the plain service; null beside an engine.
+  std::unique_ptr<Slots> mSlots;
 
 private:
   void OnStream(const std::shared_ptr<InnerStream>& aStream);
+  void OnSettled(const Frame& aFrame);
   void OnConfig(const std::shared_ptr<InnerStream>& aStream,
                 const Frame& aFrame);
   void PollBackend();
-  void ReviewSlots();
-  void StopWhenDone();
+  void Stop();
   void OnLoad(const tl::expected<BackendLoad, BackendError>& aLoad);
   void TellBroken(bool aCrashed);
   void ApplyChanges(const AdmissionChanges& aChanges);
   void PollQueue();
   void OnConfigChanged();
   AdmissionOptions AdmissionLimits() const;
+  void ReviewSlots();
   nlohmann::json State() const;
 
   // A request that broke, until it is known whether the backend server did.
@@ -114,6 +118,7 @@
   Timer mPollTimer;
   Timer mQueueTimer;
   Timer mDrainTimer;
+  Timer mDrainLimit;
 };
 
 // Serve one stream of an entry to its end.
--- a/router/src/service_call.cpp
+++ b/router/src/service_call.cpp
@@ -259,8 +259,8 @@
 ServiceCall::Send(const std::string& aAddress)
 {
   AgentLink* link = mEntry.mLinks.Find(aAddress);
-  mCall.mFrom = SenderOf(mEntry.mNode);
   mEntry.mFleet.BringUpToDate(*link);
+  mCall.mFrom = SenderOf(mEntry.mNode);
   mExchange =
     AgentExchange::Start(*link->mConnection, "/call", Encode(mCall), mBody);
   if (!mExchange) {
@@ -409,6 +409,17 @@
     Fail(mLastError);
     return;
   }
+  // A replayed answer has the request id of the first, so that it is billed
+  // once.
+  mEntry.mBills.Add({ .mId = { mContext.mRequestId, 0, 0 },
+                      .mCustomer = mContext.mCustomer->mName,
+                      .mService = mService.mName,
+                      .mVersion = {},
+                      .mAgent = {},
+                      .mInputTokens = 0,
+                      .mOutputTokens = 0,
+                      .mCost = 0,
+                      .mComplete = true });
   mDeadline.Cancel();
   mReply->mOnClosed = {};
   Headers headers = mHead.mHeaders;
--- a/tests/process/test_bookings.py
+++ b/tests/process/test_bookings.py
@@ -526,8 +526,10 @@
                     statistics.quantiles(lookups, n=100)[98])), flush=True)
 
 
-def measure_outage(binaries, results):
-    """Prints what became of bookings during a store outage of 20 s."""
+def measure_outage(binaries, results, lose_agent):
+    """Prints what became of bookings during a store outage of 20 s, in which
+    one of three agents may end after 10 s."""
+    name = "outage and agent lost" if lose_agent else "outage"
     try:
         with Fleet(binaries, engines=0) as fleet:
             for entry in fleet.entries:
@@ -536,26 +538,31 @@
             fleet.wait_slots()
             bench = Bench(fleet, "outage")
             bench.store(down=True)
-            end = time.monotonic() + 20
+            begin = time.monotonic()
             waits = []
-            while time.monotonic() < end:
+            while time.monotonic() < begin + 20:
+                if lose_agent and time.monotonic() > begin + 10:
+                    lose_agent = False
+                    lost = fleet.agents[0]
+                    fleet.stop_agent(lost)
                 waits.append(bench.start(bench.key(), len(waits) % 3,
                                          deadline_ms=10000))
                 time.sleep(0.05)
             answers = [wait() for wait in waits]
-            bench.store_up()
+            bench.store(down=False)
+            fleet.wait_slots(witnesses=False)
             bench.check()
             served = sum(a.status == 200 for a in answers)
             unknown = sum(a.ran == "unknown" for a in answers)
-            print("store outage of 20 s: %d bookings, served %.1f%%, "
+            print("store %s, 20 s: %d bookings, served %.1f%%, "
                   "refused %.1f%%, unknown %.1f%%" % (
-                      len(answers), 100 * served / len(answers),
+                      name, len(answers), 100 * served / len(answers),
                       100 * (len(answers) - served - unknown) / len(answers),
                       100 * unknown / len(answers)), flush=True)
-            results["outage"] = None
+            results[name] = None
     except Exception:
-        results["outage"] = traceback.format_exc()
-        print("FAILED outage\n" + results["outage"], flush=True)
+        results[name] = traceback.format_exc()
+        print("FAILED %s\n%s" % (name, results[name]), flush=True)
 
 
 def main():
@@ -571,13 +578,14 @@
                          args=(binaries, "g%d" % index, group, results))
         for index, group in enumerate(groups)]
     if not only:
-        threads.append(threading.Thread(target=measure_outage,
-                                        args=(binaries, results)))
+        threads += [threading.Thread(target=measure_outage,
+                                     args=(binaries, results, lose_agent))
+                    for lose_agent in (False, True)]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
-    expected = sum(map(len, groups)) + (0 if only else 1)
+    expected = sum(map(len, groups)) + (0 if only else 2)
     passed = sum(result is None for result in results.values())
     print("matrix bookings: %d cells run, %d passed" % (len(results), passed))
     assert len(results) == passed == expected, sorted(
