--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -37,10 +37,7 @@
 {
   if (mNode.mSettings.mBackendKind == BackendKind::Service) {
     mSlots = std::make_unique<Slots>(mNode, mNode.mSettings.mPool);
-    mSlots->mOnChanged = [this] {
-      ReportNow();
-      Stop();
-    };
+    mSlots->mOnChanged = [this] { ReportNow(); };
     mNode.mConfigChanged.connect([this] { ReviewSlots(); });
   }
 }
@@ -453,7 +450,7 @@
 void
 Agent::Stop()
 {
-  if (!mNode.mDraining || !mCalls.empty() || (mSlots && !mSlots->HasLeft())) {
+  if (!mCalls.empty() || (mSlots && !mSlots->HasLeft())) {
     return;
   }
   if (mBills.Unwritten() > 0) {
