Log refusals, failures, store outages and stale configurations

Cause: events 203, 301, 302, 501 and 502 stood in the table but nothing logged them. Ruled out: a line for each answer; at 9,600 requests a second that is too many.

--- a/router/src/entry.cpp
+++ b/router/src/entry.cpp
@@ -260,6 +260,18 @@
   mMetrics.Add(found->second);
 }
 
+void
+Entry::CountError(const CallerError& aError, const std::string& aRequestId)
+{
+  CountAnswer(HttpStatus(aError.mCode));
+  LogEvent(aError.mRan == Ran::NotRun ? Event::RequestRefused
+                                      : Event::RequestFailed,
+           { { "request", aRequestId },
+             { "code", std::string(NameOf(kErrorCodeNames, aError.mCode)) },
+             { "ran", std::string(NameOf(kRanNames, aError.mRan)) },
+             { "reason", aError.mMessage } });
+}
+
 // Tells an agent which steps of its copies are in the store.
 void
 Entry::SendSettledTo(const SendSettled& aSettled)
@@ -404,7 +416,7 @@
   } else {
     return true;
   }
-  CountAnswer(HttpStatus(error.mCode));
+  CountError(error, aContext.mRequestId);
   SendError(aReply, error, aContext.mRequestId);
   return false;
 }
--- a/router/src/entry.h
+++ b/router/src/entry.h
@@ -57,6 +57,8 @@
   void ObserveFirstToken(TimeMs aElapsedMs);
   void ObserveStep(const std::string& aModel, TimeMs aElapsedMs);
   void CountAnswer(int aStatus);
+  // Counts an answer that is an error and logs it.
+  void CountError(const CallerError& aError, const std::string& aRequestId);
 
   Node& mNode;
   AgentLinks mLinks;
--- a/router/src/fleet.cpp
+++ b/router/src/fleet.cpp
@@ -101,13 +101,32 @@
   // 2. Configuration.
   Perform(
     TickSync(mSync, ViewFleet(mMembers, now), ListedEntries(mMembers), now));
-  // 3. What other modules publish.
+  // 3. What other modules publish, and what operators have to know.
+  LogChanges();
   if (now >= mNextRoundMs) {
     mNextRoundMs = now + kRoundPeriodMs;
     mOnRound.emit();
   }
 }
 
+// Logs when the store is lost or found, and when the configuration turns stale.
+void
+Fleet::LogChanges()
+{
+  bool reaches = ReachesStore(mSync, mNode.mLoop.NowMs());
+  if (mNode.mConfig && reaches != mLoggedReach) {
+    mLoggedReach = reaches;
+    LogEvent(reaches ? Event::StoreUp : Event::StoreDown,
+             { { "store", ToString(mNode.mSettings.mStore) } });
+  }
+  bool stale = JudgeNow() == Freshness::Stale;
+  if (stale && !mLoggedStale) {
+    LogEvent(Event::ConfigStale,
+             { { "revision", std::to_string(mSync.mConfig.mRevision) } });
+  }
+  mLoggedStale = stale;
+}
+
 void
 Fleet::PollHosts()
 {
--- a/router/src/fleet.h
+++ b/router/src/fleet.h
@@ -58,6 +58,7 @@
 
 private:
   void Tick();
+  void LogChanges();
   void PollHosts();
   void TakeHosts(const std::vector<Host>& aHosts);
   void SendGossip(const GossipRequest& aRequest);
@@ -82,7 +83,9 @@
   Timer mTick;
   Timer mHostsTimer;
   TimeMs mNextRoundMs = 0;
-  TimeMs mNextPushMs = 0;
+  // What the log last said, so that it tells changes only.
+  bool mLoggedReach = true;
+  bool mLoggedStale = false;
 };
 
 } // namespace savory
--- a/router/src/model_call.cpp
+++ b/router/src/model_call.cpp
@@ -861,7 +861,7 @@
   if (mOver) {
     return;
   }
-  mEntry.CountAnswer(HttpStatus(aError.mCode));
+  mEntry.CountError(aError, mContext.mRequestId);
   Explain("failed",
           std::string(NameOf(kErrorCodeNames, aError.mCode)),
           aError.mMessage);
--- a/router/src/service_call.cpp
+++ b/router/src/service_call.cpp
@@ -420,6 +420,7 @@
                       .mOutputTokens = 0,
                       .mCost = 0,
                       .mComplete = true });
+  mEntry.CountAnswer(mHead.mStatus);
   mDeadline.Cancel();
   mReply->mOnClosed = {};
   Headers headers = mHead.mHeaders;
@@ -449,6 +450,7 @@
 {
   mDeadline.Cancel();
   mReply->mOnClosed = {};
+  mEntry.CountError(aError, mContext.mRequestId);
   SendError(*mReply, aError, mContext.mRequestId);
 }
 
