Order engines to load the versions that the configuration wants

Change: core/loading decides one order at a time, spread over 20 s across the fleet; the agent sends it with the configuration's revision as fencing number and waits 6 s after its start where the engine ignores fencing numbers. Ruled out: one process that orders for all; the agent beside an engine is the only one that reaches it, so no lease is needed.

--- a/core/include/savory/core/events.h
+++ b/core/include/savory/core/events.h
@@ -33,6 +33,8 @@
   AgentConnected = 403,
   AgentLost = 404,
   RequestSuspected = 405,
+  BackendOrdered = 406,
+  BackendOrderFailed = 407,
   StoreDown = 501,
   StoreUp = 502,
   HostListFailed = 503,
@@ -50,7 +52,7 @@
   Severity mSeverity;
 };
 
-inline constexpr std::array<EventRow, 23> kEventTable{ {
+inline constexpr std::array<EventRow, 25> kEventTable{ {
   { Event::ProcessStarted, "process-started", Severity::Info },
   { Event::DrainStarted, "drain-started", Severity::Info },
   { Event::ProcessStopped, "process-stopped", Severity::Info },
@@ -66,6 +68,8 @@
   { Event::AgentConnected, "agent-connected", Severity::Info },
   { Event::AgentLost, "agent-lost", Severity::Warning },
   { Event::RequestSuspected, "request-suspected", Severity::Warning },
+  { Event::BackendOrdered, "backend-ordered", Severity::Info },
+  { Event::BackendOrderFailed, "backend-order-failed", Severity::Warning },
   { Event::StoreDown, "store-down", Severity::Error },
   { Event::StoreUp, "store-up", Severity::Info },
   { Event::HostListFailed, "host-list-failed", Severity::Warning },
--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -4,6 +4,7 @@
 
 #include "savory/net/log.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace savory {
@@ -29,6 +30,7 @@
   : mNode(aNode)
   , mStore(aNode.mHttp, aNode.mSettings.mStore)
   , mBills(aNode, mStore, kBillHoldMs, [](const SendSettled&) {})
+  , mStartedMs(aNode.mLoop.NowMs())
   , mAdmin(aNode,
            { .mState = [this] { return State(); },
              .mMetrics = [this] { return mMetrics.Text(); },
@@ -80,6 +82,7 @@
     [this](const tl::expected<BackendLoad, BackendError>& aLoad) {
       OnLoad(aLoad);
       ReviewSlots();
+      ReviewVersions();
     });
 }
 
@@ -278,6 +281,47 @@
   PollQueue();
 }
 
+// Has the engine load the versions that the configuration wants. The fencing
+// number is the revision of the configuration, which only grows.
+void
+Agent::ReviewVersions()
+{
+  if (!mNode.mConfig || !mReachable || mNode.mDraining ||
+      mNode.mSettings.mBackendKind != BackendKind::Engine) {
+    return;
+  }
+  const auto& pools = mNode.mConfig->mFencingPools;
+  bool checks =
+    std::find(pools.begin(), pools.end(), mNode.mSettings.mPool) != pools.end();
+  auto order = NextLoadOrder(mLoading,
+                             {},
+                             *mNode.mConfig,
+                             mLoad.mVersions,
+                             mNode.mSettings.mHost,
+                             checks,
+                             mStartedMs,
+                             mNode.mLoop.NowMs());
+  if (!order) {
+    return;
+  }
+  std::string action(NameOf(kLoadActionNames, order->mAction));
+  LogEvent(Event::BackendOrdered,
+           { { "action", action }, { "target", order->mTarget } });
+  SendOrder(
+    mNode.mHttp,
+    mNode.mSettings.mBackend,
+    { action, order->mTarget, mNode.mConfig->mRevision },
+    [target = order->mTarget](const tl::expected<bool, BackendError>& aDone) {
+      if (!aDone || !*aDone) {
+        LogEvent(
+          Event::BackendOrderFailed,
+          { { "target", target },
+            { "reason",
+              aDone ? "the fencing number is old" : aDone.error().mReason } });
+      }
+    });
+}
+
 // Slots are held while the backend server answers and its zone takes work.
 void
 Agent::ReviewSlots()
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -5,6 +5,7 @@
 #include "node.h"
 #include "savory/core/admission.h"
 #include "savory/core/config_sync.h"
+#include "savory/core/loading.h"
 #include "savory/core/metrics.h"
 #include "savory/core/quarantine.h"
 #include "savory/core/warmup.h"
@@ -95,6 +96,7 @@
   void OnConfigChanged();
   AdmissionOptions AdmissionLimits() const;
   void ReviewSlots();
+  void ReviewVersions();
   nlohmann::json State() const;
 
   // A request that broke, until it is known whether the backend server did.
@@ -105,6 +107,8 @@
   };
 
   Admission mAdmission;
+  Loading mLoading;
+  TimeMs mStartedMs;
   std::map<std::string, std::weak_ptr<AgentRun>> mRuns;
   std::vector<BrokenRun> mBroken;
   ZoneState mZoneState = ZoneState::In;
--- /dev/null
+++ b/tests/core/test_loading.cpp
@@ -0,0 +1,107 @@
+#include "savory/core/loading.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace savory;
+
+namespace {
+
+Configuration
+TwoVersions(VersionState aSecond)
+{
+  Configuration config;
+  config.mModels = { { .mName = "small",
+                       .mVersions = { { "v1", VersionState::Serving, 0 },
+                                      { "v2", aSecond, 0 } } } };
+  return config;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(loading)
+
+// Guards against two agents of one engine, an old one that was paused and its
+// replacement, giving orders at the same time when the engine does not check
+// fencing numbers.
+BOOST_AUTO_TEST_CASE(orders_wait_where_only_time_fences)
+{
+  Configuration config = TwoVersions(VersionState::Candidate);
+  for (bool wait : { true, false }) {
+    LoadingOptions options;
+    options.mSpreadMs = 0;
+    options.mWaitForFence = wait;
+    Loading loading;
+    bool ordered = false;
+    for (TimeMs now = 0; now < options.mFenceMs; now += 500) {
+      ordered =
+        ordered ||
+        NextLoadOrder(
+          loading, options, config, { "small@v1" }, "runner-1", false, 0, now);
+    }
+    // Without the wait an order is given before the fence time: the check
+    // above would notice.
+    BOOST_TEST(ordered == !wait);
+  }
+}
+
+// Guards against all agents of a fleet asking the weight store at once.
+BOOST_AUTO_TEST_CASE(a_fleet_spreads_its_loads)
+{
+  Configuration config = TwoVersions(VersionState::Candidate);
+  LoadingOptions options;
+  std::map<TimeMs, int> starts;
+  constexpr int kHosts = 200;
+  for (int host = 0; host < kHosts; ++host) {
+    Loading loading;
+    for (TimeMs now = 0; now <= options.mSpreadMs; now += 1000) {
+      auto order = NextLoadOrder(loading,
+                                 options,
+                                 config,
+                                 { "small@v1" },
+                                 "runner-" + std::to_string(host),
+                                 true,
+                                 0,
+                                 now);
+      if (order) {
+        BOOST_TEST(order->mTarget == "small@v2");
+        starts[now] += 1;
+        break;
+      }
+    }
+  }
+  int total = 0;
+  for (const auto& [at, count] : starts) {
+    total += count;
+    // A fair part is 10 a second; 3 times that is left to chance.
+    BOOST_TEST(count <= 3 * kHosts * 1000 / options.mSpreadMs);
+  }
+  BOOST_TEST(total == kHosts);
+}
+
+// Guards against a version that is unloaded while its last requests run, and
+// against an engine that is left without any version of its model.
+BOOST_AUTO_TEST_CASE(withdrawn_versions_stay_for_a_while)
+{
+  LoadingOptions options;
+  Configuration config = TwoVersions(VersionState::Withdrawn);
+  Loading loading;
+  std::vector<std::string> loaded{ "small@v1", "small@v2" };
+  auto at = [&](TimeMs aNow, const std::vector<std::string>& aLoaded) {
+    return NextLoadOrder(
+      loading, options, config, aLoaded, "runner-1", true, 0, aNow);
+  };
+  BOOST_TEST(!at(0, loaded).has_value());
+  BOOST_TEST(!at(options.mKeepWithdrawnMs - 1, loaded).has_value());
+  auto order = at(options.mKeepWithdrawnMs, loaded);
+  BOOST_REQUIRE(order.has_value());
+  BOOST_TEST((order->mAction == LoadAction::Unload));
+  BOOST_TEST(order->mTarget == "small@v2");
+  config.mModels[0].mVersions[0].mState = VersionState::Withdrawn;
+  loading = {};
+  BOOST_TEST(!at(0, { "small@v1" }).has_value());
+  auto last = at(10 * options.mKeepWithdrawnMs, { "small@v1" });
+  BOOST_TEST(!last.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
