Reduce control traffic and state its cost by fleet size

Cause: control_sent was 9547 B/s at 412 entries against a target of 5000, most of it rows and beats of gossip.

Change: one gossip request in three asks for rows and beats, the others for the revision and the age of the head; ages of beats reach to 13.5 s; rows are due at different times; demand travels in tenths; half as many rows a second; a patch that only replaces values is a map; an agent is pushed to every 3 s.

--- a/core/include/savory/core/config_sync.h
+++ b/core/include/savory/core/config_sync.h
@@ -40,10 +40,11 @@
 // How long a call of the store that was answered counts as reaching it.
 inline constexpr TimeMs kReachMs = 4000;
 
-// Time between pulls from one source, and between pushes to one agent.
+// Time between pulls, and between pushes to one agent. A push holds about three
+// changes at 82,000 a day; work that needs a newer configuration pulls it.
 inline constexpr TimeMs kPullEveryMs = 300;
 inline constexpr TimeMs kPullTimeoutMs = 1500;
-inline constexpr TimeMs kPushEveryMs = 1500;
+inline constexpr TimeMs kPushEveryMs = 3000;
 
 // Revisions of which an entry keeps the document, to send only differences. An
 // agent keeps the one in force.
@@ -70,6 +71,7 @@
 {
   std::int64_t mRevision = 0;
   nlohmann::json mDocument;
+  std::uint64_t mHash = 0;
   std::map<std::int64_t, nlohmann::json> mPatches;
 };
 
--- a/core/include/savory/core/membership.h
+++ b/core/include/savory/core/membership.h
@@ -78,11 +78,17 @@
 inline constexpr std::size_t kMaxSectionBytes = 4096;
 
 // Peers that an entry asks in each round of gossip, and the length of a round.
-// The three requests are spread over the round: at 410 entries more than half
-// of the beats are then younger than 3 s, which the staleness rule needs.
+// One request in three asks for rows and beats, the others for revision and
+// age of the head alone.
 inline constexpr int kFanOut = 3;
 inline constexpr TimeMs kRoundMs = 1000;
 
+// The age of the last known state of the head beyond which all requests ask
+// for beats. The staleness rule then needs to have heard more than half of the
+// entries within 3 s, for which one request a second is too few at 410.
+// Ordinary ages are up to 3.1 s at 412 entries.
+inline constexpr TimeMs kAllBeatsAgeMs = 4500;
+
 // The age beyond which a beat says nothing of the present, the age at which an
 // entry counts as gone, and the age at which its row is dropped. Rows that are
 // as good as gone are neither sent nor taken, so that none comes back.
@@ -91,8 +97,9 @@
 inline constexpr TimeMs kDropMs = 60000;
 
 // Time between changes of a row that are not urgent, for each known entry: the
-// fleet then publishes about 6 rows a second whatever its size.
-inline constexpr TimeMs kRowSpacingMs = 160;
+// fleet then publishes about 3 rows a second whatever its size, and demand is
+// up to 130 s old at 410 entries.
+inline constexpr TimeMs kRowSpacingMs = 320;
 
 // An entry sends its own row with each request for this long after it starts
 // and after an urgent change, so that the others need not find it first.
@@ -107,9 +114,10 @@
 struct Membership
 {
   EntryRow mSelf;
-  TimeMs mPublishedMs = 0;
+  TimeMs mNextPublishMs = 0;
   TimeMs mAnnounceUntilMs = 0;
   TimeMs mNextRequestMs = 0;
+  std::int64_t mRequests = 0;
   bool mDirty = false;
   bool mListKnown = false;
   std::map<std::string, Member, std::less<>> mMembers;
--- a/core/src/config_sync.cpp
+++ b/core/src/config_sync.cpp
@@ -63,8 +63,10 @@
     return {};
   }
   aSync.mConfig = std::move(aConfig);
+  json document = DocumentOf(aSync.mConfig);
+  std::uint64_t hash = HashDocument(document);
   aSync.mKept.push_back(
-    { aSync.mConfig.mRevision, DocumentOf(aSync.mConfig), {} });
+    { aSync.mConfig.mRevision, std::move(document), hash, {} });
   std::size_t most = aSync.mRole == Role::Entry ? kKeptDocuments : 1;
   while (aSync.mKept.size() > most) {
     aSync.mKept.pop_front();
@@ -131,6 +133,21 @@
   return texts;
 }
 
+// A patch as it travels: one that only replaces values is a map of paths to
+// values, which takes half the bytes.
+json Compact(json aPatch)
+{
+  json set = json::object();
+  for (const auto& operation : aPatch) {
+    auto path = operation.at("path").get<std::string>();
+    if (operation.at("op") != "replace" || set.contains(path)) {
+      return { { "patch", std::move(aPatch) } };
+    }
+    set[path] = operation.at("value");
+  }
+  return { { "set", std::move(set) } };
+}
+
 SyncAction PullAction(ConfigSync& aSync,
                       const std::string& aHost,
                       TimeMs aNowMs)
@@ -208,13 +225,22 @@
     throw json::other_error::create(501, "no document to change", &aAnswer);
   }
   const json& base = aSync.mKept.back().mDocument;
+  if (aAnswer.contains("base") &&
+      aAnswer.at("base").get<std::int64_t>() != aSync.mConfig.mRevision) {
+    throw json::other_error::create(501, "patch of another base", &aAnswer);
+  }
   auto patch = aAnswer.find("patch");
   if (patch != aAnswer.end()) {
-    if (aAnswer.at("base").get<std::int64_t>() != aSync.mConfig.mRevision) {
-      throw json::other_error::create(501, "patch of another base", &aAnswer);
-    }
     return base.patch(*patch);
   }
+  auto set = aAnswer.find("set");
+  if (set != aAnswer.end()) {
+    json changed = base;
+    for (const auto& [path, value] : set->items()) {
+      changed.at(json::json_pointer(path)) = value;
+    }
+    return changed;
+  }
   json document = base;
   document.update(aAnswer.at("fields"));
   return document;
@@ -374,17 +400,17 @@
     return answer;
   }
   KeptDocument& newest = aSync.mKept.back();
-  answer["hash"] = HashDocument(newest.mDocument);
+  answer["hash"] = newest.mHash;
   for (const auto& kept : aSync.mKept) {
     if (kept.mRevision != known) {
       continue;
     }
     auto [patch, added] = newest.mPatches.try_emplace(known);
     if (added) {
-      patch->second = json::diff(kept.mDocument, newest.mDocument);
+      patch->second = Compact(json::diff(kept.mDocument, newest.mDocument));
     }
     answer["base"] = known;
-    answer["patch"] = patch->second;
+    answer.update(patch->second);
     return answer;
   }
   auto fields = aRequest.is_object() ? aRequest.find("fields") : aRequest.end();
--- a/core/src/membership.cpp
+++ b/core/src/membership.cpp
@@ -3,6 +3,7 @@
 #include "savory/core/identity.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace savory {
 
@@ -12,11 +13,18 @@
 
 // A beat is one byte: 4 bits of age, 1 bit "reaches the store", 3 bits of the
 // revisions by which the member is behind the answer's. The highest value of
-// age and lag stands for "more than that".
-constexpr TimeMs kAgeUnitMs = 250;
-constexpr TimeMs kMaxAgeUnits = 15;
+// age and lag stands for "more than that". Ages are fine below 3 s, which the
+// staleness rule looks at, and reach to kGoneMs.
+constexpr std::array<TimeMs, 15> kAgeCodes{ 0,    250,  500,  750,   1000,
+                                            1250, 1500, 2000, 2500,  3000,
+                                            4500, 6000, 8000, 10500, 13500 };
+constexpr std::size_t kOlder = kAgeCodes.size();
 constexpr std::int64_t kMaxLag = 7;
 
+// The most customers of a row, and requests per second of one of them.
+constexpr std::size_t kMaxDemandRows = 256;
+constexpr double kMaxDemand = 1e9;
+
 constexpr std::size_t kMinSlots = 16;
 constexpr std::size_t kMaxSlots = 4096;
 
@@ -35,8 +43,14 @@
   return aValue ^ aValue >> 31;
 }
 
+// A row as it travels. Demand is in tenths of a request, which takes 1 to 3
+// bytes where a number with a fraction takes 9.
 json RowArray(const EntryRow& aRow)
 {
+  json demand = json::object();
+  for (const auto& [customer, rate] : aRow.mDemand) {
+    demand[customer] = std::llround(std::clamp(rate, 0., kMaxDemand) * 10);
+  }
   return json::array({ aRow.mHost,
                        aRow.mIncarnation,
                        aRow.mSequence,
@@ -44,7 +58,7 @@
                        aRow.mZone,
                        aRow.mRegion,
                        aRow.mLeaving,
-                       aRow.mDemand,
+                       std::move(demand),
                        aRow.mSections });
 }
 
@@ -59,10 +73,15 @@
     .mZone = aRow.at(4).get<std::string>(),
     .mRegion = aRow.at(5).get<std::string>(),
     .mLeaving = aRow.at(6).get<bool>(),
-    .mDemand = aRow.at(7).get<std::map<std::string, double>>(),
+    .mDemand = {},
     .mSections = aRow.at(8),
   };
+  for (const auto& [customer, tenths] : aRow.at(7).items()) {
+    row.mDemand[customer] =
+      std::clamp(tenths.get<double>() / 10, 0., kMaxDemand);
+  }
   if (!row.mSections.is_object() || row.mHost.empty() ||
+      row.mDemand.size() > kMaxDemandRows ||
       row.mSections.dump().size() > kMaxSectionBytes) {
     throw json::other_error::create(501, "bad row", &aRow);
   }
@@ -138,8 +157,9 @@
     lag = std::max(lag, aRevision - member->mRevision);
     reaches = reaches || member->mReachesStore;
   }
-  TimeMs units = std::min((age + kAgeUnitMs - 1) / kAgeUnitMs, kMaxAgeUnits);
-  return static_cast<std::uint8_t>(units << 4 | (reaches ? 8 : 0) |
+  auto code = std::lower_bound(kAgeCodes.begin(), kAgeCodes.end(), age) -
+              kAgeCodes.begin();
+  return static_cast<std::uint8_t>(code << 4 | (reaches ? 8 : 0) |
                                    std::min(lag, kMaxLag));
 }
 
@@ -152,10 +172,9 @@
   self.mReachesStore = aStatus.mReachesStore;
 }
 
-void Publish(Membership& aTable, TimeMs aNowMs)
+void Publish(Membership& aTable)
 {
   aTable.mDirty = false;
-  aTable.mPublishedMs = aNowMs;
   aTable.mSelf.mSequence += 1;
   Member& self = aTable.mMembers[aTable.mSelf.mHost];
   self.mRow = aTable.mSelf;
@@ -210,7 +229,7 @@
   table.mNextRequestMs = aNowMs;
   Member* self = MemberOf(table, table.mSelf.mHost);
   self->mBeatMs = aNowMs;
-  Publish(table, aNowMs);
+  Publish(table);
   return table;
 }
 
@@ -295,7 +314,7 @@
 {
   aTable.mSelf.mLeaving = true;
   aTable.mAnnounceUntilMs = aNowMs + kAnnounceMs;
-  Publish(aTable, aNowMs);
+  Publish(aTable);
 }
 
 bool SetSection(Membership& aTable,
@@ -320,7 +339,7 @@
   aTable.mDirty = true;
   if (aUrgent) {
     aTable.mAnnounceUntilMs = aNowMs + kRoundMs;
-    Publish(aTable, aNowMs);
+    Publish(aTable);
   }
   return true;
 }
@@ -363,9 +382,13 @@
       peers.push_back(&member);
     }
   }
-  TimeMs spacing = kRowSpacingMs * static_cast<TimeMs>(rows);
-  if (aTable.mDirty && aNowMs - aTable.mPublishedMs >= spacing) {
-    Publish(aTable, aNowMs);
+  // The times differ by up to a half, so that a fleet that started at once
+  // does not publish at once.
+  if (aTable.mDirty && aNowMs >= aTable.mNextPublishMs) {
+    Publish(aTable);
+    TimeMs spacing = kRowSpacingMs * static_cast<TimeMs>(rows);
+    std::uniform_int_distribution<TimeMs> times(spacing / 2, spacing * 3 / 2);
+    aTable.mNextPublishMs = aNowMs + times(aRandom);
   }
   if (peers.empty()) {
     return std::nullopt;
@@ -395,22 +418,26 @@
 {
   try {
     aNews = ReadStatus(aRequest);
-    auto nonce = aRequest.at("nonce").get<std::uint64_t>();
-    const auto& digests = aRequest.at("digests").get_binary();
-    if (digests.empty() || digests.size() > kMaxSlots) {
-      return tl::unexpected(
-        WireError{ WireErrorCode::BadEncoding, "bad number of slots" });
-    }
     // 1. The requester's own row. When it was sent is not known, so that it
     // does not count as heard from at this moment.
     auto row = aRequest.find("row");
     if (row != aRequest.end()) {
-      MergeRow(aTable, ReadRow(*row), aNowMs - kHeardMs - kAgeUnitMs);
+      MergeRow(aTable, ReadRow(*row), aNowMs - kHeardMs - 1);
     }
-    // 2. Rows of the slots that differ, beats of those that do not.
     RefreshSelf(aTable, aStatus, aNowMs);
+    json answer = StatusJson(aTable, aStatus);
+    if (!aRequest.contains("digests")) {
+      return answer;
+    }
+    // 2. Rows of the slots that differ, beats of those that do not.
+    auto nonce = aRequest.at("nonce").get<std::uint64_t>();
+    const auto& digests = aRequest.at("digests").get_binary();
+    if (digests.empty() || digests.size() > kMaxSlots) {
+      return tl::unexpected(
+        WireError{ WireErrorCode::BadEncoding, "bad number of slots" });
+    }
     Slots slots = SlotsOf(aTable, digests.size(), nonce, aNowMs, true);
-    std::vector<std::uint8_t> beats(digests.size(), 0xff);
+    std::vector<std::uint8_t> beats(digests.size(), kOlder << 4);
     json rows = json::array();
     for (std::size_t i = 0; i < digests.size(); ++i) {
       std::size_t slot = (i + nonce) % digests.size();
@@ -430,8 +457,6 @@
         }
       }
     }
-    json answer = StatusJson(aTable, aStatus);
-    answer["nonce"] = nonce;
     answer["beats"] = json::binary(std::move(beats));
     if (!rows.empty()) {
       answer["rows"] = std::move(rows);
@@ -449,27 +474,28 @@
 {
   try {
     GossipNews news = ReadStatus(aAnswer);
-    auto nonce = aAnswer.at("nonce").get<std::uint64_t>();
-    const auto& beats = aAnswer.at("beats").get_binary();
-    if (beats.empty() || beats.size() > kMaxSlots) {
+    json::binary_t beats;
+    if (aAnswer.contains("beats")) {
+      beats = aAnswer.at("beats").get_binary();
+    }
+    if (beats.size() > kMaxSlots) {
       return tl::unexpected(
         WireError{ WireErrorCode::BadEncoding, "bad number of slots" });
     }
     // 1. Beats, before the rows change the slots. A row that changed since the
     // request moves no member to another slot, and its beat remains true.
-    std::vector<TimeMs> beatMs(beats.size(), 0);
     for (auto& [host, member] : aTable.mMembers) {
-      if (!HasRow(member, aNowMs) || host == aTable.mSelf.mHost) {
+      if (beats.empty() || !HasRow(member, aNowMs) ||
+          host == aTable.mSelf.mHost) {
         continue;
       }
       std::uint8_t beat = beats[member.mHostHash % beats.size()];
-      TimeMs units = beat >> 4;
-      TimeMs at = aSentMs - units * kAgeUnitMs;
-      if (units >= kMaxAgeUnits || at <= member.mBeatMs) {
+      std::size_t code = beat >> 4;
+      if (code == kOlder || aSentMs - kAgeCodes[code] <= member.mBeatMs) {
         continue;
       }
       std::int64_t lag = beat & 7;
-      member.mBeatMs = at;
+      member.mBeatMs = aSentMs - kAgeCodes[code];
       member.mReachesStore = (beat & 8) != 0;
       member.mRevision =
         lag < kMaxLag ? std::max<std::int64_t>(0, news.mStatus.mRevision - lag)
@@ -494,7 +520,6 @@
       member.mReachesStore = news.mStatus.mReachesStore;
       member.mRevision = news.mStatus.mConfirmed;
     }
-    (void)nonce;
     return news;
   } catch (const json::exception& error) {
     return BadMessage(error);
@@ -620,7 +645,7 @@
                                  aRow.at("zone"),
                                  aRow.at("region"),
                                  aRow.at("leaving"),
-                                 aRow.at("demand"),
+                                 aRow.at("demand_tenths"),
                                  aRow.at("sections") }));
   } catch (const json::exception& error) {
     return BadMessage(error);
