--- a/router/src/fleet.h
+++ b/router/src/fleet.h
@@ -47,6 +47,9 @@
   // Tells the other entries that this one is leaving.
   void Leave();
 
+  // Ends gossip and closes all connections to peers.
+  void Close();
+
   nlohmann::json State() const;
 
   Membership mMembers;
@@ -55,6 +58,7 @@
 
 private:
   void Tick();
+  void LogChanges();
   void PollHosts();
   void TakeHosts(const std::vector<Host>& aHosts);
   void SendGossip(const GossipRequest& aRequest);
@@ -79,7 +83,9 @@
   Timer mTick;
   Timer mHostsTimer;
   TimeMs mNextRoundMs = 0;
-  TimeMs mNextPushMs = 0;
+  // What the log last said, so that it tells changes only.
+  bool mLoggedReach = true;
+  bool mLoggedStale = false;
 };
 
 } // namespace savory
--- a/router/src/slots_store.cpp
+++ b/router/src/slots_store.cpp
@@ -73,6 +73,16 @@
   int number = aHeld->mNumber;
   bool taking = aHeld->mSlot.mPhase == SlotPhase::TakingOver;
   bool releasing = aAction.mNew.mOwner.mHost.empty();
+  // A lease key without a lease would hold the slot for good. The record
+  // repeats the write.
+  if (taking && mLease == 0) {
+    Defer(mNode.mLoop, [this, aHeld] {
+      Apply(aHeld,
+            StatusAnswered(
+              aHeld->mSlot, StoreAnswer::Refused, std::nullopt, MonotonicMs()));
+    });
+    return;
+  }
   StoreTransaction write;
   write.mConditions = { { StatusKey(number), aHeld->mRevision } };
   write.mPuts = { { StatusKey(number), ToJson(aAction.mNew).dump() } };
