Tell a queued caller what it waited for, not that its deadline passed

Cause: the entry's queue gives a request up after at most 5 s. Such a caller got 504 deadline_exceeded although its deadline of 30 s was far away: with 200 concurrent streams on three cold engines 94 of 200 calls, none of them older than 9 s. Ruled out: that the deadline itself was read wrongly; the decision log shows cold_limit refusals only, then the queue's end. Change: a call that the queue gives up fails with the capacity error for which it waited. A call whose deadline has passed still gets deadline_exceeded.

--- a/router/src/model_call.cpp
+++ b/router/src/model_call.cpp
@@ -17,6 +17,9 @@
 
 constexpr int kMaxAttempts = 8;
 
+// Timers may fire this much before their time.
+constexpr TimeMs kTimerSlackMs = 10;
+
 // Bytes in the caller's socket buffer above which the agent gets no credit.
 constexpr std::size_t kPendingBytes = 16 * 1024;
 
@@ -121,6 +124,12 @@
     return;
   }
   Leave();
+  if (mQueued && RemainingMs() > kTimerSlackMs) {
+    // The queue gives a request up after a bounded wait, mostly long before its
+    // deadline; the caller is told what it waited for.
+    Fail(mLastError);
+    return;
+  }
   Fail({ ErrorCode::DeadlineExceeded,
          "the deadline has passed",
          mRan ? Ran::Ran : RanOfRefusal(mContext),
