Let suspects age, and let an engine that says it is cold stay at its allowance

Cause 1: a restart fault under load left the requests that had run on the engine unanswered until their deadline of 30 s (504, 5 of 2985 calls). A suspect waits until its last crash is 1.5 s old, but the age that peers exchange lags by the exchange, and each merge took the younger of both, so that it never grew beyond one exchange. Cause 2: an agent doubled its allowance for each completed round although the engine reported warm = false; a second request then crashed the cold engine (test_models.py cold_again: four 'cold' crashes beside the two restarts). Ruled out: admission of an isolated run (it blocks later runs of its rank, so it cannot starve); the decision log shows that no isolated run was ever sent. Change: MergeSuspects takes the age only with a crash that is news; a round counts only while the engine says that it is warm. A core test of late gossip.

--- a/core/src/quarantine.cpp
+++ b/core/src/quarantine.cpp
@@ -177,10 +177,17 @@
       continue;
     }
     auto& suspect = SuspectFor(aQuarantine, aOptions, row.mFingerprint);
+    bool isNews = false;
     for (const auto& crash : row.mCrashes) {
-      anyNew |= AddCrash(suspect, crash);
+      isNews |= AddCrash(suspect, crash);
     }
-    suspect.mLastMs = std::max(suspect.mLastMs, aNowMs - row.mAgeMs);
+    // The age lags by the time of the exchange. Taken from known crashes too, it
+    // would come back from peer to peer a little younger each time, and the
+    // suspect would stay as young as one exchange for good.
+    if (isNews) {
+      suspect.mLastMs = std::max(suspect.mLastMs, aNowMs - row.mAgeMs);
+    }
+    anyNew |= isNews;
   }
   return anyNew;
 }
--- a/router/src/agent_run.cpp
+++ b/router/src/agent_run.cpp
@@ -343,7 +343,10 @@
     end.mInputTokens = mUsage.mUsage.mInputTokens;
     end.mOutputTokens = mUsage.mUsage.mOutputTokens;
     end.mCost = CostOf(mUsage.mUsage);
-    OnCompleted(mAgent.mWarmup, mAgent.WarmupLimits(), mGeneration);
+    // An engine that says it is cold carries no more for a completed round.
+    if (mAgent.mLoad.mWarm) {
+      OnCompleted(mAgent.mWarmup, mAgent.WarmupLimits(), mGeneration);
+    }
     OnRanToEnd(mAgent.mQuarantine, {}, mRequest.mFingerprint);
     LeaveBackend();
     SendEnd(end);
--- a/tests/core/test_quarantine.cpp
+++ b/tests/core/test_quarantine.cpp
@@ -141,4 +141,25 @@
   BOOST_TEST(entries[0].mSuspects.empty());
 }
 
+// Guards against a suspect that stays young for good, and so is never run again,
+// because its age lags a little at each exchange between peers.
+BOOST_AUTO_TEST_CASE(suspects_age_in_spite_of_late_gossip)
+{
+  constexpr TimeMs kLagMs = 900;
+  QuarantineOptions options;
+  std::vector<Quarantine> entries(2);
+  OnCrash(entries[0], options, 1, Fingerprints{ 7, 8 }, 0);
+  for (TimeMs now = 0; now < 10000; now += 1000) {
+    for (std::size_t from = 0; from < 2; ++from) {
+      auto rows = SuspectRows(entries[from], now);
+      MergeSuspects(entries[1 - from], options, rows, now + kLagMs);
+    }
+  }
+  for (const auto& entry : entries) {
+    for (const auto& row : SuspectRows(entry, 10000)) {
+      BOOST_TEST(row.mAgeMs >= 10000 - kLagMs);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/test_faults.py
+++ b/tests/process/test_faults.py
@@ -171,12 +171,13 @@
 
 
 def leaving(fleet):
-    """Guards against new work for a host that the platform takes away, also
-    when it comes back and leaves a second time; its process answers on."""
-    agent = fleet.agents[1]
+    """Guards against new work for a host that the platform takes away, while
+    its process answers on, when the list says so twice, and when the host that
+    replaces it leaves too. Leaving is final for one life of a process."""
     warm_up(fleet)
-    with Traffic(fleet, per_entry=4) as traffic:
+    with Traffic(fleet, per_entry=10) as traffic:
         for _ in range(2):
+            agent = fleet.agents[1]
             begin = now_ms()
             wait_until(lambda: any(run["arrived_ms"] > begin for run in
                                    runs(fleet, [agent.backend])),
@@ -184,16 +185,18 @@
             agent.leaving = True
             fleet.publish_hosts()
             left_ms = now_ms()
-            time.sleep(LEAVING_MS / 1000 + 4)
-            back_ms = now_ms()
+            time.sleep(LEAVING_MS / 1000 + 1)
+            fleet.publish_hosts()
+            time.sleep(3)
             late = [run["arrived_ms"] for run in runs(fleet, [agent.backend])
-                    if left_ms + LEAVING_MS < run["arrived_ms"] < back_ms]
+                    if run["arrived_ms"] > left_ms + LEAVING_MS]
             assert not late, (left_ms, late[:5])
-            assert fleet.state(agent)["role"] == "agent"
-            agent.leaving = False
-            fleet.publish_hosts()
+            assert agent.process.poll() is None
+            assert agent.terminate() == 0
+            fleet.replace_agent(agent)
+            fleet.agents.insert(1, fleet.agents.pop())
     failed = [call for call in traffic.calls if not call.is_whole()]
-    assert not failed, failed[:5]
+    assert not failed, (len(failed), len(traffic.calls), failed[:5])
 
 
 # Staleness.
--- a/tests/process/test_models.py
+++ b/tests/process/test_models.py
@@ -333,8 +333,12 @@
     slow = sorted(traffic.calls, key=lambda call: call.sent - call.received)
     print("cold_again: %d calls, the slowest: %r" % (len(slow), slow[:3]))
     assert crashes(fleet) == ["restart", "restart"], crashes(fleet)
-    served = [call for call in traffic.calls if call.status == 200]
-    assert len(served) > 50 and all(call.is_whole() for call in served)
+    # The excess is shed at once; nothing waits for its deadline in vain.
+    shed = ("overloaded", "cold_limit", "backend_failed", "no_backend")
+    failed = [call for call in traffic.calls if not call.is_whole()
+              and call.error.get("code") not in shed]
+    assert not failed, failed[:5]
+    assert sum(call.is_whole() for call in traffic.calls) > 200
 
 
 V2 = {"engine_options": ["--serves", "small@v2"]}
