Stamp work so that a resumed agent refuses what waited for it

Cause: the fault matrix of the configuration found that a paused agent runs old work on resume, under a configuration that has been replaced meanwhile. Change: reports carry the agent's clock; each run and call carries its echo and the age of the entry's known head; agents judge them by core/config_sync at arrival and when a queued run starts. Ruled out: the staleness rule of entries alone; the work had left the entry.

--- a/core/include/savory/core/wire.h
+++ b/core/include/savory/core/wire.h
@@ -69,10 +69,22 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
+// What an entry tells with each piece of work, so that an agent that was paused
+// does not run what waited for it meanwhile on an old configuration. `mEchoMs`
+// is the time of the agent's last report on the agent's own clock: the work was
+// sent later than that. `mVerifiedAgeMs` is the age of the entry's last known
+// state of the head, 0 in an outage of the store.
+struct Stamp
+{
+  TimeMs mEchoMs = 0;
+  TimeMs mVerifiedAgeMs = 0;
+};
+
 // A model call, from an entry to an agent; its body follows as a Body frame.
 struct RunRequest
 {
   Sender mFrom;
+  Stamp mStamp;
   std::string mRequestId;
   int mStep = 0;
   int mAttempt = 0;
@@ -97,6 +109,7 @@
 struct CallRequest
 {
   Sender mFrom;
+  Stamp mStamp;
   std::string mRequestId;
   std::string mCustomer;
   std::string mService;
@@ -153,6 +166,8 @@
 struct Report
 {
   Sender mFrom;
+  // The time of the report on the agent's monotonic clock.
+  TimeMs mClockMs = 0;
   std::string mPool;
   std::string mZone;
   std::string mAddress;
--- a/core/src/wire.cpp
+++ b/core/src/wire.cpp
@@ -26,6 +26,20 @@
            .mRevision = aMessage.at("revision").get<std::int64_t>() };
 }
 
+void
+PutStamp(json& aMessage, const Stamp& aStamp)
+{
+  aMessage["echo_ms"] = aStamp.mEchoMs;
+  aMessage["verified_age_ms"] = aStamp.mVerifiedAgeMs;
+}
+
+Stamp
+ParseStamp(const json& aMessage)
+{
+  return { .mEchoMs = aMessage.at("echo_ms").get<TimeMs>(),
+           .mVerifiedAgeMs = aMessage.at("verified_age_ms").get<TimeMs>() };
+}
+
 ErrorCode
 ParseCode(const json& aMessage)
 {
@@ -213,6 +227,7 @@
 Encode(const RunRequest& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
+  PutStamp(message, aMessage.mStamp);
   message["request"] = aMessage.mRequestId;
   message["step"] = aMessage.mStep;
   message["attempt"] = aMessage.mAttempt;
@@ -237,6 +252,7 @@
   return DecodeAs<RunRequest>(aBytes, [](const json& aMessage) {
     return RunRequest{
       .mFrom = ParseSender(aMessage),
+      .mStamp = ParseStamp(aMessage),
       .mRequestId = aMessage.at("request").get<std::string>(),
       .mStep = aMessage.value("step", 0),
       .mAttempt = aMessage.value("attempt", 0),
@@ -260,6 +276,7 @@
 Encode(const CallRequest& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
+  PutStamp(message, aMessage.mStamp);
   message["request"] = aMessage.mRequestId;
   message["customer"] = aMessage.mCustomer;
   message["service"] = aMessage.mService;
@@ -278,6 +295,7 @@
   return DecodeAs<CallRequest>(aBytes, [](const json& aMessage) {
     return CallRequest{
       .mFrom = ParseSender(aMessage),
+      .mStamp = ParseStamp(aMessage),
       .mRequestId = aMessage.at("request").get<std::string>(),
       .mCustomer = aMessage.at("customer").get<std::string>(),
       .mService = aMessage.at("service").get<std::string>(),
@@ -362,6 +380,7 @@
 Encode(const Report& aMessage)
 {
   json message = SenderJson(aMessage.mFrom);
+  message["clock_ms"] = aMessage.mClockMs;
   message["pool"] = aMessage.mPool;
   message["zone"] = aMessage.mZone;
   message["address"] = aMessage.mAddress;
@@ -388,6 +407,7 @@
   return DecodeAs<Report>(aBytes, [](const json& aMessage) {
     Report report{
       .mFrom = ParseSender(aMessage),
+      .mClockMs = aMessage.value("clock_ms", TimeMs(0)),
       .mPool = aMessage.at("pool").get<std::string>(),
       .mZone = aMessage.at("zone").get<std::string>(),
       .mAddress = aMessage.value("address", std::string()),
--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -268,6 +268,39 @@
   return zone && zone->mState == ZoneState::Out;
 }
 
+std::optional<CallRefusal>
+Agent::JudgeEntry(const Sender& aFrom, const Stamp& aStamp)
+{
+  WorkStamp stamp{ aFrom.mRevision, aStamp.mEchoMs, aStamp.mVerifiedAgeMs };
+  switch (JudgeWork(mSync, stamp, mNode.mLoop.NowMs())) {
+    case SenderJudgement::Accept:
+      return std::nullopt;
+    case SenderJudgement::RefuseOlder:
+      return CallRefusal{ ErrorCode::ConfigOlder,
+                          "the configuration of the entry is older than " +
+                            std::to_string(mNode.mConfig->mRevision),
+                          50,
+                          {} };
+    case SenderJudgement::RefuseStale:
+      return CallRefusal{ ErrorCode::ConfigStale,
+                          "the work was sent too long ago to tell whether its "
+                          "configuration is the newest",
+                          100,
+                          {} };
+    default:
+      return CallRefusal{ ErrorCode::NoConfiguration,
+                          "the agent lacks the configuration of the entry",
+                          100,
+                          {} };
+  }
+}
+
+bool
+Agent::IsConfigurationFresh() const
+{
+  return JudgeFreshness(mSync, {}, mNode.mLoop.NowMs()) == Freshness::Fresh;
+}
+
 // A zone that returns has cold caches and cold backend servers.
 void
 Agent::OnConfigChanged()
@@ -347,6 +380,7 @@
   bool engine = settings.mBackendKind == BackendKind::Engine;
   return {
     .mFrom = SenderOf(mNode),
+    .mClockMs = mNode.mLoop.NowMs(),
     .mPool = settings.mPool,
     .mZone = settings.mZone,
     .mAddress = ToString(settings.mInner),
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -70,6 +71,13 @@
   WarmupOptions WarmupLimits() const;
   bool IsZoneOut() const;
 
+  // Whether work of an entry may run on the configuration in force here: the
+  // revisions agree and are known to be new enough. Nothing when it may.
+  std::optional<CallRefusal> JudgeEntry(const Sender& aFrom,
+                                        const Stamp& aStamp);
+  // The same for work that waited here, when it starts.
+  bool IsConfigurationFresh() const;
+
   Node& mNode;
   StoreClient mStore;
   BillKeeper mBills;
--- a/router/src/agent_call.cpp
+++ b/router/src/agent_call.cpp
@@ -133,11 +133,8 @@
 AgentCall::Decide()
 {
   const Node& node = mAgent.mNode;
-  if (!node.mConfig || mCall.mFrom.mRevision < node.mConfig->mRevision) {
-    RefuseCall(node.mConfig ? ErrorCode::ConfigOlder
-                            : ErrorCode::NoConfiguration,
-               Ran::NotRun,
-               "configurations differ");
+  if (auto refusal = mAgent.JudgeEntry(mCall.mFrom, mCall.mStamp)) {
+    RefuseCall(refusal->mCode, Ran::NotRun, refusal->mReason);
     return;
   }
   // The owner of a slot answers known keys even while it leaves.
--- a/router/src/agent_run.cpp
+++ b/router/src/agent_run.cpp
@@ -123,11 +123,11 @@
 AgentRun::Check() const
 {
   const Node& node = mAgent.mNode;
-  if (mRequest.mFrom.mRevision < node.mConfig->mRevision && !mAdmitted) {
-    return CallRefusal{ ErrorCode::ConfigOlder,
-                        "the configuration of the entry is older than " +
-                          std::to_string(node.mConfig->mRevision),
-                        50,
+  if (mAdmitted && !mAgent.IsConfigurationFresh()) {
+    return CallRefusal{ ErrorCode::ConfigStale,
+                        "the request waited too long to tell whether its "
+                        "configuration is the newest",
+                        100,
                         {} };
   }
   if (node.mDraining) {
@@ -174,6 +174,10 @@
 void
 AgentRun::Decide()
 {
+  if (auto refusal = mAgent.JudgeEntry(mRequest.mFrom, mRequest.mStamp)) {
+    RefuseRun(*refusal);
+    return;
+  }
   if (auto refusal = Check()) {
     RefuseRun(*refusal);
     return;
--- a/router/src/fleet.cpp
+++ b/router/src/fleet.cpp
@@ -470,6 +470,15 @@
   }
 }
 
+Stamp
+Fleet::StampFor(const AgentLink& aLink) const
+{
+  TimeMs now = mNode.mLoop.NowMs();
+  WorkStamp stamp =
+    StampWork(mSync, ViewFleet(mMembers, now), aLink.mReport.mClockMs, now);
+  return { stamp.mEchoMs, stamp.mVerifiedAgeMs };
+}
+
 void
 Fleet::HeardOf(const Sender& aSender)
 {
--- a/router/src/fleet.h
+++ b/router/src/fleet.h
@@ -32,6 +32,9 @@
   // Looks at the head in the store at once, as after an operator's hint.
   void LookAtHead();
 
+  // What this entry tells an agent with a piece of work.
+  Stamp StampFor(const AgentLink& aLink) const;
+
   // Takes the revision that any message of another process carried.
   void HeardOf(const Sender& aSender);
 
--- a/router/src/model_call.cpp
+++ b/router/src/model_call.cpp
@@ -475,6 +475,7 @@
   }
   RunRequest request{
     .mFrom = SenderOf(mEntry.mNode),
+    .mStamp = mEntry.mFleet.StampFor(*link),
     .mRequestId = mContext.mRequestId,
     .mStep = static_cast<int>(mStep),
     .mAttempt = ++mAttempt,
--- a/router/src/service_call.cpp
+++ b/router/src/service_call.cpp
@@ -131,6 +131,7 @@
   mBody = aRequest.mBody;
   mCall = {
     .mFrom = {},
+    .mStamp = {},
     .mRequestId = mContext.mRequestId,
     .mCustomer = mContext.mCustomer->mName,
     .mService = mService.mName,
@@ -261,6 +262,7 @@
   AgentLink* link = mEntry.mLinks.Find(aAddress);
   mEntry.mFleet.BringUpToDate(*link);
   mCall.mFrom = SenderOf(mEntry.mNode);
+  mCall.mStamp = mEntry.mFleet.StampFor(*link);
   mExchange =
     AgentExchange::Start(*link->mConnection, "/call", Encode(mCall), mBody);
   if (!mExchange) {
--- a/tests/core/test_membership.cpp
+++ b/tests/core/test_membership.cpp
@@ -127,7 +127,7 @@
   std::map<std::string, std::string> store;
   auto run = [&](Change aChange) {
     while (auto call = NextCall(aChange)) {
-      StoreAnswer answer;
+      StoreCallAnswer answer;
       for (const auto& key : call->mKeys) {
         answer.mValues.push_back(store.contains(key) ? std::optional(store[key])
                                                      : std::nullopt);
