--- a/bench/bench_balancer.cpp
+++ b/bench/bench_balancer.cpp
@@ -11,9 +11,8 @@
 constexpr double kWarmMs = 80000;
 
 // First tokens and prefix hits of one fleet at 85% load.
-void MeasureFleet(Results& aResults,
-                  const std::string& aName,
-                  FleetOptions aOptions)
+void
+MeasureFleet(Results& aResults, const std::string& aName, FleetOptions aOptions)
 {
   ScaleRates(aOptions, RateAtLoad(aOptions, 0.85) / 30);
   aOptions.mDurationMs = 180000;
@@ -64,9 +63,10 @@
 
 // Starts beyond what a cold backend server truly carries, while all of them
 // start cold, one restarts announced and one restarts without a sign.
-void MeasureColdStart(Results& aResults,
-                      const std::string& aName,
-                      FleetOptions aOptions)
+void
+MeasureColdStart(Results& aResults,
+                 const std::string& aName,
+                 FleetOptions aOptions)
 {
   ScaleRates(aOptions, RateAtLoad(aOptions, 0.6) / 30);
   aOptions.mDurationMs = 60000;
@@ -107,7 +107,8 @@
 }
 
 // Time of one selection among 12,000 backend servers.
-void MeasureChoice(Results& aResults)
+void
+MeasureChoice(Results& aResults)
 {
   auto line =
     MakeLine("balancer.choice_among_12000_p99", "us", Better::Lower, 5);
@@ -166,7 +167,8 @@
 
 } // namespace
 
-void BenchBalancer(Results& aResults)
+void
+BenchBalancer(Results& aResults)
 {
   MeasureFleet(aResults, "gulfway", GulfwayFleet(30));
   MeasureFleet(aResults, "bengal", BengalFleet(30));
--- a/bench/bench_limits.cpp
+++ b/bench/bench_limits.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t kGreedy = 9;
 
 // The largest relative distance of a customer's tokens from its share.
-double WorstDeviation(const FleetOptions& aOptions,
-                      const FleetOutcome& aOutcome)
+double
+WorstDeviation(const FleetOptions& aOptions, const FleetOutcome& aOutcome)
 {
   double weights = 0;
   double tokens = 0;
@@ -33,9 +33,10 @@
 }
 
 // Three times the capacity, with callers that resend refused requests at once.
-void MeasureOverload(Results& aResults,
-                     const std::string& aName,
-                     FleetOptions aOptions)
+void
+MeasureOverload(Results& aResults,
+                const std::string& aName,
+                FleetOptions aOptions)
 {
   ScaleRates(aOptions, 3 * RateAtLoad(aOptions, 0.95) / 0.95 / 30);
   aOptions.mCustomers[kGreedy].mRate *= 4;
@@ -78,7 +79,8 @@
 
 } // namespace
 
-void BenchLimits(Results& aResults)
+void
+BenchLimits(Results& aResults)
 {
   MeasureOverload(aResults, "gulfway", GulfwayFleet(30));
   MeasureOverload(aResults, "bengal", BengalFleet(30));
--- a/bench/bench_memory.cpp
+++ b/bench/bench_memory.cpp
@@ -9,9 +9,10 @@
 
 // Long inputs, answers longer or shorter than estimated and slow callers, at
 // backend servers whose memory runs out before their concurrency.
-void MeasureMemory(Results& aResults,
-                   const std::string& aName,
-                   FleetOptions aOptions)
+void
+MeasureMemory(Results& aResults,
+              const std::string& aName,
+              FleetOptions aOptions)
 {
   ScaleRates(aOptions, RateAtLoad(aOptions, 0.7) / 30);
   aOptions.mDurationMs = 90000;
@@ -64,7 +65,8 @@
 
 } // namespace
 
-void BenchMemory(Results& aResults)
+void
+BenchMemory(Results& aResults)
 {
   MeasureMemory(aResults, "gulfway", GulfwayFleet(30));
   MeasureMemory(aResults, "bengal", BengalFleet(30));
--- a/bench/bench_zones.cpp
+++ b/bench/bench_zones.cpp
@@ -15,10 +15,11 @@
 
 // A zone leaves and returns while the rest can carry the load. Every process
 // learns of a change within one second.
-void MeasureZone(Results& aResults,
-                 const std::string& aName,
-                 FleetOptions aOptions,
-                 double aLoad)
+void
+MeasureZone(Results& aResults,
+            const std::string& aName,
+            FleetOptions aOptions,
+            double aLoad)
 {
   ScaleRates(aOptions, RateAtLoad(aOptions, aLoad) / 30);
   aOptions.mDurationMs = kEndMs;
@@ -106,7 +107,8 @@
 
 } // namespace
 
-void BenchZones(Results& aResults)
+void
+BenchZones(Results& aResults)
 {
   for (int percent : { 40, 55 }) {
     std::string load = "_load_" + std::to_string(percent);
--- a/bench/fleet_model.cpp
+++ b/bench/fleet_model.cpp
@@ -19,7 +19,8 @@
 
 } // namespace
 
-bool Fleet::Later::operator()(const Event& aLeft, const Event& aRight) const
+bool
+Fleet::Later::operator()(const Event& aLeft, const Event& aRight) const
 {
   return aLeft.mMs != aRight.mMs ? aLeft.mMs > aRight.mMs
                                  : aLeft.mOrder > aRight.mOrder;
@@ -70,35 +71,41 @@
   mOutcome.mCustomerTokens.resize(customers.size());
 }
 
-double Fleet::Uniform()
+double
+Fleet::Uniform()
 {
   return static_cast<double>(mRandom() >> 11) * 0x1.0p-53;
 }
 
-void Fleet::At(double aMs, std::function<void()> aAction)
+void
+Fleet::At(double aMs, std::function<void()> aAction)
 {
   mEvents.push({ aMs, mOrder++, std::move(aAction) });
 }
 
-double Fleet::Latency(std::size_t aEntry, std::size_t aBackend) const
+double
+Fleet::Latency(std::size_t aEntry, std::size_t aBackend) const
 {
   bool same = mEntries[aEntry].mBalancer.mOwnZone == mBackends[aBackend].mZone;
   return same ? 0.1 : mOptions.mZoneLatencyMs;
 }
 
-void Fleet::Decide(std::string_view aWhat)
+void
+Fleet::Decide(std::string_view aWhat)
 {
   mOutcome.mDecisions = HashOf(aWhat, mOutcome.mDecisions);
 }
 
-bool Fleet::Counts(const Job& aJob) const
+bool
+Fleet::Counts(const Job& aJob) const
 {
   return aJob.mCreatedMs >= mFromMs;
 }
 
 // Arrivals.
 
-void Fleet::ScheduleArrival(std::size_t aCustomer)
+void
+Fleet::ScheduleArrival(std::size_t aCustomer)
 {
   double rate = mOptions.mCustomers[aCustomer].mRate;
   double gap = -std::log(1 - Uniform()) * 1000 / std::max(1e-9, rate);
@@ -112,7 +119,8 @@
 
 // A turn of a session: the customer's common blocks, the history so far and
 // two new blocks. A session that reached its length is replaced by a new one.
-JobPtr Fleet::MakeJob(std::size_t aCustomer)
+JobPtr
+Fleet::MakeJob(std::size_t aCustomer)
 {
   auto job = std::make_shared<Job>();
   job->mId = std::to_string(mJobs++);
@@ -160,7 +168,8 @@
   return job;
 }
 
-void Fleet::Arrive(const JobPtr& aJob)
+void
+Fleet::Arrive(const JobPtr& aJob)
 {
   aJob->mArrivedMs = mNow;
   if (mOptions.mPolicy == Policy::Perfect) {
@@ -208,7 +217,8 @@
 }
 
 // The caller gets a refusal and sends the request again without a pause.
-void Fleet::Refuse(const JobPtr& aJob)
+void
+Fleet::Refuse(const JobPtr& aJob)
 {
   if (Counts(*aJob)) {
     ++mOutcome.mRefused;
@@ -232,7 +242,8 @@
 
 // Placement by the core functions.
 
-void Fleet::Pump(std::size_t aEntry)
+void
+Fleet::Pump(std::size_t aEntry)
 {
   auto& entry = mEntries[aEntry];
   while (true) {
@@ -249,7 +260,8 @@
   }
 }
 
-bool Fleet::Dispatch(const JobPtr& aJob)
+bool
+Fleet::Dispatch(const JobPtr& aJob)
 {
   auto& entry = mEntries[aJob->mEntry];
   ChoiceRequest request;
@@ -272,7 +284,8 @@
   return true;
 }
 
-void Fleet::Send(const JobPtr& aJob, std::size_t aBackend, bool aMayQueue)
+void
+Fleet::Send(const JobPtr& aJob, std::size_t aBackend, bool aMayQueue)
 {
   OnSent(mEntries[aJob->mEntry].mBalancer,
          mOptions.mBalancer,
@@ -285,9 +298,8 @@
   });
 }
 
-void Fleet::ArriveAtAgent(const JobPtr& aJob,
-                          std::size_t aBackend,
-                          bool aMayQueue)
+void
+Fleet::ArriveAtAgent(const JobPtr& aJob, std::size_t aBackend, bool aMayQueue)
 {
   auto& backend = mBackends[aBackend];
   AdmissionRequest request;
@@ -345,7 +357,8 @@
   }
 }
 
-void Fleet::PollAgent(std::size_t aBackend)
+void
+Fleet::PollAgent(std::size_t aBackend)
 {
   auto& backend = mBackends[aBackend];
   for (const auto& [id, job] : backend.mRunning) {
@@ -387,7 +400,8 @@
 
 // Baselines: placement by reported load, FIFO queues at the backend servers.
 
-void Fleet::PlaceBaseline(const JobPtr& aJob)
+void
+Fleet::PlaceBaseline(const JobPtr& aJob)
 {
   auto& entry = mEntries[aJob->mEntry];
   std::size_t count = mBackends.size();
@@ -418,7 +432,8 @@
   });
 }
 
-void Fleet::PumpFifo(std::size_t aBackend)
+void
+Fleet::PumpFifo(std::size_t aBackend)
 {
   auto& backend = mBackends[aBackend];
   while (!backend.mFifo.empty() &&
@@ -432,7 +447,8 @@
 
 // One queue: the request at its head goes to the free backend server with the
 // most of its prompt cached, and among equals to the least busy one.
-void Fleet::PumpPerfect()
+void
+Fleet::PumpPerfect()
 {
   while (!mCentral.empty()) {
     auto job = mCentral.front();
@@ -462,8 +478,8 @@
 
 // The backend servers.
 
-std::size_t Fleet::CachedBlocks(const ModelBackend& aBackend,
-                                const Job& aJob) const
+std::size_t
+Fleet::CachedBlocks(const ModelBackend& aBackend, const Job& aJob) const
 {
   std::size_t cached = 0;
   while (cached < aJob.mPrefix.size() &&
@@ -474,7 +490,8 @@
 }
 
 // Puts a prompt into the cache and tells the entries, late and with gaps.
-void Fleet::Store(std::size_t aBackend, const Job& aJob)
+void
+Fleet::Store(std::size_t aBackend, const Job& aJob)
 {
   auto& backend = mBackends[aBackend];
   auto tell = [&](std::uint64_t aBlock, bool aStored) {
@@ -512,7 +529,8 @@
   }
 }
 
-void Fleet::Start(const JobPtr& aJob, std::size_t aBackend)
+void
+Fleet::Start(const JobPtr& aJob, std::size_t aBackend)
 {
   auto& backend = mBackends[aBackend];
   auto running = static_cast<int>(backend.mRunning.size());
@@ -554,7 +572,8 @@
   }
 }
 
-void Fleet::FirstToken(const JobPtr& aJob)
+void
+Fleet::FirstToken(const JobPtr& aJob)
 {
   if (aJob->mLeft) {
     return;
@@ -580,7 +599,8 @@
 }
 
 // Takes a request off its backend server and lets the next one start.
-void Fleet::Leave(const JobPtr& aJob)
+void
+Fleet::Leave(const JobPtr& aJob)
 {
   aJob->mLeft = true;
   auto index = static_cast<std::size_t>(aJob->mBackend);
@@ -597,7 +617,8 @@
   }
 }
 
-void Fleet::Finish(const JobPtr& aJob)
+void
+Fleet::Finish(const JobPtr& aJob)
 {
   if (aJob->mLeft) {
     return;
@@ -638,13 +659,15 @@
 
 // The backend server ends all it runs and starts anew with an empty cache.
 // The agent sees the broken connections.
-void Fleet::FallOver(std::size_t aBackend)
+void
+Fleet::FallOver(std::size_t aBackend)
 {
   mOutcome.mFellOver += mNow >= mFromMs ? 1 : 0;
   Restart(aBackend);
 }
 
-void Fleet::Restart(std::size_t aBackend)
+void
+Fleet::Restart(std::size_t aBackend)
 {
   auto& backend = mBackends[aBackend];
   ++backend.mLife;
@@ -658,7 +681,8 @@
   ReportFrom(aBackend);
 }
 
-void Fleet::MakeCold(std::size_t aBackend)
+void
+Fleet::MakeCold(std::size_t aBackend)
 {
   auto& backend = mBackends[aBackend];
   backend.mServed = 0;
@@ -666,7 +690,8 @@
   backend.mLru.clear();
 }
 
-void Fleet::SetZone(const std::string& aZone, ZoneState aState, double aDelayMs)
+void
+Fleet::SetZone(const std::string& aZone, ZoneState aState, double aDelayMs)
 {
   for (auto& zone : mZones) {
     if (zone.mName == aZone) {
@@ -694,7 +719,8 @@
 
 // Reports and gossip.
 
-void Fleet::ReportFrom(std::size_t aBackend, std::optional<double> aLagMs)
+void
+Fleet::ReportFrom(std::size_t aBackend, std::optional<double> aLagMs)
 {
   const auto& backend = mBackends[aBackend];
   Report report;
@@ -725,7 +751,8 @@
   });
 }
 
-void Fleet::Gossip()
+void
+Fleet::Gossip()
 {
   for (std::size_t from = 0; from < mEntries.size(); ++from) {
     auto row =
@@ -743,7 +770,8 @@
 
 // Lets the answers grow, and a backend server fall over that holds more than
 // its memory.
-void Fleet::CheckMemory()
+void
+Fleet::CheckMemory()
 {
   for (std::size_t i = 0; i < mBackends.size(); ++i) {
     auto& backend = mBackends[i];
@@ -775,7 +803,8 @@
   }
 }
 
-FleetOutcome Fleet::Run(double aFromMs)
+FleetOutcome
+Fleet::Run(double aFromMs)
 {
   mFromMs = aFromMs;
   for (std::size_t i = 0; i < mBackends.size(); ++i) {
--- a/bench/fleet_model.h
+++ b/bench/fleet_model.h
@@ -251,30 +251,37 @@
 
 // The fleets of the two operators, with customers whose rates sum to
 // `aRate` requests per second.
-FleetOptions GulfwayFleet(double aRate);
-FleetOptions BengalFleet(double aRate);
+FleetOptions
+GulfwayFleet(double aRate);
+FleetOptions
+BengalFleet(double aRate);
 
 // The request rate that is the share `aLoad` of what a fleet with perfect
 // placement completes when it is offered far more.
-double RateAtLoad(FleetOptions aOptions, double aLoad);
+double
+RateAtLoad(FleetOptions aOptions, double aLoad);
 
 // Multiplies every customer's rate.
-void ScaleRates(FleetOptions& aOptions, double aFactor);
+void
+ScaleRates(FleetOptions& aOptions, double aFactor);
 
 // A line with its unit and goals, to be filled with values.
-Line MakeLine(std::string aName,
-              std::string aUnit,
-              Better aBetter,
-              std::optional<double> aTarget,
-              std::optional<double> aBound = std::nullopt);
+Line
+MakeLine(std::string aName,
+         std::string aUnit,
+         Better aBetter,
+         std::optional<double> aTarget,
+         std::optional<double> aBound = std::nullopt);
 
 // The value below which the share `aShare` of the values lies.
-double Quantile(std::vector<double> aValues, double aShare);
+double
+Quantile(std::vector<double> aValues, double aShare);
 
 // Quantile of the times to first token of arrivals in a span of time.
-double FirstTokenQuantile(const FleetOutcome& aOutcome,
-                          double aShare,
-                          double aFromMs = 0,
-                          double aToMs = 1e18);
+double
+FirstTokenQuantile(const FleetOutcome& aOutcome,
+                   double aShare,
+                   double aFromMs = 0,
+                   double aToMs = 1e18);
 
 } // namespace savory::bench
--- a/bench/fleet_options.cpp
+++ b/bench/fleet_options.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 // Ten customers, of which two have two thirds of the work.
-std::vector<ModelCustomer> TenCustomers(double aRate, int aSessions)
+std::vector<ModelCustomer>
+TenCustomers(double aRate, int aSessions)
 {
   std::vector<ModelCustomer> customers;
   for (int i = 0; i < 10; ++i) {
@@ -24,7 +25,8 @@
 
 } // namespace
 
-FleetOptions GulfwayFleet(double aRate)
+FleetOptions
+GulfwayFleet(double aRate)
 {
   FleetOptions options;
   options.mBackends = 12;
@@ -35,7 +37,8 @@
   return options;
 }
 
-FleetOptions BengalFleet(double aRate)
+FleetOptions
+BengalFleet(double aRate)
 {
   FleetOptions options;
   options.mBackends = 18;
@@ -47,14 +50,16 @@
   return options;
 }
 
-void ScaleRates(FleetOptions& aOptions, double aFactor)
+void
+ScaleRates(FleetOptions& aOptions, double aFactor)
 {
   for (auto& customer : aOptions.mCustomers) {
     customer.mRate *= aFactor;
   }
 }
 
-double RateAtLoad(FleetOptions aOptions, double aLoad)
+double
+RateAtLoad(FleetOptions aOptions, double aLoad)
 {
   aOptions.mPolicy = Policy::Perfect;
   aOptions.mDurationMs = 60000;
@@ -64,11 +69,12 @@
   return aLoad * static_cast<double>(outcome.mFinished) / 40;
 }
 
-Line MakeLine(std::string aName,
-              std::string aUnit,
-              Better aBetter,
-              std::optional<double> aTarget,
-              std::optional<double> aBound)
+Line
+MakeLine(std::string aName,
+         std::string aUnit,
+         Better aBetter,
+         std::optional<double> aTarget,
+         std::optional<double> aBound)
 {
   Line line;
   line.mName = std::move(aName);
@@ -79,7 +85,8 @@
   return line;
 }
 
-double Quantile(std::vector<double> aValues, double aShare)
+double
+Quantile(std::vector<double> aValues, double aShare)
 {
   if (aValues.empty()) {
     return 0;
@@ -92,10 +99,11 @@
   return aValues[place];
 }
 
-double FirstTokenQuantile(const FleetOutcome& aOutcome,
-                          double aShare,
-                          double aFromMs,
-                          double aToMs)
+double
+FirstTokenQuantile(const FleetOutcome& aOutcome,
+                   double aShare,
+                   double aFromMs,
+                   double aToMs)
 {
   std::vector<double> values;
   for (const auto& [arrived, wait] : aOutcome.mFirstTokens) {
--- a/core/include/savory/core/admission.h
+++ b/core/include/savory/core/admission.h
@@ -99,49 +99,57 @@
 
 // Decides a new request. It may push a queued one of lower priority out, which
 // `aChanges` then holds. The allowance is that of warmup.h, `aCold` its IsCold.
-AdmissionAnswer Admit(Admission& aAdmission,
-                      const AdmissionOptions& aOptions,
-                      int aAllowance,
-                      bool aCold,
-                      const AdmissionRequest& aRequest,
-                      TimeMs aNowMs,
-                      AdmissionChanges& aChanges);
+AdmissionAnswer
+Admit(Admission& aAdmission,
+      const AdmissionOptions& aOptions,
+      int aAllowance,
+      bool aCold,
+      const AdmissionRequest& aRequest,
+      TimeMs aNowMs,
+      AdmissionChanges& aChanges);
 
 // Takes the tokens generated so far of a running request. Returns the requests
 // to cancel so that the tokens held fit the capacity again; they are counted
 // as ended. The newest of the lowest priority go first.
-std::vector<std::string> OnGenerated(Admission& aAdmission,
-                                     const AdmissionOptions& aOptions,
-                                     std::string_view aId,
-                                     std::int64_t aGenerated);
+std::vector<std::string>
+OnGenerated(Admission& aAdmission,
+            const AdmissionOptions& aOptions,
+            std::string_view aId,
+            std::int64_t aGenerated);
 
 // Corrects the estimated input by the backend server's own count.
-void OnInputCounted(Admission& aAdmission,
-                    std::string_view aId,
-                    std::int64_t aInputTokens);
+void
+OnInputCounted(Admission& aAdmission,
+               std::string_view aId,
+               std::int64_t aInputTokens);
 
 // The request left the backend server, in any way. An unknown id, as of one
 // that OnGenerated cancelled, changes nothing.
-void OnLeft(Admission& aAdmission, std::string_view aId, TimeMs aNowMs);
+void
+OnLeft(Admission& aAdmission, std::string_view aId, TimeMs aNowMs);
 
 // Removes a queued request whose caller has gone. True when it was queued.
-bool CancelQueued(Admission& aAdmission, std::string_view aId);
+bool
+CancelQueued(Admission& aAdmission, std::string_view aId);
 
 // Starts what fits now and refuses what has passed its deadline, or all that
 // is queued when draining. Called after each event and every 100 ms.
-AdmissionChanges PollAdmission(Admission& aAdmission,
-                               const AdmissionOptions& aOptions,
-                               int aAllowance,
-                               bool aCold,
-                               TimeMs aNowMs);
+AdmissionChanges
+PollAdmission(Admission& aAdmission,
+              const AdmissionOptions& aOptions,
+              int aAllowance,
+              bool aCold,
+              TimeMs aNowMs);
 
 // Whether the agent should report at once: it refused for load since it last
 // said so and now has room, which entries would else learn only from the next
 // periodic report. Resets what it tells.
-bool TakeRoomNews(Admission& aAdmission, int aAllowance);
+bool
+TakeRoomNews(Admission& aAdmission, int aAllowance);
 
-LoadHint OwnLoad(const Admission& aAdmission,
-                 const AdmissionOptions& aOptions,
-                 int aAllowance);
+LoadHint
+OwnLoad(const Admission& aAdmission,
+        const AdmissionOptions& aOptions,
+        int aAllowance);
 
 } // namespace savory
--- a/core/include/savory/core/balancer.h
+++ b/core/include/savory/core/balancer.h
@@ -27,10 +27,11 @@
 // The members that an entry uses: at most `aSize`, its own region first, by
 // rendezvous hashing of entry and address. A change of one member changes at
 // most one place of the subset.
-std::vector<std::string> ChooseSubset(std::string_view aEntry,
-                                      std::string_view aRegion,
-                                      std::span<const PoolMember> aMembers,
-                                      std::size_t aSize = 64);
+std::vector<std::string>
+ChooseSubset(std::string_view aEntry,
+             std::string_view aRegion,
+             std::span<const PoolMember> aMembers,
+             std::size_t aSize = 64);
 
 // Tuning of the selection. The `mUse` switches exist for tests that show what
 // a mechanism prevents; the processes never change them.
@@ -121,36 +122,39 @@
 
 // Takes the zones of a configuration. A zone that changes to returning starts
 // its steps at `aNowMs`; repeating the same state does not restart them.
-void ApplyZones(Balancer& aBalancer,
-                std::span<const Zone> aZones,
-                TimeMs aNowMs);
+void
+ApplyZones(Balancer& aBalancer, std::span<const Zone> aZones, TimeMs aNowMs);
 
 // The share in [0, 1] of its ordinary work that a zone receives.
-double ZoneWeight(const ZoneView& aZone,
-                  const BalancerOptions& aOptions,
-                  TimeMs aNowMs);
+double
+ZoneWeight(const ZoneView& aZone,
+           const BalancerOptions& aOptions,
+           TimeMs aNowMs);
 
 // Takes an agent's report. A report of an older incarnation is ignored, and
 // leaving is final for an incarnation, so a late report cannot revoke it.
-void ApplyReport(Balancer& aBalancer, const Report& aReport, TimeMs aNowMs);
+void
+ApplyReport(Balancer& aBalancer, const Report& aReport, TimeMs aNowMs);
 
 // Marks an agent as leaving on the word of the host list.
-void MarkLeaving(Balancer& aBalancer, std::string_view aAddress);
+void
+MarkLeaving(Balancer& aBalancer, std::string_view aAddress);
 
 // Forgets an agent that is no longer a member.
-void RemoveBackend(Balancer& aBalancer, std::string_view aAddress);
+void
+RemoveBackend(Balancer& aBalancer, std::string_view aAddress);
 
 // Own requests: sent to a backend server, ended there in any way. Sending
 // records the prefixes as held by it.
-void OnSent(Balancer& aBalancer,
-            const BalancerOptions& aOptions,
-            std::string_view aAddress,
-            std::int64_t aTokens,
-            std::span<const std::uint64_t> aPrefix,
-            TimeMs aNowMs);
-void OnEnded(Balancer& aBalancer,
-             std::string_view aAddress,
-             std::int64_t aTokens);
+void
+OnSent(Balancer& aBalancer,
+       const BalancerOptions& aOptions,
+       std::string_view aAddress,
+       std::int64_t aTokens,
+       std::span<const std::uint64_t> aPrefix,
+       TimeMs aNowMs);
+void
+OnEnded(Balancer& aBalancer, std::string_view aAddress, std::int64_t aTokens);
 
 // The load of an agent as its refusal states it (AnswerHead::mHint).
 struct LoadHint
@@ -162,31 +166,36 @@
   std::int64_t mTokenCapacity = 0;
 };
 
-std::string EncodeLoadHint(const LoadHint& aHint);
+std::string
+EncodeLoadHint(const LoadHint& aHint);
 
 // Nothing when the text is no load hint, as the hint of another refusal.
-std::optional<LoadHint> DecodeLoadHint(std::string_view aText);
+std::optional<LoadHint>
+DecodeLoadHint(std::string_view aText);
 
 // Takes the load that a refusal carried. Call it after OnEnded for the refused
 // request, so that it is not counted as own.
-void ApplyLoadHint(Balancer& aBalancer,
-                   std::string_view aAddress,
-                   const LoadHint& aHint,
-                   TimeMs aNowMs);
+void
+ApplyLoadHint(Balancer& aBalancer,
+              std::string_view aAddress,
+              const LoadHint& aHint,
+              TimeMs aNowMs);
 
 // A backend server's event that it stored or evicted a prefix.
-void OnCacheEvent(Balancer& aBalancer,
-                  const BalancerOptions& aOptions,
-                  std::string_view aAddress,
-                  std::uint64_t aPrefix,
-                  bool aStored,
-                  TimeMs aNowMs);
+void
+OnCacheEvent(Balancer& aBalancer,
+             const BalancerOptions& aOptions,
+             std::string_view aAddress,
+             std::uint64_t aPrefix,
+             bool aStored,
+             TimeMs aNowMs);
 
 // Hashes of a prompt's leading whole blocks, each covering all before it. At
 // most `aMaxBlocks` blocks of `aBlockBytes`; a shorter prompt has none.
-std::vector<std::uint64_t> PrefixHashes(std::string_view aPrompt,
-                                        std::size_t aBlockBytes = 1024,
-                                        std::size_t aMaxBlocks = 32);
+std::vector<std::uint64_t>
+PrefixHashes(std::string_view aPrompt,
+             std::size_t aBlockBytes = 1024,
+             std::size_t aMaxBlocks = 32);
 
 // What is to be placed. `mVersion` is "model@version", empty for a plain
 // service; `mExcluded` are addresses already tried.
@@ -218,10 +227,11 @@
 
 // Chooses by power of d choices among the eligible backend servers plus the
 // holders of the longest known prefix. Cost does not grow with the pool.
-Choice ChooseBackend(Balancer& aBalancer,
-                     const BalancerOptions& aOptions,
-                     const ChoiceRequest& aRequest,
-                     RandomEngine& aRandom,
-                     TimeMs aNowMs);
+Choice
+ChooseBackend(Balancer& aBalancer,
+              const BalancerOptions& aOptions,
+              const ChoiceRequest& aRequest,
+              RandomEngine& aRandom,
+              TimeMs aNowMs);
 
 } // namespace savory
--- a/core/include/savory/core/limits.h
+++ b/core/include/savory/core/limits.h
@@ -104,10 +104,11 @@
 
 // Takes the customers of a configuration. Counters of those that stay are
 // kept; those that are gone lose theirs, with their queue.
-void ApplyCustomers(Limits& aLimits,
-                    const LimitsOptions& aOptions,
-                    std::span<const Customer> aCustomers,
-                    TimeMs aNowMs);
+void
+ApplyCustomers(Limits& aLimits,
+               const LimitsOptions& aOptions,
+               std::span<const Customer> aCustomers,
+               TimeMs aNowMs);
 
 // Whether a request may go on. A refusal is "not run".
 struct LimitAnswer
@@ -122,43 +123,48 @@
 // Decides a request that has just arrived, in the order: known customer,
 // retry budget, shedding by the preset's priority while `aOverloaded`, token
 // bucket. The fingerprint covers the customer too.
-LimitAnswer CheckArrival(Limits& aLimits,
-                         const LimitsOptions& aOptions,
-                         std::string_view aCustomer,
-                         std::uint64_t aFingerprint,
-                         std::int64_t aTokens,
-                         const Preset& aPreset,
-                         bool aOverloaded,
-                         TimeMs aNowMs);
+LimitAnswer
+CheckArrival(Limits& aLimits,
+             const LimitsOptions& aOptions,
+             std::string_view aCustomer,
+             std::uint64_t aFingerprint,
+             std::int64_t aTokens,
+             const Preset& aPreset,
+             bool aOverloaded,
+             TimeMs aNowMs);
 
 // Spends one retry of the entry's own from the customer's budget. False when
 // there is none, and then the caller gets the refusal at hand.
-bool TakeRetry(Limits& aLimits,
-               const LimitsOptions& aOptions,
-               std::string_view aCustomer,
-               TimeMs aNowMs);
+bool
+TakeRetry(Limits& aLimits,
+          const LimitsOptions& aOptions,
+          std::string_view aCustomer,
+          TimeMs aNowMs);
 
 // Takes a full answer: it earns retry budget, and the same request sent again
 // later is a new one.
-void OnAnswered(Limits& aLimits,
-                const LimitsOptions& aOptions,
-                std::string_view aCustomer,
-                std::uint64_t aFingerprint,
-                TimeMs aNowMs);
+void
+OnAnswered(Limits& aLimits,
+           const LimitsOptions& aOptions,
+           std::string_view aCustomer,
+           std::uint64_t aFingerprint,
+           TimeMs aNowMs);
 
 // Puts an allowed request into its customer's queue. False when the queue is
 // full or so long that its turn would come after `mMaxWaitMs`; the caller then
 // refuses it with `overloaded`.
-bool Enqueue(Limits& aLimits,
-             const LimitsOptions& aOptions,
-             std::string_view aCustomer,
-             const WaitingRequest& aRequest,
-             TimeMs aNowMs);
+bool
+Enqueue(Limits& aLimits,
+        const LimitsOptions& aOptions,
+        std::string_view aCustomer,
+        const WaitingRequest& aRequest,
+        TimeMs aNowMs);
 
 // Takes a queued request whose caller has gone out. True when it was queued.
-bool RemoveWaiting(Limits& aLimits,
-                   std::string_view aCustomer,
-                   std::string_view aId);
+bool
+RemoveWaiting(Limits& aLimits,
+              std::string_view aCustomer,
+              std::string_view aId);
 
 struct NextRequest
 {
@@ -170,28 +176,30 @@
 // in the whole fleet of entries. Nothing when none waits, or when those that
 // wait here are ahead of one that waits at another entry. The request counts
 // as let through; when no backend server takes it, return it with PutBack.
-std::optional<NextRequest> TakeNext(Limits& aLimits,
-                                    const LimitsOptions& aOptions,
-                                    TimeMs aNowMs);
-void PutBack(Limits& aLimits, const NextRequest& aNext);
+std::optional<NextRequest>
+TakeNext(Limits& aLimits, const LimitsOptions& aOptions, TimeMs aNowMs);
+void
+PutBack(Limits& aLimits, const NextRequest& aNext);
 
 // Removes the queued requests whose deadline has passed.
-std::vector<NextRequest> TakeExpired(Limits& aLimits, TimeMs aNowMs);
+std::vector<NextRequest>
+TakeExpired(Limits& aLimits, TimeMs aNowMs);
 
 // Gossip: this entry's counters under a new sequence, and those of a peer,
 // which replace older ones of the same peer. True when they were newer.
-DemandRow OwnDemand(Limits& aLimits,
-                    const LimitsOptions& aOptions,
-                    TimeMs aNowMs);
-bool MergeDemand(Limits& aLimits,
-                 const LimitsOptions& aOptions,
-                 const DemandRow& aRow,
-                 TimeMs aNowMs);
+DemandRow
+OwnDemand(Limits& aLimits, const LimitsOptions& aOptions, TimeMs aNowMs);
+bool
+MergeDemand(Limits& aLimits,
+            const LimitsOptions& aOptions,
+            const DemandRow& aRow,
+            TimeMs aNowMs);
 
 // The share in [0, 1] of a customer's rate that this entry may give out.
-double OwnShare(const Limits& aLimits,
-                const LimitsOptions& aOptions,
-                std::string_view aCustomer,
-                TimeMs aNowMs);
+double
+OwnShare(const Limits& aLimits,
+         const LimitsOptions& aOptions,
+         std::string_view aCustomer,
+         TimeMs aNowMs);
 
 } // namespace savory
--- a/core/include/savory/core/quarantine.h
+++ b/core/include/savory/core/quarantine.h
@@ -69,47 +69,54 @@
   { Treatment::Refuse, "refuse" },
 } };
 
-std::uint64_t CrashId(std::string_view aAddress, std::string_view aIncarnation);
+std::uint64_t
+CrashId(std::string_view aAddress, std::string_view aIncarnation);
 
 // Marks the requests that ran on a backend server when it crashed. When there
 // was one, it ran in isolation, whether or not it was a suspect before.
-void OnCrash(Quarantine& aQuarantine,
-             const QuarantineOptions& aOptions,
-             std::uint64_t aCrashId,
-             std::span<const std::uint64_t> aFingerprints,
-             TimeMs aNowMs);
+void
+OnCrash(Quarantine& aQuarantine,
+        const QuarantineOptions& aOptions,
+        std::uint64_t aCrashId,
+        std::span<const std::uint64_t> aFingerprints,
+        TimeMs aNowMs);
 
 // Clears a request that ran to its end. A request that is refused stays so.
-void OnRanToEnd(Quarantine& aQuarantine,
-                const QuarantineOptions& aOptions,
-                std::uint64_t aFingerprint);
+void
+OnRanToEnd(Quarantine& aQuarantine,
+           const QuarantineOptions& aOptions,
+           std::uint64_t aFingerprint);
 
 // How to treat a request. An attempt of a refused request renews its lifetime,
 // so that a caller that resends for days is not let through once a day.
-Treatment Judge(Quarantine& aQuarantine,
-                const QuarantineOptions& aOptions,
-                std::uint64_t aFingerprint,
-                TimeMs aNowMs);
+Treatment
+Judge(Quarantine& aQuarantine,
+      const QuarantineOptions& aOptions,
+      std::uint64_t aFingerprint,
+      TimeMs aNowMs);
 
 // The backend server on which a suspect may run: every entry names the same
 // one, and its agent runs one such request at a time, so no lock is needed.
 // `aAddresses` are the live members of the pool that serve the version; empty
 // when there is none.
-std::string IsolationTarget(std::uint64_t aFingerprint,
-                            std::span<const std::string> aAddresses);
+std::string
+IsolationTarget(std::uint64_t aFingerprint,
+                std::span<const std::string> aAddresses);
 
 // All suspects for gossip, and the merge of a peer's. True when it told of
 // anything new, which should be passed on at once.
-std::vector<SuspectRow> SuspectRows(const Quarantine& aQuarantine,
-                                    TimeMs aNowMs);
-bool MergeSuspects(Quarantine& aQuarantine,
-                   const QuarantineOptions& aOptions,
-                   std::span<const SuspectRow> aRows,
-                   TimeMs aNowMs);
+std::vector<SuspectRow>
+SuspectRows(const Quarantine& aQuarantine, TimeMs aNowMs);
+bool
+MergeSuspects(Quarantine& aQuarantine,
+              const QuarantineOptions& aOptions,
+              std::span<const SuspectRow> aRows,
+              TimeMs aNowMs);
 
 // Forgets suspects older than the retention.
-void ExpireSuspects(Quarantine& aQuarantine,
-                    const QuarantineOptions& aOptions,
-                    TimeMs aNowMs);
+void
+ExpireSuspects(Quarantine& aQuarantine,
+               const QuarantineOptions& aOptions,
+               TimeMs aNowMs);
 
 } // namespace savory
--- a/core/include/savory/core/warmup.h
+++ b/core/include/savory/core/warmup.h
@@ -37,38 +37,43 @@
 };
 
 // The number of requests that the backend server may run now.
-int Allowance(const Warmup& aWarmup, const WarmupOptions& aOptions);
+int
+Allowance(const Warmup& aWarmup, const WarmupOptions& aOptions);
 
 // Whether the allowance is below the full value.
-bool IsCold(const Warmup& aWarmup, const WarmupOptions& aOptions);
+bool
+IsCold(const Warmup& aWarmup, const WarmupOptions& aOptions);
 
 // Starts the warm-up anew, as after a broken connection or when the zone
 // returns. The cause is for the log.
-void ResetWarmup(Warmup& aWarmup, std::string_view aCause);
+void
+ResetWarmup(Warmup& aWarmup, std::string_view aCause);
 
 // Takes the incarnation of the backend server's own load report. True when it
 // is a new one and the warm-up starts anew.
-bool OnIncarnation(Warmup& aWarmup, std::string_view aIncarnation);
+bool
+OnIncarnation(Warmup& aWarmup, std::string_view aIncarnation);
 
 // Whether a wait for the first token is that of a cold backend server. It may
 // be asked while the request still waits.
-bool LooksCold(const Warmup& aWarmup,
-               const WarmupOptions& aOptions,
-               std::int64_t aInputTokens,
-               TimeMs aElapsedMs);
+bool
+LooksCold(const Warmup& aWarmup,
+          const WarmupOptions& aOptions,
+          std::int64_t aInputTokens,
+          TimeMs aElapsedMs);
 
 // Takes a time to first token, measured from the start at the backend server.
 // True when it shows a cold backend server and the warm-up starts anew.
-bool OnFirstToken(Warmup& aWarmup,
-                  const WarmupOptions& aOptions,
-                  int aGeneration,
-                  std::int64_t aInputTokens,
-                  TimeMs aElapsedMs);
+bool
+OnFirstToken(Warmup& aWarmup,
+             const WarmupOptions& aOptions,
+             int aGeneration,
+             std::int64_t aInputTokens,
+             TimeMs aElapsedMs);
 
 // Takes a whole answer to a request that started in `aGeneration`. A round is
 // as many answers as the allowance; after each the allowance doubles.
-void OnCompleted(Warmup& aWarmup,
-                 const WarmupOptions& aOptions,
-                 int aGeneration);
+void
+OnCompleted(Warmup& aWarmup, const WarmupOptions& aOptions, int aGeneration);
 
 } // namespace savory
--- a/core/src/admission.cpp
+++ b/core/src/admission.cpp
@@ -18,24 +18,27 @@
 // weight that arrives after it.
 constexpr double kWeightDelayMs = 1000;
 
-std::int64_t HeldBy(const RunningRequest& aRunning)
+std::int64_t
+HeldBy(const RunningRequest& aRunning)
 {
   return aRunning.mInputTokens +
          std::max(aRunning.mReserved, aRunning.mGenerated);
 }
 
-std::int64_t FillLimit(const AdmissionOptions& aOptions)
+std::int64_t
+FillLimit(const AdmissionOptions& aOptions)
 {
   return static_cast<std::int64_t>(
     kFillShare * static_cast<double>(aOptions.mTokenCapacity));
 }
 
 // Why a request cannot start now; nothing when it can.
-std::optional<ErrorCode> CannotStart(const Admission& aAdmission,
-                                     const AdmissionOptions& aOptions,
-                                     int aAllowance,
-                                     bool aCold,
-                                     const AdmissionRequest& aRequest)
+std::optional<ErrorCode>
+CannotStart(const Admission& aAdmission,
+            const AdmissionOptions& aOptions,
+            int aAllowance,
+            bool aCold,
+            const AdmissionRequest& aRequest)
 {
   if (!aAdmission.mRunning.empty() &&
       (aRequest.mAlone || aAdmission.mRunning.begin()->second.mAlone)) {
@@ -52,9 +55,8 @@
   return std::nullopt;
 }
 
-void Start(Admission& aAdmission,
-           const AdmissionRequest& aRequest,
-           TimeMs aNowMs)
+void
+Start(Admission& aAdmission, const AdmissionRequest& aRequest, TimeMs aNowMs)
 {
   RunningRequest running;
   running.mInputTokens = aRequest.mInputTokens;
@@ -67,20 +69,20 @@
 }
 
 // Mean time until a place in the queue gets its turn.
-TimeMs ExpectedWait(const Admission& aAdmission,
-                    int aAllowance,
-                    std::size_t aAhead)
+TimeMs
+ExpectedWait(const Admission& aAdmission, int aAllowance, std::size_t aAhead)
 {
   return static_cast<TimeMs>(
     std::ceil(aAdmission.mServiceMs * static_cast<double>(aAhead + 1) /
               std::max(1, aAllowance)));
 }
 
-AdmissionAnswer Refuse(const Admission& aAdmission,
-                       const AdmissionOptions& aOptions,
-                       int aAllowance,
-                       ErrorCode aCode,
-                       std::string aReason)
+AdmissionAnswer
+Refuse(const Admission& aAdmission,
+       const AdmissionOptions& aOptions,
+       int aAllowance,
+       ErrorCode aCode,
+       std::string aReason)
 {
   AdmissionAnswer answer;
   answer.mCode = aCode;
@@ -91,7 +93,8 @@
   return answer;
 }
 
-std::string ReasonOf(ErrorCode aCode)
+std::string
+ReasonOf(ErrorCode aCode)
 {
   switch (aCode) {
     case ErrorCode::ColdLimit:
@@ -106,13 +109,15 @@
 // The place in the queue among equal priorities: by age, with a head start for
 // larger weights that is bounded. The entries have already shared the capacity
 // by weight; a second fair queue here let small customers wait without bound.
-double TagOf(const AdmissionRequest& aRequest, TimeMs aNowMs)
+double
+TagOf(const AdmissionRequest& aRequest, TimeMs aNowMs)
 {
   return static_cast<double>(aNowMs) +
          kWeightDelayMs / std::max(1.0, aRequest.mWeight);
 }
 
-bool Before(const QueuedRequest& aLeft, const QueuedRequest& aRight)
+bool
+Before(const QueuedRequest& aLeft, const QueuedRequest& aRight)
 {
   if (aLeft.mRequest.mPriority != aRight.mRequest.mPriority) {
     return aLeft.mRequest.mPriority > aRight.mRequest.mPriority;
@@ -122,9 +127,10 @@
 
 } // namespace
 
-LoadHint OwnLoad(const Admission& aAdmission,
-                 const AdmissionOptions& aOptions,
-                 int aAllowance)
+LoadHint
+OwnLoad(const Admission& aAdmission,
+        const AdmissionOptions& aOptions,
+        int aAllowance)
 {
   return { static_cast<int>(aAdmission.mRunning.size()),
            static_cast<int>(aAdmission.mQueue.size()),
@@ -133,7 +139,8 @@
            aOptions.mTokenCapacity };
 }
 
-bool TakeRoomNews(Admission& aAdmission, int aAllowance)
+bool
+TakeRoomNews(Admission& aAdmission, int aAllowance)
 {
   bool room = static_cast<int>(aAdmission.mRunning.size()) < aAllowance &&
               aAdmission.mQueue.empty();
@@ -144,13 +151,14 @@
   return news;
 }
 
-AdmissionAnswer Admit(Admission& aAdmission,
-                      const AdmissionOptions& aOptions,
-                      int aAllowance,
-                      bool aCold,
-                      const AdmissionRequest& aRequest,
-                      TimeMs aNowMs,
-                      AdmissionChanges& aChanges)
+AdmissionAnswer
+Admit(Admission& aAdmission,
+      const AdmissionOptions& aOptions,
+      int aAllowance,
+      bool aCold,
+      const AdmissionRequest& aRequest,
+      TimeMs aNowMs,
+      AdmissionChanges& aChanges)
 {
   auto refuse = [&](ErrorCode aCode, std::string aReason) {
     aAdmission.mRefusedForLoad |= aCode == ErrorCode::Overloaded ||
@@ -228,10 +236,11 @@
   return answer;
 }
 
-std::vector<std::string> OnGenerated(Admission& aAdmission,
-                                     const AdmissionOptions& aOptions,
-                                     std::string_view aId,
-                                     std::int64_t aGenerated)
+std::vector<std::string>
+OnGenerated(Admission& aAdmission,
+            const AdmissionOptions& aOptions,
+            std::string_view aId,
+            std::int64_t aGenerated)
 {
   std::vector<std::string> cancelled;
   auto found = aAdmission.mRunning.find(std::string(aId));
@@ -260,9 +269,10 @@
   return cancelled;
 }
 
-void OnInputCounted(Admission& aAdmission,
-                    std::string_view aId,
-                    std::int64_t aInputTokens)
+void
+OnInputCounted(Admission& aAdmission,
+               std::string_view aId,
+               std::int64_t aInputTokens)
 {
   auto found = aAdmission.mRunning.find(std::string(aId));
   if (found != aAdmission.mRunning.end()) {
@@ -272,7 +282,8 @@
   }
 }
 
-void OnLeft(Admission& aAdmission, std::string_view aId, TimeMs aNowMs)
+void
+OnLeft(Admission& aAdmission, std::string_view aId, TimeMs aNowMs)
 {
   auto found = aAdmission.mRunning.find(std::string(aId));
   if (found == aAdmission.mRunning.end()) {
@@ -285,18 +296,20 @@
   aAdmission.mRunning.erase(found);
 }
 
-bool CancelQueued(Admission& aAdmission, std::string_view aId)
+bool
+CancelQueued(Admission& aAdmission, std::string_view aId)
 {
   return std::erase_if(aAdmission.mQueue, [&](const QueuedRequest& aQueued) {
            return aQueued.mRequest.mId == aId;
          }) > 0;
 }
 
-AdmissionChanges PollAdmission(Admission& aAdmission,
-                               const AdmissionOptions& aOptions,
-                               int aAllowance,
-                               bool aCold,
-                               TimeMs aNowMs)
+AdmissionChanges
+PollAdmission(Admission& aAdmission,
+              const AdmissionOptions& aOptions,
+              int aAllowance,
+              bool aCold,
+              TimeMs aNowMs)
 {
   AdmissionChanges changes;
   // 1. Refuse what cannot run any more.
--- a/core/src/balancer.cpp
+++ b/core/src/balancer.cpp
@@ -7,12 +7,14 @@
 
 namespace savory {
 
-std::uint64_t IndexKey(std::string_view aPool, std::string_view aVersion)
+std::uint64_t
+IndexKey(std::string_view aPool, std::string_view aVersion)
 {
   return HashOf(aVersion, HashOf(aPool));
 }
 
-void RebuildIndex(Balancer& aBalancer, const BalancerOptions& aOptions)
+void
+RebuildIndex(Balancer& aBalancer, const BalancerOptions& aOptions)
 {
   aBalancer.mIndex.clear();
   for (std::size_t i = 0; i < aBalancer.mRows.size(); ++i) {
@@ -38,11 +40,12 @@
   aBalancer.mIndexStale = false;
 }
 
-void RecordPrefix(Balancer& aBalancer,
-                  const BalancerOptions& aOptions,
-                  std::uint64_t aHash,
-                  std::uint32_t aRow,
-                  TimeMs aNowMs)
+void
+RecordPrefix(Balancer& aBalancer,
+             const BalancerOptions& aOptions,
+             std::uint64_t aHash,
+             std::uint32_t aRow,
+             TimeMs aNowMs)
 {
   // Two generations bound the memory: when the younger is full it replaces the
   // older, and prefixes in use move back into the younger.
@@ -78,7 +81,8 @@
   *known = holder;
 }
 
-const PrefixHolders* FindPrefix(const Balancer& aBalancer, std::uint64_t aHash)
+const PrefixHolders*
+FindPrefix(const Balancer& aBalancer, std::uint64_t aHash)
 {
   for (const auto* map : { &aBalancer.mPrefixes, &aBalancer.mOldPrefixes }) {
     auto found = map->find(aHash);
@@ -122,12 +126,14 @@
   std::array<int, 6> mUnfit{};
 };
 
-double UniformIn01(RandomEngine& aRandom)
+double
+UniformIn01(RandomEngine& aRandom)
 {
   return static_cast<double>(aRandom() >> 11) * 0x1.0p-53;
 }
 
-Unfit CheckRow(Selection& aSelection, const BackendRow& aRow, bool aZoneShare)
+Unfit
+CheckRow(Selection& aSelection, const BackendRow& aRow, bool aZoneShare)
 {
   const auto& options = aSelection.mOptions;
   for (const auto& address : aSelection.mRequest.mExcluded) {
@@ -171,9 +177,10 @@
   return Unfit::None;
 }
 
-double ScoreRow(const Selection& aSelection,
-                const BackendRow& aRow,
-                std::size_t aCached)
+double
+ScoreRow(const Selection& aSelection,
+         const BackendRow& aRow,
+         std::size_t aCached)
 {
   const auto& options = aSelection.mOptions;
   double load = aRow.mOthers + aRow.mOwn;
@@ -200,10 +207,11 @@
 }
 
 // Adds a row to the candidates when it is fit and not yet among them.
-bool Consider(Selection& aSelection,
-              std::uint32_t aIndex,
-              std::size_t aCached,
-              bool aZoneShare)
+bool
+Consider(Selection& aSelection,
+         std::uint32_t aIndex,
+         std::size_t aCached,
+         bool aZoneShare)
 {
   for (std::size_t i = 0; i < aSelection.mFitCount; ++i) {
     if (aSelection.mFit[i].mRow == aIndex) {
@@ -223,7 +231,8 @@
 }
 
 // Considers the holders of the longest prefix that any usable row holds.
-void ConsiderHolders(Selection& aSelection)
+void
+ConsiderHolders(Selection& aSelection)
 {
   const auto& prefix = aSelection.mRequest.mPrefix;
   for (std::size_t length = prefix.size(); length > 0; --length) {
@@ -262,7 +271,8 @@
 }
 
 // Why nothing was fit, by what hindered most of the rows that were looked at.
-void Explain(const Selection& aSelection, std::size_t aUsable, Choice& aChoice)
+void
+Explain(const Selection& aSelection, std::size_t aUsable, Choice& aChoice)
 {
   auto count = [&](Unfit aUnfit) {
     return aSelection.mUnfit[static_cast<std::size_t>(aUnfit)];
@@ -306,11 +316,12 @@
 
 } // namespace
 
-Choice ChooseBackend(Balancer& aBalancer,
-                     const BalancerOptions& aOptions,
-                     const ChoiceRequest& aRequest,
-                     RandomEngine& aRandom,
-                     TimeMs aNowMs)
+Choice
+ChooseBackend(Balancer& aBalancer,
+              const BalancerOptions& aOptions,
+              const ChoiceRequest& aRequest,
+              RandomEngine& aRandom,
+              TimeMs aNowMs)
 {
   Choice choice;
   // 1. The rows that serve the version.
--- a/core/src/balancer_table.cpp
+++ b/core/src/balancer_table.cpp
@@ -11,14 +11,16 @@
 
 namespace {
 
-BackendRow* FindRow(Balancer& aBalancer, std::string_view aAddress)
+BackendRow*
+FindRow(Balancer& aBalancer, std::string_view aAddress)
 {
   auto found = aBalancer.mByAddress.find(std::string(aAddress));
   return found == aBalancer.mByAddress.end() ? nullptr
                                              : &aBalancer.mRows[found->second];
 }
 
-int FindZoneView(const Balancer& aBalancer, std::string_view aName)
+int
+FindZoneView(const Balancer& aBalancer, std::string_view aName)
 {
   for (std::size_t i = 0; i < aBalancer.mZones.size(); ++i) {
     if (aBalancer.mZones[i].mName == aName) {
@@ -28,7 +30,8 @@
   return -1;
 }
 
-std::uint32_t AddRow(Balancer& aBalancer, const std::string& aAddress)
+std::uint32_t
+AddRow(Balancer& aBalancer, const std::string& aAddress)
 {
   std::uint32_t row = 0;
   if (aBalancer.mFree.empty()) {
@@ -50,7 +53,8 @@
 }
 
 // The reported load without this entry's own part.
-void SetLoad(BackendRow& aRow, const LoadHint& aLoad, TimeMs aNowMs)
+void
+SetLoad(BackendRow& aRow, const LoadHint& aLoad, TimeMs aNowMs)
 {
   aRow.mOthers = std::max(0, aLoad.mRunning + aLoad.mQueued - aRow.mOwn);
   aRow.mOtherTokens =
@@ -67,10 +71,11 @@
 
 } // namespace
 
-std::vector<std::string> ChooseSubset(std::string_view aEntry,
-                                      std::string_view aRegion,
-                                      std::span<const PoolMember> aMembers,
-                                      std::size_t aSize)
+std::vector<std::string>
+ChooseSubset(std::string_view aEntry,
+             std::string_view aRegion,
+             std::span<const PoolMember> aMembers,
+             std::size_t aSize)
 {
   struct Ranked
   {
@@ -102,9 +107,8 @@
   return subset;
 }
 
-void ApplyZones(Balancer& aBalancer,
-                std::span<const Zone> aZones,
-                TimeMs aNowMs)
+void
+ApplyZones(Balancer& aBalancer, std::span<const Zone> aZones, TimeMs aNowMs)
 {
   std::vector<ZoneView> zones;
   for (const auto& zone : aZones) {
@@ -125,9 +129,10 @@
   aBalancer.mIndexStale = true;
 }
 
-double ZoneWeight(const ZoneView& aZone,
-                  const BalancerOptions& aOptions,
-                  TimeMs aNowMs)
+double
+ZoneWeight(const ZoneView& aZone,
+           const BalancerOptions& aOptions,
+           TimeMs aNowMs)
 {
   switch (aZone.mState) {
     case ZoneState::In:
@@ -144,7 +149,8 @@
   return 0;
 }
 
-void ApplyReport(Balancer& aBalancer, const Report& aReport, TimeMs aNowMs)
+void
+ApplyReport(Balancer& aBalancer, const Report& aReport, TimeMs aNowMs)
 {
   auto found = aBalancer.mByAddress.find(aReport.mAddress);
   bool isNew = found == aBalancer.mByAddress.end();
@@ -186,7 +192,8 @@
   most = std::max(most, row.mAllowance);
 }
 
-void MarkLeaving(Balancer& aBalancer, std::string_view aAddress)
+void
+MarkLeaving(Balancer& aBalancer, std::string_view aAddress)
 {
   auto* row = FindRow(aBalancer, aAddress);
   if (row && !row->mLeaving) {
@@ -195,7 +202,8 @@
   }
 }
 
-void RemoveBackend(Balancer& aBalancer, std::string_view aAddress)
+void
+RemoveBackend(Balancer& aBalancer, std::string_view aAddress)
 {
   auto found = aBalancer.mByAddress.find(std::string(aAddress));
   if (found == aBalancer.mByAddress.end()) {
@@ -207,12 +215,13 @@
   aBalancer.mIndexStale = true;
 }
 
-void OnSent(Balancer& aBalancer,
-            const BalancerOptions& aOptions,
-            std::string_view aAddress,
-            std::int64_t aTokens,
-            std::span<const std::uint64_t> aPrefix,
-            TimeMs aNowMs)
+void
+OnSent(Balancer& aBalancer,
+       const BalancerOptions& aOptions,
+       std::string_view aAddress,
+       std::int64_t aTokens,
+       std::span<const std::uint64_t> aPrefix,
+       TimeMs aNowMs)
 {
   auto* row = FindRow(aBalancer, aAddress);
   if (!row) {
@@ -226,9 +235,8 @@
   }
 }
 
-void OnEnded(Balancer& aBalancer,
-             std::string_view aAddress,
-             std::int64_t aTokens)
+void
+OnEnded(Balancer& aBalancer, std::string_view aAddress, std::int64_t aTokens)
 {
   // A row that was removed and added again starts at zero, and requests sent
   // before must not take its count below.
@@ -238,7 +246,8 @@
   }
 }
 
-std::string EncodeLoadHint(const LoadHint& aHint)
+std::string
+EncodeLoadHint(const LoadHint& aHint)
 {
   return "load " + std::to_string(aHint.mRunning) + " " +
          std::to_string(aHint.mQueued) + " " +
@@ -247,7 +256,8 @@
          std::to_string(aHint.mTokenCapacity);
 }
 
-std::optional<LoadHint> DecodeLoadHint(std::string_view aText)
+std::optional<LoadHint>
+DecodeLoadHint(std::string_view aText)
 {
   if (!aText.starts_with("load ")) {
     return std::nullopt;
@@ -276,10 +286,11 @@
   };
 }
 
-void ApplyLoadHint(Balancer& aBalancer,
-                   std::string_view aAddress,
-                   const LoadHint& aHint,
-                   TimeMs aNowMs)
+void
+ApplyLoadHint(Balancer& aBalancer,
+              std::string_view aAddress,
+              const LoadHint& aHint,
+              TimeMs aNowMs)
 {
   if (auto* row = FindRow(aBalancer, aAddress)) {
     SetLoad(*row, aHint, aNowMs);
@@ -288,12 +299,13 @@
   }
 }
 
-void OnCacheEvent(Balancer& aBalancer,
-                  const BalancerOptions& aOptions,
-                  std::string_view aAddress,
-                  std::uint64_t aPrefix,
-                  bool aStored,
-                  TimeMs aNowMs)
+void
+OnCacheEvent(Balancer& aBalancer,
+             const BalancerOptions& aOptions,
+             std::string_view aAddress,
+             std::uint64_t aPrefix,
+             bool aStored,
+             TimeMs aNowMs)
 {
   auto* row = FindRow(aBalancer, aAddress);
   if (!row) {
@@ -319,9 +331,10 @@
   }
 }
 
-std::vector<std::uint64_t> PrefixHashes(std::string_view aPrompt,
-                                        std::size_t aBlockBytes,
-                                        std::size_t aMaxBlocks)
+std::vector<std::uint64_t>
+PrefixHashes(std::string_view aPrompt,
+             std::size_t aBlockBytes,
+             std::size_t aMaxBlocks)
 {
   std::vector<std::uint64_t> hashes;
   std::uint64_t hash = 0;
--- a/core/src/limits.cpp
+++ b/core/src/limits.cpp
@@ -19,20 +19,23 @@
 // Weight of a new sample in the time between a customer's turns.
 constexpr double kTurnRate = 0.2;
 
-CustomerState* FindState(Limits& aLimits, std::string_view aCustomer)
+CustomerState*
+FindState(Limits& aLimits, std::string_view aCustomer)
 {
   auto found = aLimits.mCustomers.find(aCustomer);
   return found == aLimits.mCustomers.end() ? nullptr : &found->second;
 }
 
-double DecayOver(const LimitsOptions& aOptions, TimeMs aElapsedMs)
+double
+DecayOver(const LimitsOptions& aOptions, TimeMs aElapsedMs)
 {
   return std::exp(-static_cast<double>(std::max<TimeMs>(0, aElapsedMs)) /
                   static_cast<double>(aOptions.mUsageDecayMs));
 }
 
 // Lets demand and usage decay up to now.
-void Decay(CustomerState& aState, const LimitsOptions& aOptions, TimeMs aNowMs)
+void
+Decay(CustomerState& aState, const LimitsOptions& aOptions, TimeMs aNowMs)
 {
   double factor = DecayOver(aOptions, aNowMs - aState.mDecayMs);
   aState.mDemand *= factor;
@@ -40,9 +43,8 @@
   aState.mDecayMs = aNowMs;
 }
 
-std::size_t LivePeers(const Limits& aLimits,
-                      const LimitsOptions& aOptions,
-                      TimeMs aNowMs)
+std::size_t
+LivePeers(const Limits& aLimits, const LimitsOptions& aOptions, TimeMs aNowMs)
 {
   return static_cast<std::size_t>(std::count_if(
     aLimits.mPeers.begin(), aLimits.mPeers.end(), [&](const auto& aPeer) {
@@ -52,7 +54,8 @@
 
 // Sums what the live peers told. Called when a row arrives, so that decisions
 // cost nothing for the number of entries.
-void SumPeers(Limits& aLimits, const LimitsOptions& aOptions, TimeMs aNowMs)
+void
+SumPeers(Limits& aLimits, const LimitsOptions& aOptions, TimeMs aNowMs)
 {
   for (auto& [name, state] : aLimits.mCustomers) {
     state.mPeerDemand = 0;
@@ -77,9 +80,10 @@
 }
 
 // What a customer got for its weight, over all entries.
-double Normalized(const CustomerState& aState,
-                  const LimitsOptions& aOptions,
-                  TimeMs aNowMs)
+double
+Normalized(const CustomerState& aState,
+           const LimitsOptions& aOptions,
+           TimeMs aNowMs)
 {
   double own = aState.mUsage * DecayOver(aOptions, aNowMs - aState.mDecayMs);
   double peers =
@@ -87,18 +91,18 @@
   return (own + peers) / aState.mWeight;
 }
 
-bool WaitsAtPeer(const CustomerState& aState,
-                 const LimitsOptions& aOptions,
-                 TimeMs aNowMs)
+bool
+WaitsAtPeer(const CustomerState& aState,
+            const LimitsOptions& aOptions,
+            TimeMs aNowMs)
 {
   return aState.mPeerWaiting &&
          aNowMs - aState.mPeerMs <= aOptions.mPeerTimeoutMs;
 }
 
 // What the least served customer that waits at any entry got for its weight.
-std::optional<double> LeastServed(const Limits& aLimits,
-                                  const LimitsOptions& aOptions,
-                                  TimeMs aNowMs)
+std::optional<double>
+LeastServed(const Limits& aLimits, const LimitsOptions& aOptions, TimeMs aNowMs)
 {
   std::optional<double> least;
   for (const auto& [name, state] : aLimits.mCustomers) {
@@ -112,10 +116,11 @@
 
 // Whether a request was sent before, within the window, without having been
 // answered in full; remembers it either way.
-bool SeenBefore(Limits& aLimits,
-                const LimitsOptions& aOptions,
-                std::uint64_t aFingerprint,
-                TimeMs aNowMs)
+bool
+SeenBefore(Limits& aLimits,
+           const LimitsOptions& aOptions,
+           std::uint64_t aFingerprint,
+           TimeMs aNowMs)
 {
   if (aNowMs - aLimits.mSeenSinceMs >= aOptions.mRetryWindowMs ||
       aLimits.mSeen.size() >= aOptions.mMaxFingerprints / 2) {
@@ -135,10 +140,11 @@
 
 // Refills the retry budget by its own rate. A successful answer refills it by
 // the share of successes in OnAnswered.
-void RefillRetries(CustomerState& aState,
-                   const LimitsOptions& aOptions,
-                   double aShare,
-                   TimeMs aNowMs)
+void
+RefillRetries(CustomerState& aState,
+              const LimitsOptions& aOptions,
+              double aShare,
+              TimeMs aNowMs)
 {
   double seconds = static_cast<double>(aNowMs - aState.mRetryMs) / 1000;
   aState.mRetryTokens =
@@ -147,7 +153,8 @@
   aState.mRetryMs = aNowMs;
 }
 
-LimitAnswer Refuse(ErrorCode aCode, TimeMs aRetryAfterMs, std::string aReason)
+LimitAnswer
+Refuse(ErrorCode aCode, TimeMs aRetryAfterMs, std::string aReason)
 {
   LimitAnswer answer;
   answer.mCode = aCode;
@@ -158,10 +165,11 @@
 
 } // namespace
 
-void ApplyCustomers(Limits& aLimits,
-                    const LimitsOptions& aOptions,
-                    std::span<const Customer> aCustomers,
-                    TimeMs aNowMs)
+void
+ApplyCustomers(Limits& aLimits,
+               const LimitsOptions& aOptions,
+               std::span<const Customer> aCustomers,
+               TimeMs aNowMs)
 {
   std::map<std::string, CustomerState, std::less<>> customers;
   for (const auto& customer : aCustomers) {
@@ -183,10 +191,11 @@
   SumPeers(aLimits, aOptions, aNowMs);
 }
 
-double OwnShare(const Limits& aLimits,
-                const LimitsOptions& aOptions,
-                std::string_view aCustomer,
-                TimeMs aNowMs)
+double
+OwnShare(const Limits& aLimits,
+         const LimitsOptions& aOptions,
+         std::string_view aCustomer,
+         TimeMs aNowMs)
 {
   auto found = aLimits.mCustomers.find(aCustomer);
   if (found == aLimits.mCustomers.end()) {
@@ -201,14 +210,15 @@
   return kEvenShare / entries + (1 - kEvenShare) * byDemand;
 }
 
-LimitAnswer CheckArrival(Limits& aLimits,
-                         const LimitsOptions& aOptions,
-                         std::string_view aCustomer,
-                         std::uint64_t aFingerprint,
-                         std::int64_t aTokens,
-                         const Preset& aPreset,
-                         bool aOverloaded,
-                         TimeMs aNowMs)
+LimitAnswer
+CheckArrival(Limits& aLimits,
+             const LimitsOptions& aOptions,
+             std::string_view aCustomer,
+             std::uint64_t aFingerprint,
+             std::int64_t aTokens,
+             const Preset& aPreset,
+             bool aOverloaded,
+             TimeMs aNowMs)
 {
   auto* state = FindState(aLimits, aCustomer);
   if (!state) {
@@ -266,10 +276,11 @@
   return answer;
 }
 
-bool TakeRetry(Limits& aLimits,
-               const LimitsOptions& aOptions,
-               std::string_view aCustomer,
-               TimeMs aNowMs)
+bool
+TakeRetry(Limits& aLimits,
+          const LimitsOptions& aOptions,
+          std::string_view aCustomer,
+          TimeMs aNowMs)
 {
   auto* state = FindState(aLimits, aCustomer);
   if (!state) {
@@ -284,11 +295,12 @@
   return true;
 }
 
-void OnAnswered(Limits& aLimits,
-                const LimitsOptions& aOptions,
-                std::string_view aCustomer,
-                std::uint64_t aFingerprint,
-                TimeMs aNowMs)
+void
+OnAnswered(Limits& aLimits,
+           const LimitsOptions& aOptions,
+           std::string_view aCustomer,
+           std::uint64_t aFingerprint,
+           TimeMs aNowMs)
 {
   (void)aNowMs;
   aLimits.mSeen.erase(aFingerprint);
@@ -299,11 +311,12 @@
   }
 }
 
-bool Enqueue(Limits& aLimits,
-             const LimitsOptions& aOptions,
-             std::string_view aCustomer,
-             const WaitingRequest& aRequest,
-             TimeMs aNowMs)
+bool
+Enqueue(Limits& aLimits,
+        const LimitsOptions& aOptions,
+        std::string_view aCustomer,
+        const WaitingRequest& aRequest,
+        TimeMs aNowMs)
 {
   auto* state = FindState(aLimits, aCustomer);
   if (!state || state->mQueue.size() >= aOptions.mMaxQueuePerCustomer) {
@@ -334,9 +347,8 @@
   return true;
 }
 
-bool RemoveWaiting(Limits& aLimits,
-                   std::string_view aCustomer,
-                   std::string_view aId)
+bool
+RemoveWaiting(Limits& aLimits, std::string_view aCustomer, std::string_view aId)
 {
   auto* state = FindState(aLimits, aCustomer);
   return state && std::erase_if(state->mQueue, [&](const auto& aWaiting) {
@@ -344,9 +356,8 @@
                   }) > 0;
 }
 
-std::optional<NextRequest> TakeNext(Limits& aLimits,
-                                    const LimitsOptions& aOptions,
-                                    TimeMs aNowMs)
+std::optional<NextRequest>
+TakeNext(Limits& aLimits, const LimitsOptions& aOptions, TimeMs aNowMs)
 {
   // 1. The least served customer that waits here.
   CustomerState* next = nullptr;
@@ -386,7 +397,8 @@
   return result;
 }
 
-void PutBack(Limits& aLimits, const NextRequest& aNext)
+void
+PutBack(Limits& aLimits, const NextRequest& aNext)
 {
   if (auto* state = FindState(aLimits, aNext.mCustomer)) {
     state->mQueue.insert(state->mQueue.begin(), aNext.mRequest);
@@ -395,7 +407,8 @@
   }
 }
 
-std::vector<NextRequest> TakeExpired(Limits& aLimits, TimeMs aNowMs)
+std::vector<NextRequest>
+TakeExpired(Limits& aLimits, TimeMs aNowMs)
 {
   std::vector<NextRequest> expired;
   for (auto& [name, state] : aLimits.mCustomers) {
@@ -411,9 +424,8 @@
   return expired;
 }
 
-DemandRow OwnDemand(Limits& aLimits,
-                    const LimitsOptions& aOptions,
-                    TimeMs aNowMs)
+DemandRow
+OwnDemand(Limits& aLimits, const LimitsOptions& aOptions, TimeMs aNowMs)
 {
   DemandRow row{
     aLimits.mEntry, aLimits.mIncarnation, ++aLimits.mSequence, {}
@@ -428,10 +440,11 @@
   return row;
 }
 
-bool MergeDemand(Limits& aLimits,
-                 const LimitsOptions& aOptions,
-                 const DemandRow& aRow,
-                 TimeMs aNowMs)
+bool
+MergeDemand(Limits& aLimits,
+            const LimitsOptions& aOptions,
+            const DemandRow& aRow,
+            TimeMs aNowMs)
 {
   if (aRow.mEntry == aLimits.mEntry) {
     return false;
--- a/core/src/quarantine.cpp
+++ b/core/src/quarantine.cpp
@@ -11,8 +11,8 @@
 // room for cleared ones, of which the oldest are dropped first.
 constexpr std::size_t kMaxCrashes = 8;
 
-Treatment TreatmentOf(const Suspect& aSuspect,
-                      const QuarantineOptions& aOptions)
+Treatment
+TreatmentOf(const Suspect& aSuspect, const QuarantineOptions& aOptions)
 {
   int total = 0;
   int isolated = 0;
@@ -29,7 +29,8 @@
 }
 
 // Adds what a crash record says; true when it is new.
-bool AddCrash(Suspect& aSuspect, const Crash& aCrash)
+bool
+AddCrash(Suspect& aSuspect, const Crash& aCrash)
 {
   auto known =
     std::find_if(aSuspect.mCrashes.begin(),
@@ -58,7 +59,8 @@
 
 // Makes room for one more suspect: a cleared one goes first, then the oldest
 // that is not refused, and only then the oldest refused one.
-void MakeRoom(Quarantine& aQuarantine, const QuarantineOptions& aOptions)
+void
+MakeRoom(Quarantine& aQuarantine, const QuarantineOptions& aOptions)
 {
   if (aQuarantine.mSuspects.size() < aOptions.mMaxSuspects) {
     return;
@@ -76,9 +78,10 @@
   aQuarantine.mSuspects.erase(victim);
 }
 
-Suspect& SuspectFor(Quarantine& aQuarantine,
-                    const QuarantineOptions& aOptions,
-                    std::uint64_t aFingerprint)
+Suspect&
+SuspectFor(Quarantine& aQuarantine,
+           const QuarantineOptions& aOptions,
+           std::uint64_t aFingerprint)
 {
   auto found = aQuarantine.mSuspects.find(aFingerprint);
   if (found != aQuarantine.mSuspects.end()) {
@@ -90,16 +93,18 @@
 
 } // namespace
 
-std::uint64_t CrashId(std::string_view aAddress, std::string_view aIncarnation)
+std::uint64_t
+CrashId(std::string_view aAddress, std::string_view aIncarnation)
 {
   return HashOf(aIncarnation, HashOf(aAddress));
 }
 
-void OnCrash(Quarantine& aQuarantine,
-             const QuarantineOptions& aOptions,
-             std::uint64_t aCrashId,
-             std::span<const std::uint64_t> aFingerprints,
-             TimeMs aNowMs)
+void
+OnCrash(Quarantine& aQuarantine,
+        const QuarantineOptions& aOptions,
+        std::uint64_t aCrashId,
+        std::span<const std::uint64_t> aFingerprints,
+        TimeMs aNowMs)
 {
   for (auto fingerprint : aFingerprints) {
     auto& suspect = SuspectFor(aQuarantine, aOptions, fingerprint);
@@ -108,9 +113,10 @@
   }
 }
 
-void OnRanToEnd(Quarantine& aQuarantine,
-                const QuarantineOptions& aOptions,
-                std::uint64_t aFingerprint)
+void
+OnRanToEnd(Quarantine& aQuarantine,
+           const QuarantineOptions& aOptions,
+           std::uint64_t aFingerprint)
 {
   auto found = aQuarantine.mSuspects.find(aFingerprint);
   if (found == aQuarantine.mSuspects.end() ||
@@ -122,10 +128,11 @@
   }
 }
 
-Treatment Judge(Quarantine& aQuarantine,
-                const QuarantineOptions& aOptions,
-                std::uint64_t aFingerprint,
-                TimeMs aNowMs)
+Treatment
+Judge(Quarantine& aQuarantine,
+      const QuarantineOptions& aOptions,
+      std::uint64_t aFingerprint,
+      TimeMs aNowMs)
 {
   auto found = aQuarantine.mSuspects.find(aFingerprint);
   if (found == aQuarantine.mSuspects.end()) {
@@ -138,8 +145,9 @@
   return treatment;
 }
 
-std::string IsolationTarget(std::uint64_t aFingerprint,
-                            std::span<const std::string> aAddresses)
+std::string
+IsolationTarget(std::uint64_t aFingerprint,
+                std::span<const std::string> aAddresses)
 {
   const std::string* best = nullptr;
   std::uint64_t most = 0;
@@ -153,8 +161,8 @@
   return best ? *best : std::string();
 }
 
-std::vector<SuspectRow> SuspectRows(const Quarantine& aQuarantine,
-                                    TimeMs aNowMs)
+std::vector<SuspectRow>
+SuspectRows(const Quarantine& aQuarantine, TimeMs aNowMs)
 {
   std::vector<SuspectRow> rows;
   rows.reserve(aQuarantine.mSuspects.size());
@@ -166,10 +174,11 @@
   return rows;
 }
 
-bool MergeSuspects(Quarantine& aQuarantine,
-                   const QuarantineOptions& aOptions,
-                   std::span<const SuspectRow> aRows,
-                   TimeMs aNowMs)
+bool
+MergeSuspects(Quarantine& aQuarantine,
+              const QuarantineOptions& aOptions,
+              std::span<const SuspectRow> aRows,
+              TimeMs aNowMs)
 {
   bool anyNew = false;
   for (const auto& row : aRows) {
@@ -185,9 +194,10 @@
   return anyNew;
 }
 
-void ExpireSuspects(Quarantine& aQuarantine,
-                    const QuarantineOptions& aOptions,
-                    TimeMs aNowMs)
+void
+ExpireSuspects(Quarantine& aQuarantine,
+               const QuarantineOptions& aOptions,
+               TimeMs aNowMs)
 {
   std::erase_if(aQuarantine.mSuspects, [&](const auto& aSuspect) {
     return aNowMs - aSuspect.second.mLastMs >= aOptions.mRetentionMs;
--- a/core/src/warmup.cpp
+++ b/core/src/warmup.cpp
@@ -13,7 +13,8 @@
 // Weight of a new sample in the learned time.
 constexpr double kLearningRate = 0.1;
 
-double PerToken(std::int64_t aInputTokens, TimeMs aElapsedMs)
+double
+PerToken(std::int64_t aInputTokens, TimeMs aElapsedMs)
 {
   return static_cast<double>(aElapsedMs) /
          (kBaseTokens +
@@ -22,7 +23,8 @@
 
 } // namespace
 
-int Allowance(const Warmup& aWarmup, const WarmupOptions& aOptions)
+int
+Allowance(const Warmup& aWarmup, const WarmupOptions& aOptions)
 {
   if (!aOptions.mEnabled) {
     return aOptions.mFull;
@@ -31,12 +33,14 @@
   return std::clamp(aWarmup.mAllowance, cold, std::max(cold, aOptions.mFull));
 }
 
-bool IsCold(const Warmup& aWarmup, const WarmupOptions& aOptions)
+bool
+IsCold(const Warmup& aWarmup, const WarmupOptions& aOptions)
 {
   return Allowance(aWarmup, aOptions) < aOptions.mFull;
 }
 
-void ResetWarmup(Warmup& aWarmup, std::string_view aCause)
+void
+ResetWarmup(Warmup& aWarmup, std::string_view aCause)
 {
   aWarmup.mAllowance = 0;
   aWarmup.mDoneInRound = 0;
@@ -45,7 +49,8 @@
   aWarmup.mCause = aCause;
 }
 
-bool OnIncarnation(Warmup& aWarmup, std::string_view aIncarnation)
+bool
+OnIncarnation(Warmup& aWarmup, std::string_view aIncarnation)
 {
   if (aWarmup.mIncarnation == aIncarnation) {
     return false;
@@ -58,21 +63,23 @@
   return !first;
 }
 
-bool LooksCold(const Warmup& aWarmup,
-               const WarmupOptions& aOptions,
-               std::int64_t aInputTokens,
-               TimeMs aElapsedMs)
+bool
+LooksCold(const Warmup& aWarmup,
+          const WarmupOptions& aOptions,
+          std::int64_t aInputTokens,
+          TimeMs aElapsedMs)
 {
   return aWarmup.mSamples >= aOptions.mMinSamples &&
          PerToken(aInputTokens, aElapsedMs) >
            aOptions.mVerySlowFactor * aWarmup.mLearned;
 }
 
-bool OnFirstToken(Warmup& aWarmup,
-                  const WarmupOptions& aOptions,
-                  int aGeneration,
-                  std::int64_t aInputTokens,
-                  TimeMs aElapsedMs)
+bool
+OnFirstToken(Warmup& aWarmup,
+             const WarmupOptions& aOptions,
+             int aGeneration,
+             std::int64_t aInputTokens,
+             TimeMs aElapsedMs)
 {
   if (aGeneration != aWarmup.mGeneration) {
     return false;
@@ -105,9 +112,8 @@
   return false;
 }
 
-void OnCompleted(Warmup& aWarmup,
-                 const WarmupOptions& aOptions,
-                 int aGeneration)
+void
+OnCompleted(Warmup& aWarmup, const WarmupOptions& aOptions, int aGeneration)
 {
   if (aGeneration != aWarmup.mGeneration) {
     return;
--- a/tests/core/test_admission.cpp
+++ b/tests/core/test_admission.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-AdmissionRequest MakeRequest(const std::string& aId,
-                             std::int64_t aInput = 100,
-                             int aPriority = 1,
-                             TimeMs aDeadlineMs = 60000)
+AdmissionRequest
+MakeRequest(const std::string& aId,
+            std::int64_t aInput = 100,
+            int aPriority = 1,
+            TimeMs aDeadlineMs = 60000)
 {
   AdmissionRequest request;
   request.mId = aId;
@@ -26,7 +27,8 @@
 
 // Holds long inputs with answers of unforeseen length for slow callers and
 // returns the largest number of tokens truly held at a time.
-std::int64_t MostHeld(std::uint64_t aSeed, bool aCheck)
+std::int64_t
+MostHeld(std::uint64_t aSeed, bool aCheck)
 {
   std::mt19937_64 random(aSeed);
   AdmissionOptions options;
--- a/tests/core/test_balancer.cpp
+++ b/tests/core/test_balancer.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-Report MakeReport(int aNumber, const std::string& aZone, int aAllowance = 16)
+Report
+MakeReport(int aNumber, const std::string& aZone, int aAllowance = 16)
 {
   Report report;
   report.mFrom.mIncarnation = 1;
@@ -22,14 +23,16 @@
   return report;
 }
 
-std::vector<Zone> MakeZones(ZoneState aA, ZoneState aB, ZoneState aC)
+std::vector<Zone>
+MakeZones(ZoneState aA, ZoneState aB, ZoneState aC)
 {
   return { { "a", "region", aA },
            { "b", "region", aB },
            { "c", "region", aC } };
 }
 
-Balancer MakeFleet(int aCount, int aAllowance = 16)
+Balancer
+MakeFleet(int aCount, int aAllowance = 16)
 {
   Balancer balancer;
   balancer.mOwnZone = "a";
@@ -44,11 +47,12 @@
   return balancer;
 }
 
-Choice Choose(Balancer& aBalancer,
-              RandomEngine& aRandom,
-              const BalancerOptions& aOptions = {},
-              TimeMs aNowMs = 0,
-              std::span<const std::uint64_t> aPrefix = {})
+Choice
+Choose(Balancer& aBalancer,
+       RandomEngine& aRandom,
+       const BalancerOptions& aOptions = {},
+       TimeMs aNowMs = 0,
+       std::span<const std::uint64_t> aPrefix = {})
 {
   ChoiceRequest request;
   request.mPool = "pool";
@@ -59,11 +63,12 @@
 }
 
 // Sends requests until nothing is fit and returns how many went where.
-std::map<std::string, int> Fill(Balancer& aBalancer,
-                                RandomEngine& aRandom,
-                                const BalancerOptions& aOptions,
-                                int aMost,
-                                TimeMs aNowMs = 0)
+std::map<std::string, int>
+Fill(Balancer& aBalancer,
+     RandomEngine& aRandom,
+     const BalancerOptions& aOptions,
+     int aMost,
+     TimeMs aNowMs = 0)
 {
   std::map<std::string, int> sent;
   for (int i = 0; i < aMost; ++i) {
--- a/tests/core/test_limits.cpp
+++ b/tests/core/test_limits.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-std::vector<Customer> MakeCustomers(double aRate = 0)
+std::vector<Customer>
+MakeCustomers(double aRate = 0)
 {
   std::vector<Customer> customers(2);
   customers[0].mName = "steady";
@@ -20,9 +21,8 @@
   return customers;
 }
 
-std::vector<Limits> MakeEntries(int aCount,
-                                const LimitsOptions& aOptions,
-                                double aRate = 0)
+std::vector<Limits>
+MakeEntries(int aCount, const LimitsOptions& aOptions, double aRate = 0)
 {
   std::vector<Limits> entries(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
@@ -33,9 +33,10 @@
   return entries;
 }
 
-void Exchange(std::vector<Limits>& aEntries,
-              const LimitsOptions& aOptions,
-              TimeMs aNowMs)
+void
+Exchange(std::vector<Limits>& aEntries,
+         const LimitsOptions& aOptions,
+         TimeMs aNowMs)
 {
   for (auto& from : aEntries) {
     auto row = OwnDemand(from, aOptions, aNowMs);
@@ -47,7 +48,8 @@
 
 // The share of the capacity that the steady customer gets at an entry of its
 // own, while the greedy one resends 100 times a second at another.
-double SteadyShare(const LimitsOptions& aOptions)
+double
+SteadyShare(const LimitsOptions& aOptions)
 {
   auto entries = MakeEntries(2, aOptions);
   std::mt19937_64 random(3);
--- a/tests/core/test_quarantine.cpp
+++ b/tests/core/test_quarantine.cpp
@@ -10,7 +10,8 @@
 
 using Fingerprints = std::vector<std::uint64_t>;
 
-void Exchange(std::vector<Quarantine>& aEntries, TimeMs aNowMs)
+void
+Exchange(std::vector<Quarantine>& aEntries, TimeMs aNowMs)
 {
   QuarantineOptions options;
   for (auto& from : aEntries) {
--- a/tests/core/test_warmup.cpp
+++ b/tests/core/test_warmup.cpp
@@ -45,25 +45,29 @@
 
 using Sign = std::function<void(ColdServer&)>;
 
-void Incarnation(ColdServer& aServer)
+void
+Incarnation(ColdServer& aServer)
 {
   aServer.Restart();
   OnIncarnation(aServer.mWarmup, "second");
 }
 
-void BrokenConnection(ColdServer& aServer)
+void
+BrokenConnection(ColdServer& aServer)
 {
   aServer.Restart();
   ResetWarmup(aServer.mWarmup, "broken connection");
 }
 
-void ZoneReturned(ColdServer& aServer)
+void
+ZoneReturned(ColdServer& aServer)
 {
   aServer.Restart();
   ResetWarmup(aServer.mWarmup, "zone returned");
 }
 
-void TwiceInARow(ColdServer& aServer)
+void
+TwiceInARow(ColdServer& aServer)
 {
   Incarnation(aServer);
   aServer.Step();
@@ -72,7 +76,8 @@
 }
 
 // Starts cold, warms up and becomes cold again with a sign.
-int Violations(int aFull, int aCold, bool aEnabled, const Sign& aSign)
+int
+Violations(int aFull, int aCold, bool aEnabled, const Sign& aSign)
 {
   ColdServer server;
   server.mOptions.mFull = aFull;
