--- a/core/include/savory/core/membership.h
+++ b/core/include/savory/core/membership.h
@@ -151,69 +151,78 @@
   GossipStatus mStatus;
 };
 
-Membership StartMembership(EntryRow aSelf, TimeMs aNowMs);
+Membership
+StartMembership(EntryRow aSelf, TimeMs aNowMs);
 
 // Takes the host list in place of the one before. A host that the list calls
 // leaving is leaving whatever the gossip says.
-void MergeHostList(Membership& aTable,
-                   const std::vector<HostRow>& aHosts,
-                   TimeMs aNowMs);
+void
+MergeHostList(Membership& aTable,
+              const std::vector<HostRow>& aHosts,
+              TimeMs aNowMs);
 
 // Takes an agent's report. Reports of an older incarnation are ignored, and
 // leaving wins over live within one.
-void MergeReport(Membership& aTable, const Report& aReport, TimeMs aNowMs);
+void
+MergeReport(Membership& aTable, const Report& aReport, TimeMs aNowMs);
 
 // Takes a row of an entry that was alive at `aBeatMs`. A higher incarnation
 // wins, then a higher sequence; leaving stays within an incarnation. Returns
 // whether the row was newer than the known one.
-bool MergeRow(Membership& aTable, EntryRow aRow, TimeMs aBeatMs);
+bool
+MergeRow(Membership& aTable, EntryRow aRow, TimeMs aBeatMs);
 
 // Changes the own row. Leaving and an urgent section are published at once,
 // other changes with the next row that the spacing allows. A section of more
 // than kMaxSectionBytes is refused.
-void SetLeaving(Membership& aTable, TimeMs aNowMs);
-bool SetSection(Membership& aTable,
-                const std::string& aName,
-                nlohmann::json aValue,
-                bool aUrgent,
-                TimeMs aNowMs);
-void SetDemand(Membership& aTable, std::map<std::string, double> aDemand);
+void
+SetLeaving(Membership& aTable, TimeMs aNowMs);
+bool
+SetSection(Membership& aTable,
+           const std::string& aName,
+           nlohmann::json aValue,
+           bool aUrgent,
+           TimeMs aNowMs);
+void
+SetDemand(Membership& aTable, std::map<std::string, double> aDemand);
 
 // Drops members that are gone, publishes the own row when it is due, and gives
 // the gossip request that is due, if any.
-std::optional<GossipRequest> TickMembership(Membership& aTable,
-                                            const GossipStatus& aStatus,
-                                            TimeMs aNowMs,
-                                            std::mt19937_64& aRandom);
+std::optional<GossipRequest>
+TickMembership(Membership& aTable,
+               const GossipStatus& aStatus,
+               TimeMs aNowMs,
+               std::mt19937_64& aRandom);
 
 // Answers a gossip request: rows which the requester lacks, and the beats of
 // the rows that both know. Fills `aNews` with what the request told.
-tl::expected<nlohmann::json, WireError> AnswerGossip(
-  Membership& aTable,
-  const nlohmann::json& aRequest,
-  const GossipStatus& aStatus,
-  TimeMs aNowMs,
-  GossipNews& aNews);
+tl::expected<nlohmann::json, WireError>
+AnswerGossip(Membership& aTable,
+             const nlohmann::json& aRequest,
+             const GossipStatus& aStatus,
+             TimeMs aNowMs,
+             GossipNews& aNews);
 
 // Takes the answer of a request that was sent at `aSentMs`. All ages of the
 // answer count from then, so that a delay of the answer makes them older.
-tl::expected<GossipNews, WireError> MergeGossipAnswer(
-  Membership& aTable,
-  const nlohmann::json& aAnswer,
-  TimeMs aSentMs,
-  TimeMs aNowMs);
+tl::expected<GossipNews, WireError>
+MergeGossipAnswer(Membership& aTable,
+                  const nlohmann::json& aAnswer,
+                  TimeMs aSentMs,
+                  TimeMs aNowMs);
 
 // Whether a member takes new work: known, not leaving and not gone.
-bool IsLive(const Membership& aTable, const Member& aMember, TimeMs aNowMs);
+bool
+IsLive(const Membership& aTable, const Member& aMember, TimeMs aNowMs);
 
 // The entries that the host list names, the own one not among them.
-std::vector<std::string> ListedEntries(const Membership& aTable);
+std::vector<std::string>
+ListedEntries(const Membership& aTable);
 
 // The names of the live entries of a region, or of all with an empty one; the
 // own name is among them.
-std::vector<std::string> LiveEntries(const Membership& aTable,
-                                     std::string_view aRegion,
-                                     TimeMs aNowMs);
+std::vector<std::string>
+LiveEntries(const Membership& aTable, std::string_view aRegion, TimeMs aNowMs);
 
 // What the fleet looks like to the staleness rule: entries that count, those
 // heard from within kHeardMs including the own one, and whether any of those
@@ -230,22 +239,27 @@
 // the first `kWatchersPerRegion` live entries of its region.
 inline constexpr std::size_t kWatchersPerRegion = 3;
 
-FleetView ViewFleet(const Membership& aTable, TimeMs aNowMs);
+FleetView
+ViewFleet(const Membership& aTable, TimeMs aNowMs);
 
 // The host with the highest rendezvous rank for a key; empty for no hosts.
-std::string RendezvousFirst(const std::vector<std::string>& aHosts,
-                            std::string_view aKey);
+std::string
+RendezvousFirst(const std::vector<std::string>& aHosts, std::string_view aKey);
 
 // The share in [0, 1] of a customer's demand that the own entry sees; an equal
 // share while no demand is known.
-double DemandShare(const Membership& aTable,
-                   const std::string& aCustomer,
-                   TimeMs aNowMs);
+double
+DemandShare(const Membership& aTable,
+            const std::string& aCustomer,
+            TimeMs aNowMs);
 
-nlohmann::json ToJson(const EntryRow& aRow);
-tl::expected<EntryRow, WireError> ParseEntryRow(const nlohmann::json& aRow);
+nlohmann::json
+ToJson(const EntryRow& aRow);
+tl::expected<EntryRow, WireError>
+ParseEntryRow(const nlohmann::json& aRow);
 
 // The table for the state dump.
-nlohmann::json ToJson(const Membership& aTable, TimeMs aNowMs);
+nlohmann::json
+ToJson(const Membership& aTable, TimeMs aNowMs);
 
 } // namespace savory
--- a/core/src/explain.cpp
+++ b/core/src/explain.cpp
@@ -6,10 +6,11 @@
 
 using nlohmann::json;
 
-void AddDecision(ExplainLog& aLog,
-                 const std::string& aRequestId,
-                 const std::string& aCustomer,
-                 Decision aDecision)
+void
+AddDecision(ExplainLog& aLog,
+            const std::string& aRequestId,
+            const std::string& aCustomer,
+            Decision aDecision)
 {
   auto found = aLog.mById.find(aRequestId);
   if (found == aLog.mById.end()) {
@@ -38,15 +39,15 @@
   request.mDecisions.push_back(std::move(aDecision));
 }
 
-const Explanation* FindExplanation(const ExplainLog& aLog,
-                                   const std::string& aRequestId)
+const Explanation*
+FindExplanation(const ExplainLog& aLog, const std::string& aRequestId)
 {
   auto found = aLog.mById.find(aRequestId);
   return found == aLog.mById.end() ? nullptr : &*found->second;
 }
 
-std::vector<std::string> RecentRequests(const ExplainLog& aLog,
-                                        std::size_t aMost)
+std::vector<std::string>
+RecentRequests(const ExplainLog& aLog, std::size_t aMost)
 {
   std::vector<std::string> ids;
   for (auto at = aLog.mRequests.rbegin();
@@ -57,7 +58,8 @@
   return ids;
 }
 
-json ToJson(const Explanation& aExplanation)
+json
+ToJson(const Explanation& aExplanation)
 {
   json decisions = json::array();
   for (const auto& decision : aExplanation.mDecisions) {
--- a/tests/core/config_checker.cpp
+++ b/tests/core/config_checker.cpp
@@ -49,12 +49,14 @@
   }
 }
 
-void Checker::Fault(const std::string& aText)
+void
+Checker::Fault(const std::string& aText)
 {
   mFaults.push_back("at " + std::to_string(mFleet.mNow) + " ms: " + aText);
 }
 
-Configuration Checker::Stored(std::size_t aIndex) const
+Configuration
+Checker::Stored(std::size_t aIndex) const
 {
   Head head = *ParseHead(mFleet.mStore.mAccepted[aIndex].mHeadText);
   std::vector<std::string> texts;
@@ -64,7 +66,8 @@
   return *JoinSections(head, texts);
 }
 
-void Checker::OnAdopted(int aNode, std::int64_t aRevision)
+void
+Checker::OnAdopted(int aNode, std::int64_t aRevision)
 {
   const Node& node = mFleet.mNodes[aNode];
   std::int64_t& last = mInForce[{ aNode, node.mIncarnation }];
@@ -105,7 +108,8 @@
   }
 }
 
-void Checker::OnWork(int aNode, std::int64_t aRevision)
+void
+Checker::OnWork(int aNode, std::int64_t aRevision)
 {
   mWork += 1;
   const FakeStore& store = mFleet.mStore;
@@ -126,7 +130,8 @@
 
 // Compares each entry's answer to "is the revision in force everywhere" with
 // what the processes have. One without any takes no work.
-void Checker::CheckEverywhere()
+void
+Checker::CheckEverywhere()
 {
   for (auto& entry : mFleet.mNodes) {
     std::int64_t revision = entry.mSync.mConfig.mRevision;
@@ -156,14 +161,16 @@
   }
 }
 
-void Checker::AddOperator(Operator aOperator, TimeMs aAtMs)
+void
+Checker::AddOperator(Operator aOperator, TimeMs aAtMs)
 {
   mOperators.push_back(std::move(aOperator));
   std::size_t index = mOperators.size() - 1;
   mFleet.At(aAtMs, [this, index] { Begin(index); });
 }
 
-void Checker::Begin(std::size_t aOperator)
+void
+Checker::Begin(std::size_t aOperator)
 {
   Operator& who = mOperators[aOperator];
   if (who.mNext >= who.mChanges.size()) {
@@ -176,9 +183,10 @@
   Step(aOperator, change, mFleet.mNow);
 }
 
-void Checker::Step(std::size_t aOperator,
-                   std::shared_ptr<Change> aChange,
-                   TimeMs aStartMs)
+void
+Checker::Step(std::size_t aOperator,
+              std::shared_ptr<Change> aChange,
+              TimeMs aStartMs)
 {
   Operator& who = mOperators[aOperator];
   if (mFleet.mNow - aStartMs > who.mPatienceMs) {
@@ -206,7 +214,8 @@
   mFleet.At(mFleet.mNow + who.mGapMs, [this, aOperator] { Begin(aOperator); });
 }
 
-void Checker::OfferWorkUntil(TimeMs aTimeMs)
+void
+Checker::OfferWorkUntil(TimeMs aTimeMs)
 {
   std::vector<int> entries;
   std::vector<int> agents;
@@ -226,7 +235,8 @@
   }
 }
 
-void Checker::Finish()
+void
+Checker::Finish()
 {
   const auto& accepted = mFleet.mStore.mAccepted;
   // 1. Each accepted change is in the configuration of its revision, made of
--- a/tests/core/test_membership.cpp
+++ b/tests/core/test_membership.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-EntryRow Row(const std::string& aHost,
-             std::int64_t aIncarnation,
-             std::int64_t aSequence,
-             bool aLeaving)
+EntryRow
+Row(const std::string& aHost,
+    std::int64_t aIncarnation,
+    std::int64_t aSequence,
+    bool aLeaving)
 {
   EntryRow row;
   row.mHost = aHost;
