--- a/ctl/src/changes.cpp
+++ b/ctl/src/changes.cpp
@@ -255,7 +255,11 @@
   CommandResult result;
   result.mExit = aExit;
   result.mText = aReason + "\nnothing was changed\n";
-  result.mJson = { { "outcome", "refused" }, { "reasons", { aReason } } };
+  std::string_view outcome = aExit == kExitUnreachable ? "unreachable"
+                             : aExit == kExitConflict  ? "conflict"
+                             : aExit == kExitCorrupt   ? "corrupt"
+                                                       : "refused";
+  result.mJson = { { "outcome", outcome }, { "reasons", { aReason } } };
   return result;
 }
 
--- a/ctl/src/settings.cpp
+++ b/ctl/src/settings.cpp
@@ -1,6 +1,7 @@
 #include "settings.h"
 
 #include "exit_codes.h"
+#include "savory/core/config_store.h"
 
 #include <algorithm>
 #include <charconv>
@@ -13,8 +14,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxOperationBytes = 64;
-
 // Reports faults by an exception, so that the library neither prints nor ends
 // the process.
 class QuietOutput : public TCLAP::StdOutput
@@ -267,7 +266,7 @@
   settings.mTokensPerSecond =
     ReadNumber<double>(raw, "tokens-per-second", 0, 1e12);
   settings.mPriority = ReadNumber<int>(raw, "priority", 0, 1000000);
-  if (settings.mOperation.size() > kMaxOperationBytes) {
+  if (settings.mOperation.size() > kMaxOperationIdBytes) {
     raw.mFaults.emplace_back("--operation: longer than 64 bytes");
   }
   if (raw.mSwitches["no-wait"] && raw.mSwitches["wait"]) {
