--- a/net/src/http_client.cpp
+++ b/net/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "savory/net/http_client.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <cctype>
 #include <charconv>
 #include <event2/buffer.h>
@@ -74,6 +75,10 @@
   }
   Endpoint endpoint;
   endpoint.mAddress = aText.substr(0, colon);
+  in_addr address{};
+  if (inet_pton(AF_INET, endpoint.mAddress.c_str(), &address) != 1) {
+    return tl::unexpected("\"" + endpoint.mAddress + "\" is not an IP address");
+  }
   std::string_view port = aText.substr(colon + 1);
   auto [end, error] =
     std::from_chars(port.data(), port.data() + port.size(), endpoint.mPort);
@@ -294,6 +299,12 @@
   if (!aCall.mKeepAlive) {
     evhttp_add_header(headers, "Connection", "close");
   }
+  // evhttp adds the length for POST and PUT only; without it the server would
+  // take the body of another method for the next request.
+  if (!aCall.mBody.empty() && !evhttp_find_header(headers, "Content-Length")) {
+    evhttp_add_header(
+      headers, "Content-Length", std::to_string(aCall.mBody.size()).c_str());
+  }
   evbuffer_add(evhttp_request_get_output_buffer(request),
                aCall.mBody.data(),
                aCall.mBody.size());
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -5,6 +5,7 @@
 #include "node.h"
 #include "savory/core/admission.h"
 #include "savory/core/config_sync.h"
+#include "savory/core/loading.h"
 #include "savory/core/metrics.h"
 #include "savory/core/quarantine.h"
 #include "savory/core/warmup.h"
@@ -15,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -69,6 +71,13 @@
   WarmupOptions WarmupLimits() const;
   bool IsZoneOut() const;
 
+  // Whether work of an entry may run on the configuration in force here: the
+  // revisions agree and are known to be new enough. Nothing when it may.
+  std::optional<CallRefusal> JudgeEntry(const Sender& aFrom,
+                                        const Stamp& aStamp);
+  // The same for work that waited here, when it starts.
+  bool IsConfigurationFresh() const;
+
   Node& mNode;
   StoreClient mStore;
   BillKeeper mBills;
@@ -95,6 +104,7 @@
   void OnConfigChanged();
   AdmissionOptions AdmissionLimits() const;
   void ReviewSlots();
+  void ReviewVersions();
   nlohmann::json State() const;
 
   // A request that broke, until it is known whether the backend server did.
@@ -105,6 +115,8 @@
   };
 
   Admission mAdmission;
+  Loading mLoading;
+  TimeMs mStartedMs;
   std::map<std::string, std::weak_ptr<AgentRun>> mRuns;
   std::vector<BrokenRun> mBroken;
   ZoneState mZoneState = ZoneState::In;
