--- a/bench/bench_control.cpp
+++ b/bench/bench_control.cpp
@@ -36,7 +36,8 @@
 
 // A configuration of the size in two years: 10 models with 3 versions, 20
 // customers, 9 zones.
-Configuration FullConfiguration()
+Configuration
+FullConfiguration()
 {
   Configuration config;
   for (int i = 0; i < 10; ++i) {
@@ -78,7 +79,8 @@
 
 // The kinds of change of a day, in turn: a customer's weight, a candidate's
 // share, a zone, the preset.
-Mutation ChangeOf(int aNumber)
+Mutation
+ChangeOf(int aNumber)
 {
   return [aNumber](Configuration& aConfig) {
     auto index = static_cast<std::size_t>(aNumber);
@@ -155,14 +157,16 @@
   std::vector<double> mInForce;
 };
 
-double HeapMegabytes()
+double
+HeapMegabytes()
 {
   return static_cast<double>(mallinfo2().uordblks) / 1e6;
 }
 
 // The heap that a copy of a value takes.
 template<class T>
-double CopyMegabytes(const T& aValue)
+double
+CopyMegabytes(const T& aValue)
 {
   double before = HeapMegabytes();
   auto copy = std::make_unique<T>(aValue);
@@ -170,7 +174,8 @@
 }
 
 // Writes the first configuration into the store before the fleet starts.
-void Seed(Fleet& aFleet)
+void
+Seed(Fleet& aFleet)
 {
   Configuration config = FullConfiguration();
   Change first = StartFirstConfiguration("first", config);
@@ -193,7 +198,8 @@
   }
 }
 
-Measured Run(int aEntries, std::uint64_t aSeed, Results& aResults)
+Measured
+Run(int aEntries, std::uint64_t aSeed, Results& aResults)
 {
   Shape shape;
   shape.mRegions = kRegions;
@@ -317,7 +323,8 @@
   return result;
 }
 
-double Quantile(const std::vector<double>& aSorted, double aShare)
+double
+Quantile(const std::vector<double>& aSorted, double aShare)
 {
   auto index = static_cast<std::size_t>(
     aShare * static_cast<double>(aSorted.size() - 1) + 0.5);
@@ -325,7 +332,8 @@
 }
 
 // The slope of a least-squares line through the sizes.
-double Slope(const std::vector<Measured>& aRuns, double Measured::*aValue)
+double
+Slope(const std::vector<Measured>& aRuns, double Measured::*aValue)
 {
   double n = 0;
   double x = 0;
@@ -346,7 +354,8 @@
 
 // The traffic, processor time, memory and delay of the configuration and the
 // membership, by fleet size, at 82,000 changes a day.
-void BenchControl(Results& aResults)
+void
+BenchControl(Results& aResults)
 {
   std::vector<Measured> runs;
   for (int entries : { 24, 100, 204, 412 }) {
--- a/core/src/config_store.cpp
+++ b/core/src/config_store.cpp
@@ -24,19 +24,22 @@
   "fencing_pools",
 };
 
-std::string_view SectionName(std::size_t aIndex)
+std::string_view
+SectionName(std::size_t aIndex)
 {
   return kSectionNames[aIndex].mName;
 }
 
-bool IsHex(std::string_view aText)
+bool
+IsHex(std::string_view aText)
 {
   return std::all_of(aText.begin(), aText.end(), [](char aDigit) {
     return (aDigit >= '0' && aDigit <= '9') || (aDigit >= 'a' && aDigit <= 'f');
   });
 }
 
-bool IsSectionKey(std::string_view aKey)
+bool
+IsSectionKey(std::string_view aKey)
 {
   return aKey.size() == kSectionPrefix.size() + kRevisionDigits + kHashDigits &&
          aKey.starts_with(kSectionPrefix) &&
@@ -44,7 +47,8 @@
 }
 
 // The revision that a section key was made for.
-std::int64_t BaseOf(std::string_view aKey)
+std::int64_t
+BaseOf(std::string_view aKey)
 {
   std::string_view digits = aKey.substr(kSectionPrefix.size(), kRevisionDigits);
   std::int64_t base = 0;
@@ -52,7 +56,8 @@
   return base;
 }
 
-json MarksJson(const std::vector<OperationMark>& aMarks)
+json
+MarksJson(const std::vector<OperationMark>& aMarks)
 {
   json list = json::array();
   for (const auto& mark : aMarks) {
@@ -62,7 +67,8 @@
 }
 
 // Reads marks, which must ascend by revision; throws on another shape.
-std::vector<OperationMark> ParseMarks(const json& aList, std::size_t aMost)
+std::vector<OperationMark>
+ParseMarks(const json& aList, std::size_t aMost)
 {
   std::vector<OperationMark> marks;
   if (!aList.is_array() || aList.size() > aMost) {
@@ -82,7 +88,8 @@
 
 // A copy of a document in which lists of named objects are objects by name and
 // other lists are their text, so that each leaf has a stable path.
-json ByName(const json& aValue)
+json
+ByName(const json& aValue)
 {
   if (aValue.is_object()) {
     json result = json::object();
@@ -113,7 +120,8 @@
 }
 
 // Whether one path is the other or leads to it.
-bool Overlaps(const std::string& aLeft, const std::string& aRight)
+bool
+Overlaps(const std::string& aLeft, const std::string& aRight)
 {
   const auto& [shorter, longer] = std::minmax(
     aLeft, aRight, [](const std::string& aOne, const std::string& aOther) {
@@ -123,9 +131,10 @@
          (longer.size() == shorter.size() || longer[shorter.size()] == '/');
 }
 
-void Finish(Change& aChange,
-            ChangeState aState,
-            std::vector<std::string> aReasons = {})
+void
+Finish(Change& aChange,
+       ChangeState aState,
+       std::vector<std::string> aReasons = {})
 {
   aChange.mState = aState;
   aChange.mStep = ChangeStep::Done;
@@ -133,7 +142,8 @@
 }
 
 // Ends the change when its id is among the marks.
-bool FinishIfMarked(Change& aChange, const std::vector<OperationMark>& aMarks)
+bool
+FinishIfMarked(Change& aChange, const std::vector<OperationMark>& aMarks)
 {
   for (const auto& mark : aMarks) {
     if (mark.mId == aChange.mId) {
@@ -147,7 +157,8 @@
 
 // Makes the section values and the head that put the wanted configuration in
 // place of the one that was read.
-void PrepareWrite(Change& aChange)
+void
+PrepareWrite(Change& aChange)
 {
   Head head = aChange.mHead;
   aChange.mEntries.clear();
@@ -186,7 +197,8 @@
 
 // Applies the mutation to the configuration that was read, unless a racing
 // change touched the same fields since the first read.
-void ApplyMutation(Change& aChange, Configuration aRead)
+void
+ApplyMutation(Change& aChange, Configuration aRead)
 {
   if (aChange.mHasBase) {
     std::vector<std::string> reasons;
@@ -229,7 +241,8 @@
   PrepareWrite(aChange);
 }
 
-void OnHeadRead(Change& aChange, const std::optional<std::string>& aText)
+void
+OnHeadRead(Change& aChange, const std::optional<std::string>& aText)
 {
   std::int64_t before = aChange.mHead.mRevision;
   bool same =
@@ -276,8 +289,8 @@
 
 } // namespace
 
-std::array<std::string, kSectionCount> SectionTexts(
-  const Configuration& aConfig)
+std::array<std::string, kSectionCount>
+SectionTexts(const Configuration& aConfig)
 {
   json document = ToJson(aConfig);
   std::array<std::string, kSectionCount> texts;
@@ -295,7 +308,8 @@
   return texts;
 }
 
-std::string SectionKey(std::int64_t aBase, std::string_view aText)
+std::string
+SectionKey(std::int64_t aBase, std::string_view aText)
 {
   char digits[kRevisionDigits + 8];
   std::snprintf(
@@ -304,12 +318,14 @@
          Sha256Hex(aText).substr(0, kHashDigits);
 }
 
-bool IsKeyOf(std::string_view aKey, std::string_view aText)
+bool
+IsKeyOf(std::string_view aKey, std::string_view aText)
 {
   return IsSectionKey(aKey) && SectionKey(BaseOf(aKey), aText) == aKey;
 }
 
-std::string ToText(const Head& aHead)
+std::string
+ToText(const Head& aHead)
 {
   json sections = json::object();
   for (std::size_t i = 0; i < kSectionCount; ++i) {
@@ -324,7 +340,8 @@
   }.dump();
 }
 
-tl::expected<Head, StoreValueError> ParseHead(std::string_view aText)
+tl::expected<Head, StoreValueError>
+ParseHead(std::string_view aText)
 {
   try {
     json document = json::parse(aText);
@@ -354,13 +371,14 @@
   }
 }
 
-std::string OperationsText(const std::vector<OperationMark>& aMarks)
+std::string
+OperationsText(const std::vector<OperationMark>& aMarks)
 {
   return MarksJson(aMarks).dump();
 }
 
-tl::expected<std::vector<OperationMark>, StoreValueError> ParseOperations(
-  std::string_view aText)
+tl::expected<std::vector<OperationMark>, StoreValueError>
+ParseOperations(std::string_view aText)
 {
   try {
     return ParseMarks(json::parse(aText), kMaxOperations);
@@ -370,9 +388,8 @@
   }
 }
 
-tl::expected<Configuration, StoreValueError> JoinSections(
-  const Head& aHead,
-  const std::vector<std::string>& aTexts)
+tl::expected<Configuration, StoreValueError>
+JoinSections(const Head& aHead, const std::vector<std::string>& aTexts)
 {
   if (aTexts.size() != kSectionCount) {
     return tl::unexpected(StoreValueError{ "sections are missing" });
@@ -401,9 +418,10 @@
   return *config;
 }
 
-std::vector<std::string> GarbageKeys(const Head& aHead,
-                                     const std::vector<std::string>& aListed,
-                                     std::int64_t aKeep)
+std::vector<std::string>
+GarbageKeys(const Head& aHead,
+            const std::vector<std::string>& aListed,
+            std::int64_t aKeep)
 {
   std::set<std::string_view> used(aHead.mSections.begin(),
                                   aHead.mSections.end());
@@ -418,8 +436,8 @@
   return garbage;
 }
 
-std::vector<std::string> ChangedPaths(const Configuration& aFrom,
-                                      const Configuration& aTo)
+std::vector<std::string>
+ChangedPaths(const Configuration& aFrom, const Configuration& aTo)
 {
   json from = ToJson(aFrom);
   json to = ToJson(aTo);
@@ -442,7 +460,8 @@
   return paths;
 }
 
-Change StartChange(std::string aId, Mutation aMutation, bool aAgain)
+Change
+StartChange(std::string aId, Mutation aMutation, bool aAgain)
 {
   Change change;
   change.mMaySwap = aAgain;
@@ -451,7 +470,8 @@
   return change;
 }
 
-Change StartFirstConfiguration(std::string aId, Configuration aConfig)
+Change
+StartFirstConfiguration(std::string aId, Configuration aConfig)
 {
   return StartChange(std::move(aId),
                      [config = std::move(aConfig)](Configuration& aTarget) {
@@ -461,7 +481,8 @@
                      });
 }
 
-std::optional<StoreCall> NextCall(const Change& aChange)
+std::optional<StoreCall>
+NextCall(const Change& aChange)
 {
   StoreCall call;
   switch (aChange.mStep) {
@@ -489,7 +510,8 @@
   }
 }
 
-void OnAnswer(Change& aChange, const StoreCallAnswer& aAnswer)
+void
+OnAnswer(Change& aChange, const StoreCallAnswer& aAnswer)
 {
   bool lost = aAnswer.mStatus == StoreCallAnswer::Status::Lost;
   switch (aChange.mStep) {
@@ -558,7 +580,8 @@
   }
 }
 
-void GiveUp(Change& aChange)
+void
+GiveUp(Change& aChange)
 {
   if (aChange.mState != ChangeState::Running) {
     return;
--- a/core/src/membership.cpp
+++ b/core/src/membership.cpp
@@ -28,7 +28,8 @@
 constexpr std::size_t kMinSlots = 16;
 constexpr std::size_t kMaxSlots = 4096;
 
-std::uint64_t HashRow(const EntryRow& aRow)
+std::uint64_t
+HashRow(const EntryRow& aRow)
 {
   std::string text = aRow.mHost + '\n' + std::to_string(aRow.mIncarnation) +
                      '\n' + std::to_string(aRow.mSequence);
@@ -36,7 +37,8 @@
 }
 
 // Spreads a hash over all bits (the finalizer of SplitMix64).
-std::uint64_t Spread(std::uint64_t aValue)
+std::uint64_t
+Spread(std::uint64_t aValue)
 {
   aValue = (aValue ^ aValue >> 30) * 0xbf58476d1ce4e5b9ULL;
   aValue = (aValue ^ aValue >> 27) * 0x94d049bb133111ebULL;
@@ -45,7 +47,8 @@
 
 // A row as it travels. Demand is in tenths of a request, which takes 1 to 3
 // bytes where a number with a fraction takes 9.
-json RowArray(const EntryRow& aRow)
+json
+RowArray(const EntryRow& aRow)
 {
   json demand = json::object();
   for (const auto& [customer, rate] : aRow.mDemand) {
@@ -63,7 +66,8 @@
 }
 
 // Reads a row; throws json::exception on another shape.
-EntryRow ReadRow(const json& aRow)
+EntryRow
+ReadRow(const json& aRow)
 {
   EntryRow row{
     .mHost = aRow.at(0).get<std::string>(),
@@ -89,7 +93,8 @@
 }
 
 // The member of a name, added when the table has room; null when it has not.
-Member* MemberOf(Membership& aTable, const std::string& aHost)
+Member*
+MemberOf(Membership& aTable, const std::string& aHost)
 {
   auto found = aTable.mMembers.find(aHost);
   if (found != aTable.mMembers.end()) {
@@ -105,7 +110,8 @@
 }
 
 // Whether a member's row takes part in gossip.
-bool HasRow(const Member& aMember, TimeMs aNowMs)
+bool
+HasRow(const Member& aMember, TimeMs aNowMs)
 {
   return aMember.mRole == Role::Entry && aMember.mRowHash != 0 &&
          aNowMs - aMember.mBeatMs <= kGoneMs;
@@ -120,11 +126,12 @@
   std::vector<std::vector<const Member*>> mMembers;
 };
 
-Slots SlotsOf(const Membership& aTable,
-              std::size_t aCount,
-              std::uint64_t aNonce,
-              TimeMs aNowMs,
-              bool aWithMembers)
+Slots
+SlotsOf(const Membership& aTable,
+        std::size_t aCount,
+        std::uint64_t aNonce,
+        TimeMs aNowMs,
+        bool aWithMembers)
 {
   Slots slots;
   slots.mDigests.resize(aCount);
@@ -145,9 +152,10 @@
 
 // The beat of a slot: the oldest age, the lowest revision and whether any
 // member reaches the store, so that no member looks better than it is.
-std::uint8_t BeatOf(const std::vector<const Member*>& aMembers,
-                    std::int64_t aRevision,
-                    TimeMs aNowMs)
+std::uint8_t
+BeatOf(const std::vector<const Member*>& aMembers,
+       std::int64_t aRevision,
+       TimeMs aNowMs)
 {
   TimeMs age = 0;
   std::int64_t lag = 0;
@@ -164,7 +172,8 @@
 }
 
 // Brings the own member up to date with the status.
-void RefreshSelf(Membership& aTable, const GossipStatus& aStatus, TimeMs aNowMs)
+void
+RefreshSelf(Membership& aTable, const GossipStatus& aStatus, TimeMs aNowMs)
 {
   Member& self = aTable.mMembers[aTable.mSelf.mHost];
   self.mBeatMs = aNowMs;
@@ -172,7 +181,8 @@
   self.mReachesStore = aStatus.mReachesStore;
 }
 
-void Publish(Membership& aTable)
+void
+Publish(Membership& aTable)
 {
   aTable.mDirty = false;
   aTable.mSelf.mSequence += 1;
@@ -181,7 +191,8 @@
   self.mRowHash = HashRow(self.mRow);
 }
 
-json StatusJson(const Membership& aTable, const GossipStatus& aStatus)
+json
+StatusJson(const Membership& aTable, const GossipStatus& aStatus)
 {
   json message = { { "from", aTable.mSelf.mHost },
                    { "incarnation", aTable.mSelf.mIncarnation },
@@ -195,7 +206,8 @@
 }
 
 // Reads the status of a message; throws json::exception on another shape.
-GossipNews ReadStatus(const json& aMessage)
+GossipNews
+ReadStatus(const json& aMessage)
 {
   GossipNews news{
     .mHost = aMessage.at("from").get<std::string>(),
@@ -213,7 +225,8 @@
   return news;
 }
 
-tl::unexpected<WireError> BadMessage(const json::exception& aError)
+tl::unexpected<WireError>
+BadMessage(const json::exception& aError)
 {
   return tl::unexpected(
     WireError{ WireErrorCode::MissingField, aError.what() });
@@ -221,7 +234,8 @@
 
 } // namespace
 
-Membership StartMembership(EntryRow aSelf, TimeMs aNowMs)
+Membership
+StartMembership(EntryRow aSelf, TimeMs aNowMs)
 {
   Membership table;
   table.mSelf = std::move(aSelf);
@@ -233,9 +247,10 @@
   return table;
 }
 
-void MergeHostList(Membership& aTable,
-                   const std::vector<HostRow>& aHosts,
-                   TimeMs aNowMs)
+void
+MergeHostList(Membership& aTable,
+              const std::vector<HostRow>& aHosts,
+              TimeMs aNowMs)
 {
   aTable.mListKnown = true;
   for (auto& [host, member] : aTable.mMembers) {
@@ -263,7 +278,8 @@
   }
 }
 
-void MergeReport(Membership& aTable, const Report& aReport, TimeMs aNowMs)
+void
+MergeReport(Membership& aTable, const Report& aReport, TimeMs aNowMs)
 {
   Member* member = MemberOf(aTable, aReport.mFrom.mHost);
   if (!member || aReport.mFrom.mIncarnation < member->mRow.mIncarnation) {
@@ -279,7 +295,8 @@
   member->mRevision = aReport.mFrom.mRevision;
 }
 
-bool MergeRow(Membership& aTable, EntryRow aRow, TimeMs aBeatMs)
+bool
+MergeRow(Membership& aTable, EntryRow aRow, TimeMs aBeatMs)
 {
   if (aRow.mHost == aTable.mSelf.mHost) {
     return false;
@@ -310,18 +327,20 @@
   return newer;
 }
 
-void SetLeaving(Membership& aTable, TimeMs aNowMs)
+void
+SetLeaving(Membership& aTable, TimeMs aNowMs)
 {
   aTable.mSelf.mLeaving = true;
   aTable.mAnnounceUntilMs = aNowMs + kAnnounceMs;
   Publish(aTable);
 }
 
-bool SetSection(Membership& aTable,
-                const std::string& aName,
-                json aValue,
-                bool aUrgent,
-                TimeMs aNowMs)
+bool
+SetSection(Membership& aTable,
+           const std::string& aName,
+           json aValue,
+           bool aUrgent,
+           TimeMs aNowMs)
 {
   json sections = aTable.mSelf.mSections;
   if (aValue.is_null()) {
@@ -344,7 +363,8 @@
   return true;
 }
 
-void SetDemand(Membership& aTable, std::map<std::string, double> aDemand)
+void
+SetDemand(Membership& aTable, std::map<std::string, double> aDemand)
 {
   if (aDemand != aTable.mSelf.mDemand) {
     aTable.mSelf.mDemand = std::move(aDemand);
@@ -352,10 +372,11 @@
   }
 }
 
-std::optional<GossipRequest> TickMembership(Membership& aTable,
-                                            const GossipStatus& aStatus,
-                                            TimeMs aNowMs,
-                                            std::mt19937_64& aRandom)
+std::optional<GossipRequest>
+TickMembership(Membership& aTable,
+               const GossipStatus& aStatus,
+               TimeMs aNowMs,
+               std::mt19937_64& aRandom)
 {
   if (aNowMs < aTable.mNextRequestMs) {
     return std::nullopt;
@@ -410,11 +431,12 @@
                         std::move(request) };
 }
 
-tl::expected<json, WireError> AnswerGossip(Membership& aTable,
-                                           const json& aRequest,
-                                           const GossipStatus& aStatus,
-                                           TimeMs aNowMs,
-                                           GossipNews& aNews)
+tl::expected<json, WireError>
+AnswerGossip(Membership& aTable,
+             const json& aRequest,
+             const GossipStatus& aStatus,
+             TimeMs aNowMs,
+             GossipNews& aNews)
 {
   try {
     aNews = ReadStatus(aRequest);
@@ -467,10 +489,11 @@
   }
 }
 
-tl::expected<GossipNews, WireError> MergeGossipAnswer(Membership& aTable,
-                                                      const json& aAnswer,
-                                                      TimeMs aSentMs,
-                                                      TimeMs aNowMs)
+tl::expected<GossipNews, WireError>
+MergeGossipAnswer(Membership& aTable,
+                  const json& aAnswer,
+                  TimeMs aSentMs,
+                  TimeMs aNowMs)
 {
   try {
     GossipNews news = ReadStatus(aAnswer);
@@ -526,7 +549,8 @@
   }
 }
 
-bool IsLive(const Membership& aTable, const Member& aMember, TimeMs aNowMs)
+bool
+IsLive(const Membership& aTable, const Member& aMember, TimeMs aNowMs)
 {
   bool leaving = aMember.mRow.mLeaving || aMember.mListLeaving;
   if (aMember.mRow.mHost == aTable.mSelf.mHost) {
@@ -536,7 +560,8 @@
   return seen && !leaving && aNowMs - aMember.mBeatMs <= kGoneMs;
 }
 
-std::vector<std::string> ListedEntries(const Membership& aTable)
+std::vector<std::string>
+ListedEntries(const Membership& aTable)
 {
   std::vector<std::string> hosts;
   for (const auto& [host, member] : aTable.mMembers) {
@@ -548,9 +573,8 @@
   return hosts;
 }
 
-std::vector<std::string> LiveEntries(const Membership& aTable,
-                                     std::string_view aRegion,
-                                     TimeMs aNowMs)
+std::vector<std::string>
+LiveEntries(const Membership& aTable, std::string_view aRegion, TimeMs aNowMs)
 {
   std::vector<std::string> hosts;
   for (const auto& [host, member] : aTable.mMembers) {
@@ -562,7 +586,8 @@
   return hosts;
 }
 
-FleetView ViewFleet(const Membership& aTable, TimeMs aNowMs)
+FleetView
+ViewFleet(const Membership& aTable, TimeMs aNowMs)
 {
   FleetView view;
   std::uint64_t selfRank = Spread(HashOf(aTable.mSelf.mHost));
@@ -587,8 +612,8 @@
   return view;
 }
 
-std::string RendezvousFirst(const std::vector<std::string>& aHosts,
-                            std::string_view aKey)
+std::string
+RendezvousFirst(const std::vector<std::string>& aHosts, std::string_view aKey)
 {
   std::string best;
   std::uint64_t bestRank = 0;
@@ -603,9 +628,10 @@
   return best;
 }
 
-double DemandShare(const Membership& aTable,
-                   const std::string& aCustomer,
-                   TimeMs aNowMs)
+double
+DemandShare(const Membership& aTable,
+            const std::string& aCustomer,
+            TimeMs aNowMs)
 {
   double all = 0;
   std::size_t live = 0;
@@ -626,7 +652,8 @@
   return mine / (all + mine);
 }
 
-json ToJson(const EntryRow& aRow)
+json
+ToJson(const EntryRow& aRow)
 {
   return { { "host", aRow.mHost },         { "incarnation", aRow.mIncarnation },
            { "sequence", aRow.mSequence }, { "address", aRow.mAddress },
@@ -635,7 +662,8 @@
            { "sections", aRow.mSections } };
 }
 
-tl::expected<EntryRow, WireError> ParseEntryRow(const json& aRow)
+tl::expected<EntryRow, WireError>
+ParseEntryRow(const json& aRow)
 {
   try {
     return ReadRow(json::array({ aRow.at("host"),
@@ -652,7 +680,8 @@
   }
 }
 
-json ToJson(const Membership& aTable, TimeMs aNowMs)
+json
+ToJson(const Membership& aTable, TimeMs aNowMs)
 {
   json members = json::array();
   for (const auto& [host, member] : aTable.mMembers) {
--- a/core/src/metrics.cpp
+++ b/core/src/metrics.cpp
@@ -21,7 +21,8 @@
 
 // Intervals of the exposition format include their upper bound, those of the
 // library their lower one: values are stored negated.
-std::vector<double> NegatedBounds()
+std::vector<double>
+NegatedBounds()
 {
   std::vector<double> bounds;
   for (auto at = kBounds.rbegin(); at != kBounds.rend(); ++at) {
@@ -57,7 +58,8 @@
   std::map<std::string, std::size_t> mSeries;
 };
 
-std::string Escape(std::string_view aText, bool aQuotes)
+std::string
+Escape(std::string_view aText, bool aQuotes)
 {
   std::string result;
   for (char letter : aText) {
@@ -75,7 +77,8 @@
 }
 
 // A name in which each letter that the format forbids is an underscore.
-std::string CleanName(std::string_view aName, bool aColon)
+std::string
+CleanName(std::string_view aName, bool aColon)
 {
   std::string result;
   for (char letter : aName) {
@@ -88,7 +91,8 @@
   return result.empty() ? "_" : result;
 }
 
-std::string LabelText(const Labels& aLabels)
+std::string
+LabelText(const Labels& aLabels)
 {
   std::string text;
   for (const auto& [name, value] : aLabels) {
@@ -99,7 +103,8 @@
 }
 
 // A bound without an exponent, because scrapers compare the texts of bounds.
-std::string BoundText(double aBound)
+std::string
+BoundText(double aBound)
 {
   char digits[32];
   auto end = std::to_chars(
@@ -107,7 +112,8 @@
   return { digits, end.ptr };
 }
 
-std::string NumberText(double aValue)
+std::string
+NumberText(double aValue)
 {
   if (std::isnan(aValue)) {
     return "NaN";
@@ -120,10 +126,11 @@
   return { digits, end.ptr };
 }
 
-void AddLine(std::string& aText,
-             const std::string& aName,
-             const std::string& aLabels,
-             double aValue)
+void
+AddLine(std::string& aText,
+        const std::string& aName,
+        const std::string& aLabels,
+        double aValue)
 {
   aText += aName;
   if (!aLabels.empty()) {
@@ -144,11 +151,12 @@
 namespace {
 
 // The index of a series, made when it is new.
-std::size_t SeriesOf(MetricsData& aData,
-                     Kind aKind,
-                     const std::string& aName,
-                     const std::string& aHelp,
-                     const Labels& aLabels)
+std::size_t
+SeriesOf(MetricsData& aData,
+         Kind aKind,
+         const std::string& aName,
+         const std::string& aHelp,
+         const Labels& aLabels)
 {
   auto add = [&aData, aKind] {
     if (aKind == Kind::Histogram) {
@@ -187,38 +195,44 @@
 
 Metrics::~Metrics() = default;
 
-CounterHandle Metrics::Counter(const std::string& aName,
-                               const std::string& aHelp,
-                               const Labels& aLabels)
+CounterHandle
+Metrics::Counter(const std::string& aName,
+                 const std::string& aHelp,
+                 const Labels& aLabels)
 {
   return { SeriesOf(*mData, Kind::Counter, aName, aHelp, aLabels) };
 }
 
-GaugeHandle Metrics::Gauge(const std::string& aName,
-                           const std::string& aHelp,
-                           const Labels& aLabels)
+GaugeHandle
+Metrics::Gauge(const std::string& aName,
+               const std::string& aHelp,
+               const Labels& aLabels)
 {
   return { SeriesOf(*mData, Kind::Gauge, aName, aHelp, aLabels) };
 }
 
-HistogramHandle Metrics::Histogram(const std::string& aName,
-                                   const std::string& aHelp,
-                                   const Labels& aLabels)
+HistogramHandle
+Metrics::Histogram(const std::string& aName,
+                   const std::string& aHelp,
+                   const Labels& aLabels)
 {
   return { SeriesOf(*mData, Kind::Histogram, aName, aHelp, aLabels) };
 }
 
-void Metrics::Add(CounterHandle aCounter, double aValue)
+void
+Metrics::Add(CounterHandle aCounter, double aValue)
 {
   mData->mValues[aCounter.mIndex] += aValue;
 }
 
-void Metrics::Set(GaugeHandle aGauge, double aValue)
+void
+Metrics::Set(GaugeHandle aGauge, double aValue)
 {
   mData->mValues[aGauge.mIndex] = aValue;
 }
 
-void Metrics::Observe(HistogramHandle aHistogram, double aSeconds)
+void
+Metrics::Observe(HistogramHandle aHistogram, double aSeconds)
 {
   LatencySeries& series = mData->mHistograms[aHistogram.mIndex];
   series.mBuckets(-aSeconds);
@@ -226,17 +240,20 @@
   series.mCount += 1;
 }
 
-double Metrics::Value(CounterHandle aCounter) const
+double
+Metrics::Value(CounterHandle aCounter) const
 {
   return mData->mValues[aCounter.mIndex];
 }
 
-double Metrics::Value(GaugeHandle aGauge) const
+double
+Metrics::Value(GaugeHandle aGauge) const
 {
   return mData->mValues[aGauge.mIndex];
 }
 
-std::string Metrics::Text() const
+std::string
+Metrics::Text() const
 {
   std::string text;
   for (const auto& [name, family] : mData->mFamilies) {
--- a/tests/core/test_config_matrix.cpp
+++ b/tests/core/test_config_matrix.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-Configuration FirstConfiguration()
+Configuration
+FirstConfiguration()
 {
   std::ifstream file(SOURCE_DIR "/docs/examples/gulfway.json");
   auto config = ParseConfiguration(nlohmann::json::parse(file));
@@ -19,14 +20,16 @@
 }
 
 // A change of the weight of one customer.
-Mutation Weigh(std::size_t aCustomer, double aWeight)
+Mutation
+Weigh(std::size_t aCustomer, double aWeight)
 {
   return [aCustomer, aWeight](Configuration& aConfig) {
     aConfig.mCustomers.at(aCustomer).mWeight = aWeight;
   };
 }
 
-Mutation Switch(std::size_t aPreset)
+Mutation
+Switch(std::size_t aPreset)
 {
   return [aPreset](Configuration& aConfig) {
     aConfig.mPresetInForce = aConfig.mPresets.at(aPreset).mName;
@@ -35,7 +38,8 @@
 
 // An operator with changes of its own customer, and in between of fields that
 // the other one changes too.
-Operator MakeOperator(int aIndex)
+Operator
+MakeOperator(int aIndex)
 {
   Operator who;
   who.mName = "op" + std::to_string(aIndex);
@@ -54,18 +58,21 @@
   Faults mFaults;
 };
 
-void At(Fleet& aFleet, TimeMs aTimeMs, std::function<void()> aEvent)
+void
+At(Fleet& aFleet, TimeMs aTimeMs, std::function<void()> aEvent)
 {
   aFleet.At(aTimeMs, std::move(aEvent));
 }
 
-void Outage(Fleet& aFleet, TimeMs aFromMs, TimeMs aToMs)
+void
+Outage(Fleet& aFleet, TimeMs aFromMs, TimeMs aToMs)
 {
   At(aFleet, aFromMs, [&aFleet] { aFleet.SetStore(false); });
   At(aFleet, aToMs, [&aFleet] { aFleet.SetStore(true); });
 }
 
-void CutAlone(Fleet& aFleet, int aNode, TimeMs aFromMs, TimeMs aToMs)
+void
+CutAlone(Fleet& aFleet, int aNode, TimeMs aFromMs, TimeMs aToMs)
 {
   At(aFleet, aFromMs, [&aFleet, aNode] {
     aFleet.mNodes[aNode].mCutAlone = true;
@@ -77,7 +84,8 @@
 
 // Cuts an entry off, then ends its cut in an outage in which another restarts.
 // Everyone else is paused a while, so that the lagging one answers first.
-void LaggingPeer(Fleet& aFleet)
+void
+LaggingPeer(Fleet& aFleet)
 {
   CutAlone(aFleet, 0, 12000, 31000);
   Outage(aFleet, 28000, 60000);
@@ -158,9 +166,10 @@
 };
 
 // Runs one cell: faults until 60 s, then 30 s of quiet.
-Outcome RunCell(const Scenario& aScenario,
-                std::uint64_t aSeed,
-                const SyncOptions& aOptions)
+Outcome
+RunCell(const Scenario& aScenario,
+        std::uint64_t aSeed,
+        const SyncOptions& aOptions)
 {
   Shape shape;
   shape.mSeed = aSeed;
@@ -190,7 +199,8 @@
 }
 
 // Whether the checker finds a fault in a scenario with the options.
-bool AnyFault(const SyncOptions& aOptions, const std::string& aScenario)
+bool
+AnyFault(const SyncOptions& aOptions, const std::string& aScenario)
 {
   for (const auto& scenario : kScenarios) {
     for (std::uint64_t seed = 1; aScenario == scenario.mName && seed <= 6;
