--- a/tests/process/test_models.py
+++ b/tests/process/test_models.py
@@ -2,6 +2,7 @@
 the store fails: bills, withdrawn versions, sessions, permission, cold starts
 and zones. The checks read what engines, store and callers saw."""
 
+import json
 import threading
 import time
 
@@ -76,7 +77,8 @@
 def bill_of_retried_call(fleet):
     """Guards against a second bill for a call that its caller sends again."""
     headers = {"Idempotency-Key": "retry-%f" % now_ms()}
-    calls = [Call(fleet, entry, "asked again", headers=headers)
+    customer = fleet.customers[5]
+    calls = [Call(fleet, entry, "asked again", customer=customer, headers=headers)
              for entry in fleet.entries]
     assert all(call.is_whole() for call in calls), calls
     assert len({call.id for call in calls}) == 1, calls
@@ -84,6 +86,9 @@
     time.sleep(2)
     check_bills(fleet, calls)
     assert len([key for key in settled(fleet) if key[0] == calls[0].id]) == 1
+    _, text = fleet.ctl("bills", "--customer", customer, "--json")
+    row = json.loads(text)["customers"][0]
+    assert (row["requests"], row["steps"]) == (1, 1), row
 
 
 # Withdrawn versions, permission and zones.
