--- a/tests/process/test_bookings.py
+++ b/tests/process/test_bookings.py
@@ -379,6 +379,38 @@
     fleet.wait_slots()
 
 
+def owner_and_entry_paused(bench):
+    """Guards against an owner that takes up, after its slot was taken over, a
+    call that had waited in its socket and has a live caller."""
+    fleet = bench.fleet
+    key = bench.key()
+    owner, entry = fleet.owner(key), fleet.entries[0]
+    owner.signal(SIGSTOP)
+    owner.stopped = True
+    wait = bench.start(key)
+    wait_until(lambda: any(a["own"] for a in fleet.state(entry)["agents"]),
+               "the entry has sent the call")
+    # Not running, the entry does not close its connection to the owner.
+    entry.signal(SIGSTOP)
+    try:
+        wait_until(lambda: fleet.owner(key), "the slot is taken over", 25)
+        first = bench.book(key, 1)
+        assert first.status == 200, first
+        owner.signal(SIGCONT)
+        owner.stopped = False
+        slot = fleet.slot(key)
+        wait_until(lambda: slot not in [
+            row["slot"] for row in fleet.state(owner)["slots"]["held"]
+            if row["phase"] == "serving"], "the earlier owner steps down")
+    finally:
+        owner.signal(SIGCONT)
+        entry.signal(SIGCONT)
+    answer = wait()
+    assert answer.status == 200 and answer.body == first.body, answer
+    assert len(bench.runs(key)) == 1
+    fleet.wait_slots()
+
+
 def store_lost_answer_then_kill(bench):
     """Guards against a second run when the claim was written, its answer was
     lost and the owner ended."""
@@ -460,7 +492,8 @@
          store_down_during, store_down_while_claiming, store_down_after,
          entry_killed]
 ENDING = [
-    [owner_killed_before, owner_killed_during, owner_paused],
+    [owner_killed_before, owner_killed_during, owner_paused,
+     owner_and_entry_paused],
     [owner_killed_after, owner_replaced, owner_terminated],
     [store_down_owner_killed, witness_killed, store_lost_answer_then_kill],
 ]
