--- a/core/src/quarantine.cpp
+++ b/core/src/quarantine.cpp
@@ -190,8 +190,8 @@
     for (const auto& crash : row.mCrashes) {
       isNews |= AddCrash(suspect, crash);
     }
-    // The age lags by the time of the exchange. Taken from known crashes too, it
-    // would come back from peer to peer a little younger each time, and the
+    // The age lags by the time of the exchange. Taken from known crashes too,
+    // it would come back from peer to peer a little younger each time, and the
     // suspect would stay as young as one exchange for good.
     if (isNews) {
       suspect.mLastMs = std::max(suspect.mLastMs, aNowMs - row.mAgeMs);
--- a/tests/core/test_quarantine.cpp
+++ b/tests/core/test_quarantine.cpp
@@ -142,8 +142,8 @@
   BOOST_TEST(entries[0].mSuspects.empty());
 }
 
-// Guards against a suspect that stays young for good, and so is never run again,
-// because its age lags a little at each exchange between peers.
+// Guards against a suspect that stays young for good, and so is never run
+// again, because its age lags a little at each exchange between peers.
 BOOST_AUTO_TEST_CASE(suspects_age_in_spite_of_late_gossip)
 {
   constexpr TimeMs kLagMs = 900;
