Detect silent cold starts and report room at once

Ruled out: resetting on a slow answer only at its first token; until then more requests would be sent to the cold backend server.

--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -13,6 +13,7 @@
 
 constexpr TimeMs kReportMs = 1000;
 constexpr TimeMs kPollMs = 250;
+constexpr TimeMs kQueuePollMs = 100;
 
 // How long an agent keeps its copy of a step for the entry to write.
 constexpr TimeMs kBillHoldMs = 10000;
@@ -63,7 +64,10 @@
     return false;
   }
   mReportTimer = Timer::Every(mNode.mLoop, kReportMs, [this] { ReportNow(); });
-  mQueueTimer = Timer::Every(mNode.mLoop, 100, [this] { PollQueue(); });
+  mQueueTimer = Timer::Every(mNode.mLoop, kQueuePollMs, [this] {
+    PollQueue();
+    LookForCold();
+  });
   mNode.mConfigChanged.connect([this] { OnConfigChanged(); });
   mPollTimer = Timer::Every(mNode.mLoop, kPollMs, [this] { PollBackend(); });
   PollBackend();
@@ -133,6 +137,7 @@
   if (aCrashed) {
     crash = CrashId(ToString(mNode.mSettings.mInner), mLoad.mInstance);
     std::vector<std::uint64_t> fingerprints;
+    fingerprints.reserve(broken.size());
     for (const auto& run : broken) {
       fingerprints.push_back(run.mFingerprint);
     }
@@ -236,6 +241,25 @@
                              mNode.mLoop.NowMs()));
 }
 
+// Finds a backend server that turned cold without a sign but its slow answers,
+// and tells the entries of room where they were refused.
+void
+Agent::LookForCold()
+{
+  for (const auto& [id, weak] : mRuns) {
+    auto run = weak.lock();
+    if (run && run->WaitsAsIfCold()) {
+      ResetWarmup(mWarmup, "slow first token");
+      LogEvent(Event::BackendCold, { { "cause", mWarmup.mCause } });
+      ReportNow();
+      break;
+    }
+  }
+  if (TakeRoomNews(mAdmission, Allowance(mWarmup, WarmupLimits()))) {
+    ReportNow();
+  }
+}
+
 void
 Agent::RunLeft(const std::string& aId)
 {
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -101,6 +101,7 @@
   void TellBroken(bool aCrashed);
   void ApplyChanges(const AdmissionChanges& aChanges);
   void PollQueue();
+  void LookForCold();
   void OnConfigChanged();
   AdmissionOptions AdmissionLimits() const;
   void ReviewSlots();
--- a/router/src/agent_run.cpp
+++ b/router/src/agent_run.cpp
@@ -101,11 +101,12 @@
   mConfigConnection = mAgent.mNode.mConfigChanged.connect([self] {
     if (self->mAgent.mNode.mConfig->mRevision >=
         self->mRequest.mFrom.mRevision) {
-      // The slot holds this run and must not be destroyed while it is called.
-      auto keep = self;
-      self->mConfigConnection.disconnect();
-      keep->mConfigWait.Cancel();
-      keep->Decide();
+      // Decided in the next turn: disconnecting ends this very slot, which
+      // holds the run.
+      self->mConfigWait = Timer::After(self->mAgent.mNode.mLoop, 0, [self] {
+        self->mConfigConnection.disconnect();
+        self->Decide();
+      });
     }
   });
   mConfigWait = Timer::After(mAgent.mNode.mLoop, kConfigWaitMs, [self] {
@@ -402,6 +403,17 @@
   mStream->Finish();
 }
 
+bool
+AgentRun::WaitsAsIfCold() const
+{
+  return mExchange && mRequest.mStream && !mFirstSeen &&
+         mGeneration == mAgent.mWarmup.mGeneration &&
+         LooksCold(mAgent.mWarmup,
+                   mAgent.WarmupLimits(),
+                   mRequest.mInputTokens,
+                   mAgent.mNode.mLoop.NowMs() - mStartedMs);
+}
+
 void
 AgentRun::CutForMemory()
 {
--- a/router/src/agent_run.h
+++ b/router/src/agent_run.h
@@ -25,7 +25,9 @@
   // Ends a run whose tokens no longer fit the backend server's memory.
   void CutForMemory();
 
-  const RunRequest& Request() const { return mRequest; }
+  // Whether the run has waited so long for its first token that the backend
+  // server must be cold.
+  bool WaitsAsIfCold() const;
 
 private:
   void OnFrame(const Frame& aFrame);
--- a/router/src/answer_rater.h
+++ b/router/src/answer_rater.h
@@ -59,7 +59,6 @@
   std::map<std::string, std::shared_ptr<Waiting>> mWaiting;
   std::deque<std::string> mPollOrder;
   std::map<std::string, int> mOutstanding;
-  TimeMs mLastOkMs = 0;
   bool mFailed = false;
   double mUsualMs = 200;
   Timer mPoll;
