Measure the path through the shipped binaries

Nothing measured the added latency, relay rate, memory for silent callers and refusal times of the running processes. savory_load sends streamed calls at a fixed rate and prints one line of JSON; bench/path.py runs it against a fleet on loopback and prints the table; make bench runs both.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 bench: build
 	$(RUN)/savory_bench --out $(BUILD)/bench
+	python3 bench/path.py $(RUN)
 
 install:
 	tools/install-packages
--- /dev/null
+++ b/bench/load.cpp
@@ -0,0 +1,307 @@
+#include "savory/net/http_client.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cmath>
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+using namespace savory;
+using nlohmann::json;
+
+namespace {
+
+// How long the calls under way may take after the last arrival.
+constexpr TimeMs kDrainMs = 10000;
+
+// Receive buffer of a connection that reads nothing. Small, so that unread
+// bytes stay with the sender.
+constexpr int kSilentBufferBytes = 4096;
+
+// Pause between two such connections, so that they do not arrive as a burst
+// that the router would shed.
+constexpr unsigned kSilentPauseUs = 4000;
+
+struct LoadOptions
+{
+  Endpoint mServer;
+  std::string mPath;
+  std::string mKey;
+  std::string mModel;
+  double mRate = 0;
+  double mSeconds = 0;
+  std::int64_t mTokens = 0;
+  int mSilent = 0;
+  std::string mLabel;
+};
+
+// Counts and samples of a run; times are in microseconds.
+struct LoadResults
+{
+  std::int64_t mStarted = 0;
+  std::int64_t mFinished = 0;
+  std::int64_t mComplete = 0;
+  std::int64_t mTokens = 0;
+  std::vector<std::int64_t> mFirstToken;
+  std::vector<std::int64_t> mWhole;
+  // Times of refusals by status and code, and counts of all errors.
+  std::map<std::string, std::vector<std::int64_t>> mRefused;
+  std::map<std::string, std::int64_t> mErrors;
+};
+
+// One streamed call under way.
+struct Call
+{
+  std::int64_t mStartUs = 0;
+  int mStatus = 0;
+  bool mFirst = false;
+  std::int64_t mTokens = 0;
+  std::string mTail;
+};
+
+// The body of call N. Each prompt differs, since a router takes equal bodies
+// of a customer for retries.
+std::string
+BodyOf(const LoadOptions& aOptions, std::int64_t aNumber)
+{
+  return json({ { "model", aOptions.mModel },
+                { "stream", true },
+                { "max_tokens", aOptions.mTokens },
+                { "messages",
+                  { { { "role", "user" },
+                      { "content",
+                        aOptions.mLabel + " question " +
+                          std::to_string(aNumber) } } } } })
+    .dump();
+}
+
+std::int64_t
+CountTokens(std::string_view aBytes)
+{
+  constexpr std::string_view kMember = "\"content\":";
+  std::int64_t count = 0;
+  for (auto at = aBytes.find(kMember); at != std::string_view::npos;
+       at = aBytes.find(kMember, at + kMember.size())) {
+    ++count;
+  }
+  return count;
+}
+
+void
+StartCall(HttpClient& aClient,
+          const LoadOptions& aOptions,
+          LoadResults& aResults)
+{
+  HttpCall request;
+  request.mServer = aOptions.mServer;
+  request.mMethod = "POST";
+  request.mTarget = aOptions.mPath;
+  request.mHeaders = { { "Authorization", "Bearer " + aOptions.mKey },
+                       { "Content-Type", "application/json" } };
+  request.mBody = BodyOf(aOptions, aResults.mStarted++);
+  request.mTimeoutMs = 60000;
+  auto call = std::make_shared<Call>();
+  call->mStartUs = MonotonicUs();
+  auto exchange = aClient.Start(std::move(request));
+  exchange->mOnHeaders = [call](const HttpResponse& aResponse) {
+    call->mStatus = aResponse.mStatus;
+  };
+  exchange->mOnBody = [call, &aResults](std::string_view aBytes) {
+    std::int64_t tokens = CountTokens(aBytes);
+    if (tokens > 0 && !call->mFirst) {
+      call->mFirst = true;
+      aResults.mFirstToken.push_back(MonotonicUs() - call->mStartUs);
+    }
+    call->mTokens += tokens;
+    aResults.mTokens += tokens;
+    // The end of a stream is in its last bytes, which may come in parts.
+    call->mTail += aBytes;
+    if (call->mTail.size() > 256) {
+      call->mTail.erase(0, call->mTail.size() - 256);
+    }
+  };
+  exchange->mOnDone = [call, &aResults](const HttpResult& aResult) {
+    ++aResults.mFinished;
+    std::int64_t elapsed = MonotonicUs() - call->mStartUs;
+    if (!aResult) {
+      ++aResults.mErrors[std::string(NameOf(kHttpErrorNames, aResult.error()))];
+    } else if (aResult->mStatus != 200) {
+      json document = json::parse(call->mTail, nullptr, false);
+      std::string code = std::to_string(aResult->mStatus);
+      if (document.is_object() && document.contains("error") &&
+          document["error"].is_object()) {
+        code += " " + document["error"].value("code", std::string());
+      }
+      aResults.mRefused[code].push_back(elapsed);
+      ++aResults.mErrors[code];
+    } else if (call->mTail.find("data: [DONE]") == std::string::npos) {
+      ++aResults.mErrors["cut"];
+    } else {
+      ++aResults.mComplete;
+      aResults.mWhole.push_back(elapsed);
+    }
+  };
+}
+
+// Opens connections that each send one request and read nothing.
+std::vector<int>
+OpenSilent(const LoadOptions& aOptions)
+{
+  std::vector<int> sockets;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aOptions.mServer.mPort));
+  inet_pton(AF_INET, aOptions.mServer.mAddress.c_str(), &address.sin_addr);
+  for (int i = 0; i < aOptions.mSilent; ++i) {
+    int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(socket,
+               SOL_SOCKET,
+               SO_RCVBUF,
+               &kSilentBufferBytes,
+               sizeof kSilentBufferBytes);
+    std::string body = BodyOf(aOptions, i);
+    std::string request = "POST " + aOptions.mPath +
+                          " HTTP/1.1\r\nHost: " + ToString(aOptions.mServer) +
+                          "\r\nAuthorization: Bearer " + aOptions.mKey +
+                          "\r\nContent-Type: application/json"
+                          "\r\nContent-Length: " +
+                          std::to_string(body.size()) + "\r\n\r\n" + body;
+    if (connect(
+          socket, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+        send(socket, request.data(), request.size(), 0) !=
+          static_cast<ssize_t>(request.size())) {
+      close(socket);
+      continue;
+    }
+    sockets.push_back(socket);
+    usleep(kSilentPauseUs);
+  }
+  return sockets;
+}
+
+// Count and percentiles in milliseconds.
+json
+Percentiles(std::vector<std::int64_t> aSamples)
+{
+  std::sort(aSamples.begin(), aSamples.end());
+  json result = { { "count", aSamples.size() } };
+  constexpr std::array<std::pair<const char*, double>, 4> kShares{
+    { { "p50", 0.5 }, { "p90", 0.9 }, { "p99", 0.99 }, { "max", 1 } }
+  };
+  for (const auto& [name, share] : kShares) {
+    if (!aSamples.empty()) {
+      auto rank = static_cast<std::size_t>(
+        std::ceil(share * static_cast<double>(aSamples.size())));
+      result[name] = static_cast<double>(aSamples[rank - 1]) / 1000;
+    }
+  }
+  return result;
+}
+
+LoadOptions
+ReadOptions(int aCount, char** aArguments)
+{
+  using Text = TCLAP::ValueArg<std::string>;
+  using Number = TCLAP::ValueArg<double>;
+  TCLAP::CmdLine line("Open-loop load of streamed model calls");
+  Text target("", "target", "server", true, "", "IP:PORT", line);
+  Text path("", "path", "path", false, "/v1/chat/completions", "path", line);
+  Text key("", "key", "bearer key", false, "", "key", line);
+  Text model("", "model", "model of the calls", false, "auto", "name", line);
+  Text label("", "label", "start of each prompt", false, "load", "text", line);
+  Number rate("", "rate", "arrivals a second", false, 0, "number", line);
+  Number seconds("", "seconds", "length of the run", false, 5, "number", line);
+  TCLAP::ValueArg<std::int64_t> tokens(
+    "", "tokens", "tokens of a stream", false, 1, "count", line);
+  TCLAP::ValueArg<int> silent(
+    "", "silent", "connections that read nothing", false, 0, "count", line);
+  line.parse(aCount, aArguments);
+  auto server = ParseEndpoint(target.getValue());
+  if (!server) {
+    throw TCLAP::ArgException(server.error(), "target");
+  }
+  return { .mServer = *server,
+           .mPath = path.getValue(),
+           .mKey = key.getValue(),
+           .mModel = model.getValue(),
+           .mRate = rate.getValue(),
+           .mSeconds = seconds.getValue(),
+           .mTokens = tokens.getValue(),
+           .mSilent = silent.getValue(),
+           .mLabel = label.getValue() };
+}
+
+} // namespace
+
+// Sends calls at a fixed rate, whether or not earlier ones have ended, and
+// prints one line of JSON.
+int
+main(int aCount, char** aArguments)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  LoadOptions options;
+  try {
+    options = ReadOptions(aCount, aArguments);
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << error.argId() << ": " << error.error() << std::endl;
+    return 2;
+  }
+  auto silent = OpenSilent(options);
+  EventLoop loop;
+  HttpClient client(loop);
+  LoadResults results;
+  std::int64_t start = MonotonicUs();
+  std::int64_t lastToken = start;
+  std::int64_t tokensSeen = 0;
+  Timer arrivals = Timer::Every(loop, 1, [&] {
+    std::int64_t now = MonotonicUs();
+    double elapsed = static_cast<double>(now - start) / 1e6;
+    auto due = static_cast<std::int64_t>(options.mRate *
+                                         std::min(elapsed, options.mSeconds));
+    while (results.mStarted < due) {
+      StartCall(client, options, results);
+    }
+    if (results.mTokens != tokensSeen) {
+      tokensSeen = results.mTokens;
+      lastToken = now;
+    }
+    bool over = elapsed >= options.mSeconds;
+    if (over && (results.mFinished == results.mStarted ||
+                 elapsed * 1000 > options.mSeconds * 1000 + double(kDrainMs))) {
+      loop.Stop();
+    }
+  });
+  loop.Run();
+  json refused = json::object();
+  for (const auto& [code, samples] : results.mRefused) {
+    refused[code] = Percentiles(samples);
+  }
+  double tokenSeconds = static_cast<double>(lastToken - start) / 1e6;
+  std::cout << json({ { "started", results.mStarted },
+                      { "complete", results.mComplete },
+                      { "unfinished", results.mStarted - results.mFinished },
+                      { "silent", silent.size() },
+                      { "first_token_ms", Percentiles(results.mFirstToken) },
+                      { "whole_ms", Percentiles(results.mWhole) },
+                      { "refused_ms", refused },
+                      { "tokens", results.mTokens },
+                      { "tokens_per_s",
+                        tokenSeconds > 0
+                          ? static_cast<double>(results.mTokens) / tokenSeconds
+                          : 0 },
+                      { "errors", results.mErrors } })
+                 .dump()
+            << std::endl;
+  for (int socket : silent) {
+    close(socket);
+  }
+  // Calls that have not ended hold references to the results; the process ends
+  // without unwinding them.
+  std::_Exit(0);
+}
