Let the engine stand-in pause while its caller does not read

A thousand streams that nobody reads made the stand-ins look at each of them every millisecond, which delayed the first tokens of other callers and so was measured in place of the router. The stand-in now looks again after 20 ms, and path.py gives its own first-token time beside the silent callers.

--- a/bench/path.py
+++ b/bench/path.py
@@ -184,7 +184,10 @@
                             silent=SILENT_CALLERS, tokens=60000,
                             label="silent")
         time.sleep(9)
+        direct = start_load(fleet, fleet.engines[0].address, model="large",
+                            label="direct", **others)
         beside = load(fleet, entry.listen, label="beside", **others)
+        direct = finish_load(direct)
         after = [resident_kib(process) for process in processes]
         running = sum(
             fleet.seen(engine)["load"]["running"] for engine in fleet.engines)
@@ -200,6 +203,7 @@
             table.line("path: first token p99 beside silent callers", "ms",
                        [beside["first_token_ms"]["p99"]],
                        baselines=[("without", without["first_token_ms"]["p99"]),
+                                  ("direct", direct["first_token_ms"]["p99"]),
                                   *beside["errors"].items()])
     finally:
         fleet.close()
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t kMaxPendingBytes = 64 * 1024;
 constexpr TimeMs kSampleMs = 10;
 
+// Pause of a run whose caller does not read; a thousand such runs that looked
+// each millisecond would take the whole processor.
+constexpr TimeMs kFullPauseMs = 20;
+
 struct Prompt
 {
   std::string mText;
@@ -267,10 +271,11 @@
     Complete(aRun);
     return;
   }
-  aRun.mTimer =
-    Timer::After(mLoop,
-                 std::max<TimeMs>(1, static_cast<TimeMs>(mOptions.mTokenMs)),
-                 [this, &aRun] { Continue(aRun); });
+  bool full = aRun.mReply->PendingBytes() >= kMaxPendingBytes;
+  TimeMs pause =
+    full ? kFullPauseMs
+         : std::max<TimeMs>(1, static_cast<TimeMs>(mOptions.mTokenMs));
+  aRun.mTimer = Timer::After(mLoop, pause, [this, &aRun] { Continue(aRun); });
 }
 
 void
