Keep the text of a rated stream instead of its events

Cause: the entry kept up to 256 KiB of events of each stream whose answer may be rated, also for callers that read nothing. Change: the text of the events is taken out after each 4 KiB; which bytes are rated is as before.

--- a/router/src/model_call.cpp
+++ b/router/src/model_call.cpp
@@ -20,9 +20,13 @@
 // Bytes in the caller's socket buffer above which the agent gets no credit.
 constexpr std::size_t kPendingBytes = 16 * 1024;
 
-// Bytes of a stream that are kept to be rated.
+// Bytes of a stream whose text is kept to be rated.
 constexpr std::size_t kRatedBytes = 256 * 1024;
 
+// Bytes of events that are kept before their text is taken out. The events are
+// many times the size of their text, and each slow caller holds them.
+constexpr std::size_t kFoldBytes = 4 * 1024;
+
 // How long an isolated run waits after a crash, so that the entries have heard
 // of each other's suspects before one of them is run again.
 constexpr TimeMs kSuspectSpreadMs = 1500;
@@ -41,6 +45,41 @@
          aCode == ErrorCode::MemoryLimit;
 }
 
+// Appends the content of the first choice's member, if it is a text.
+void
+TakeContent(const json& aDocument, const char* aMember, std::string& aText)
+{
+  auto choices = aDocument.find("choices");
+  if (choices == aDocument.end() || !choices->is_array() || choices->empty()) {
+    return;
+  }
+  auto message = (*choices)[0].find(aMember);
+  if (message != (*choices)[0].end() && message->is_object() &&
+      message->contains("content") && (*message)["content"].is_string()) {
+    aText += (*message)["content"].get_ref<const std::string&>();
+  }
+}
+
+// The text of the events of a stream.
+std::string
+TextOfEvents(std::string_view aEvents)
+{
+  constexpr std::string_view kData = "data: ";
+  std::string text;
+  for (auto at = aEvents.find(kData); at != std::string_view::npos;
+       at = aEvents.find(kData, at + 1)) {
+    auto end = aEvents.find('\n', at);
+    json event =
+      json::parse(aEvents.substr(at + kData.size(), end - at - kData.size()),
+                  nullptr,
+                  false);
+    if (event.is_object()) {
+      TakeContent(event, "delta", text);
+    }
+  }
+  return text;
+}
+
 } // namespace
 
 ModelCall::ModelCall(Entry& aEntry,
@@ -611,8 +650,12 @@
     mAnswer += aBytes;
     return;
   }
-  if (mPlan.mRateAnswer && mAnswer.size() < kRatedBytes) {
+  if (mPlan.mRateAnswer && mRatedBytes < kRatedBytes) {
+    mRatedBytes += aBytes.size();
     mAnswer += aBytes;
+    if (mAnswer.size() >= kFoldBytes) {
+      FoldAnswer();
+    }
   }
   mReply->Chunk(aBytes);
   if (mReply->PendingBytes() < kPendingBytes) {
@@ -676,6 +719,8 @@
     OnCrash(mEntry.mQuarantine, {}, aCrash, fingerprints, now);
   }
   mAnswer.clear();
+  mText.clear();
+  mRatedBytes = 0;
   if (mReply->IsStarted() || !TakeRetry(mEntry.mLimits, {}, mCustomer, now)) {
     Fail(mLastError);
     return;
@@ -746,41 +791,28 @@
 std::string
 ModelCall::AnswerText() const
 {
-  std::string text;
-  auto take = [&text](const json& aDocument, const char* aMember) {
-    auto choices = aDocument.find("choices");
-    if (choices == aDocument.end() || !choices->is_array() ||
-        choices->empty()) {
-      return;
-    }
-    auto message = (*choices)[0].find(aMember);
-    if (message != (*choices)[0].end() && message->is_object() &&
-        message->contains("content") && (*message)["content"].is_string()) {
-      text += (*message)["content"].get_ref<const std::string&>();
-    }
-  };
-  if (!mChat.mStream) {
-    json document = json::parse(mAnswer, nullptr, false);
-    if (document.is_object()) {
-      take(document, "message");
-    }
-    return text;
+  if (mChat.mStream) {
+    return mText + TextOfEvents(mAnswer);
   }
-  constexpr std::string_view kData = "data: ";
-  for (auto at = mAnswer.find(kData); at != std::string::npos;
-       at = mAnswer.find(kData, at + 1)) {
-    auto end = mAnswer.find('\n', at);
-    json event =
-      json::parse(mAnswer.substr(at + kData.size(), end - at - kData.size()),
-                  nullptr,
-                  false);
-    if (event.is_object()) {
-      take(event, "delta");
-    }
+  std::string text;
+  json document = json::parse(mAnswer, nullptr, false);
+  if (document.is_object()) {
+    TakeContent(document, "message", text);
   }
   return text;
 }
 
+// Replaces the whole events of a stream by their text.
+void
+ModelCall::FoldAnswer()
+{
+  auto end = mAnswer.rfind('\n');
+  if (end != std::string::npos) {
+    mText += TextOfEvents(std::string_view(mAnswer).substr(0, end + 1));
+    mAnswer.erase(0, end + 1);
+  }
+}
+
 // Has the delivered answer rated where the plan wants it.
 void
 ModelCall::AskForRating()
--- a/router/src/model_call.h
+++ b/router/src/model_call.h
@@ -68,6 +68,7 @@
   void OnStepRated(std::optional<bool> aPassed);
   void AskForRating();
   std::string AnswerText() const;
+  void FoldAnswer();
 
   void Bill(const AnswerEnd& aEnd, bool aComplete);
   void Leave();
@@ -116,6 +117,10 @@
   Headers mHeaders;
   int mStatus = 200;
   std::string mAnswer;
+  // Text of the events that were taken out of the answer, and the bytes of
+  // the stream seen for the rating.
+  std::string mText;
+  std::size_t mRatedBytes = 0;
   bool mFirstByte = false;
 };
 
