Hold less for a caller that reads nothing

Cause: the queue of an agent's stream grew by doubling to up to twice the 64 KiB that it may hold, and the entry gave credit up to 16 KiB of unsent bytes beside a window of 32 KiB.

--- a/net/src/inner.cpp
+++ b/net/src/inner.cpp
@@ -23,6 +23,9 @@
 constexpr std::int32_t kConnectionWindowBytes = 64 * 1024 * 1024;
 constexpr std::uint32_t kMaxStreams = 100000;
 
+// Room for the headers of the frames of one payload.
+constexpr std::size_t kFrameOverhead = 64;
+
 // Bytes handed to the socket's buffer before the session waits for it.
 constexpr std::size_t kSocketBacklogBytes = 256 * 1024;
 
@@ -208,6 +211,12 @@
     mOutput.erase(0, mOutputStart);
     mOutputStart = 0;
   }
+  // The queue grows by a quarter, not to its double: it is what an agent holds
+  // for a slow caller.
+  std::size_t needed = mOutput.size() + aPayload.size() + kFrameOverhead;
+  if (needed > mOutput.capacity()) {
+    mOutput.reserve(needed + needed / 4);
+  }
   // A payload longer than a frame may carry is split; only bodies are.
   do {
     mOutput += EncodeFrame(aType, aPayload.substr(0, kMaxFrameBytes));
