--- a/core/include/savory/core/config_store.h
+++ b/core/include/savory/core/config_store.h
@@ -80,44 +80,49 @@
 using KeyValue = std::pair<std::string, std::string>;
 
 // The JSON texts of the sections of a configuration.
-std::array<std::string, kSectionCount> SectionTexts(
-  const Configuration& aConfig);
+std::array<std::string, kSectionCount>
+SectionTexts(const Configuration& aConfig);
 
 // The key of a section value that is written by a change of revision
 // `aBase`: cfg/s/ and 12 hexadecimal digits of the revision and 32 of the
 // SHA-256. The revision makes the key of a value that is written again differ
 // from the key of the same value that a collection may be deleting.
-std::string SectionKey(std::int64_t aBase, std::string_view aText);
+std::string
+SectionKey(std::int64_t aBase, std::string_view aText);
 
 // Whether a key is the section key of a text, for any base revision.
-bool IsKeyOf(std::string_view aKey, std::string_view aText);
+bool
+IsKeyOf(std::string_view aKey, std::string_view aText);
 
-std::string ToText(const Head& aHead);
+std::string
+ToText(const Head& aHead);
 
 // Reads a head; refuses any value that lacks a field, holds a key that is no
 // section key, or has more marks than a head may hold.
-tl::expected<Head, StoreValueError> ParseHead(std::string_view aText);
+tl::expected<Head, StoreValueError>
+ParseHead(std::string_view aText);
 
-std::string OperationsText(const std::vector<OperationMark>& aMarks);
-tl::expected<std::vector<OperationMark>, StoreValueError> ParseOperations(
-  std::string_view aText);
+std::string
+OperationsText(const std::vector<OperationMark>& aMarks);
+tl::expected<std::vector<OperationMark>, StoreValueError>
+ParseOperations(std::string_view aText);
 
 // Joins a head and the texts of its sections, in the order of Section, into a
 // valid configuration. A text that does not hash to its key is refused.
-tl::expected<Configuration, StoreValueError> JoinSections(
-  const Head& aHead,
-  const std::vector<std::string>& aTexts);
+tl::expected<Configuration, StoreValueError>
+JoinSections(const Head& aHead, const std::vector<std::string>& aTexts);
 
 // The listed section keys that no reader needs: those which the head does not
 // reference and which were written for a revision more than `aKeep` older.
-std::vector<std::string> GarbageKeys(const Head& aHead,
-                                     const std::vector<std::string>& aListed,
-                                     std::int64_t aKeep);
+std::vector<std::string>
+GarbageKeys(const Head& aHead,
+            const std::vector<std::string>& aListed,
+            std::int64_t aKeep);
 
 // Paths of the leaves in which two configurations differ, as JSON pointers in
 // which items of a list go by name.
-std::vector<std::string> ChangedPaths(const Configuration& aFrom,
-                                      const Configuration& aTo);
+std::vector<std::string>
+ChangedPaths(const Configuration& aFrom, const Configuration& aTo);
 
 // A call of the store. SwapHead writes `mValue` if the head still has the
 // value `mExpected`; an empty one means that there is no head.
@@ -222,19 +227,24 @@
 // is set when a change with this id ended as Unknown: a swap of it may be on
 // its way. The mutation must then be the same, and depend on nothing but the
 // configuration that it is given.
-Change StartChange(std::string aId, Mutation aMutation, bool aAgain = false);
+Change
+StartChange(std::string aId, Mutation aMutation, bool aAgain = false);
 
 // The call to make now, or nothing when the change is done.
-std::optional<StoreCall> NextCall(const Change& aChange);
+std::optional<StoreCall>
+NextCall(const Change& aChange);
 
 // Takes the answer of the last call.
-void OnAnswer(Change& aChange, const StoreCallAnswer& aAnswer);
+void
+OnAnswer(Change& aChange, const StoreCallAnswer& aAnswer);
 
 // Ends a change whose outcome the store does not tell in the time that the
 // operator waits: Unknown while a swap may take effect, else Abandoned.
-void GiveUp(Change& aChange);
+void
+GiveUp(Change& aChange);
 
 // The first configuration of an empty store, as revision 1.
-Change StartFirstConfiguration(std::string aId, Configuration aConfig);
+Change
+StartFirstConfiguration(std::string aId, Configuration aConfig);
 
 } // namespace savory
--- a/core/include/savory/core/config_sync.h
+++ b/core/include/savory/core/config_sync.h
@@ -40,10 +40,11 @@
 // How long a call of the store that was answered counts as reaching it.
 inline constexpr TimeMs kReachMs = 4000;
 
-// Time between pulls from one source, and between pushes to one agent.
+// Time between pulls, and between pushes to one agent. A push holds about three
+// changes at 82,000 a day; work that needs a newer configuration pulls it.
 inline constexpr TimeMs kPullEveryMs = 300;
 inline constexpr TimeMs kPullTimeoutMs = 1500;
-inline constexpr TimeMs kPushEveryMs = 1500;
+inline constexpr TimeMs kPushEveryMs = 3000;
 
 // Revisions of which an entry keeps the document, to send only differences. An
 // agent keeps the one in force.
@@ -70,6 +71,7 @@
 {
   std::int64_t mRevision = 0;
   nlohmann::json mDocument;
+  std::uint64_t mHash = 0;
   std::map<std::int64_t, nlohmann::json> mPatches;
 };
 
@@ -139,59 +141,70 @@
 // newest once more than half of the list have answered that they have one.
 // Answers without a configuration do not count, because after a restart of
 // most of the fleet they would let a single lagging entry decide.
-SyncActions TickSync(ConfigSync& aSync,
-                     const FleetView& aView,
-                     const std::vector<std::string>& aListed,
-                     TimeMs aNowMs);
+SyncActions
+TickSync(ConfigSync& aSync,
+         const FleetView& aView,
+         const std::vector<std::string>& aListed,
+         TimeMs aNowMs);
 
 // Takes the text of the head that a WatchHead gave, or nothing when there is no
 // head. The answer of a call that timed out is ignored: the time that it
 // verifies is that of its request.
-SyncActions OnHead(ConfigSync& aSync,
-                   std::int64_t aCall,
-                   const std::optional<std::string>& aText,
-                   TimeMs aNowMs);
+SyncActions
+OnHead(ConfigSync& aSync,
+       std::int64_t aCall,
+       const std::optional<std::string>& aText,
+       TimeMs aNowMs);
 
 // Takes the values of a ReadSections in the order of its keys.
-SyncActions OnSections(ConfigSync& aSync,
-                       std::int64_t aCall,
-                       const std::vector<std::optional<std::string>>& aValues,
-                       TimeMs aNowMs);
+SyncActions
+OnSections(ConfigSync& aSync,
+           std::int64_t aCall,
+           const std::vector<std::optional<std::string>>& aValues,
+           TimeMs aNowMs);
 
 // Takes a call of the store that failed.
-void OnStoreFailed(ConfigSync& aSync, std::int64_t aCall);
+void
+OnStoreFailed(ConfigSync& aSync, std::int64_t aCall);
 
 // Takes the revision that any message of a peer told. Pulls from the peer when
 // it is newer. `aUrgent` is set when a request waits for the configuration.
-SyncActions OnPeerRevision(ConfigSync& aSync,
-                           const Sender& aPeer,
-                           bool aUrgent,
-                           TimeMs aNowMs);
+SyncActions
+OnPeerRevision(ConfigSync& aSync,
+               const Sender& aPeer,
+               bool aUrgent,
+               TimeMs aNowMs);
 
 // Takes the state of the head that a gossip answer told: at `aAtMs` on the own
 // clock nothing above the peer's revision was accepted.
-void OnPeerVerified(ConfigSync& aSync, std::int64_t aRevision, TimeMs aAtMs);
+void
+OnPeerVerified(ConfigSync& aSync, std::int64_t aRevision, TimeMs aAtMs);
 
 // Answers a pull: a document that holds the revision and, if that is newer, a
 // JSON patch from the known revision, or the sections that differ.
-nlohmann::json AnswerPull(ConfigSync& aSync, const nlohmann::json& aRequest);
+nlohmann::json
+AnswerPull(ConfigSync& aSync, const nlohmann::json& aRequest);
 
 // Takes the answer of a pull, or a push, from a host. A document that does not
 // lead from the own revision to the one it names leads to a pull of the whole.
-SyncActions OnPullAnswer(ConfigSync& aSync,
-                         const std::string& aHost,
-                         const nlohmann::json& aAnswer,
-                         TimeMs aNowMs);
-void OnPullFailed(ConfigSync& aSync, const std::string& aHost);
+SyncActions
+OnPullAnswer(ConfigSync& aSync,
+             const std::string& aHost,
+             const nlohmann::json& aAnswer,
+             TimeMs aNowMs);
+void
+OnPullFailed(ConfigSync& aSync, const std::string& aHost);
 
 // Pushes the configuration to agents that have an older one, by the last
 // reports. The caller names the agents that this entry answers for.
-SyncActions PushToAgents(ConfigSync& aSync,
-                         const std::vector<std::string>& aAgents,
-                         TimeMs aNowMs);
+SyncActions
+PushToAgents(ConfigSync& aSync,
+             const std::vector<std::string>& aAgents,
+             TimeMs aNowMs);
 
 // Whether this process has had a recent answer of the store.
-bool ReachesStore(const ConfigSync& aSync, TimeMs aNowMs);
+bool
+ReachesStore(const ConfigSync& aSync, TimeMs aNowMs);
 
 enum class Freshness
 {
@@ -209,9 +222,8 @@
 } };
 
 // Whether an entry may take new work on its configuration.
-Freshness JudgeFreshness(const ConfigSync& aSync,
-                         const FleetView& aView,
-                         TimeMs aNowMs);
+Freshness
+JudgeFreshness(const ConfigSync& aSync, const FleetView& aView, TimeMs aNowMs);
 
 // What a receiver does with work of a sender that has a revision in force.
 enum class SenderJudgement
@@ -224,7 +236,8 @@
 };
 
 // Compares the sender's revision alone.
-SenderJudgement JudgeSender(const ConfigSync& aSync, std::int64_t aRevision);
+SenderJudgement
+JudgeSender(const ConfigSync& aSync, std::int64_t aRevision);
 
 // What an entry tells with each piece of work, so that an agent that was paused
 // does not run what waited for it meanwhile, on an old configuration. `mEchoMs`
@@ -238,32 +251,36 @@
   TimeMs mVerifiedAgeMs = 0;
 };
 
-WorkStamp StampWork(const ConfigSync& aSync,
-                    const FleetView& aView,
-                    TimeMs aEchoMs,
-                    TimeMs aNowMs);
+WorkStamp
+StampWork(const ConfigSync& aSync,
+          const FleetView& aView,
+          TimeMs aEchoMs,
+          TimeMs aNowMs);
 
 // What an agent does with work. It judges again, with JudgeFreshness and an
 // empty view, when work that waited in its queue starts.
-SenderJudgement JudgeWork(ConfigSync& aSync,
-                          const WorkStamp& aStamp,
-                          TimeMs aNowMs);
+SenderJudgement
+JudgeWork(ConfigSync& aSync, const WorkStamp& aStamp, TimeMs aNowMs);
 
 // What goes into the own gossip messages. `aAgents` are the agents that this
 // entry answers for.
-GossipStatus StatusOf(const ConfigSync& aSync,
-                      const std::vector<std::string>& aAgents,
-                      TimeMs aNowMs);
+GossipStatus
+StatusOf(const ConfigSync& aSync,
+         const std::vector<std::string>& aAgents,
+         TimeMs aNowMs);
 
 // Keeps what a member has in force. A message of an older incarnation and a
 // lower revision of the same one are ignored.
-void NoteConfirmed(ConfigSync& aSync, const Sender& aPeer, TimeMs aNowMs);
-void ForgetMember(ConfigSync& aSync, const std::string& aHost);
+void
+NoteConfirmed(ConfigSync& aSync, const Sender& aPeer, TimeMs aNowMs);
+void
+ForgetMember(ConfigSync& aSync, const std::string& aHost);
 
 // The members that have not confirmed a revision, of those expected to; empty
 // when it is in force everywhere.
-std::vector<std::string> Unconfirmed(const ConfigSync& aSync,
-                                     const std::vector<std::string>& aExpected,
-                                     std::int64_t aRevision);
+std::vector<std::string>
+Unconfirmed(const ConfigSync& aSync,
+            const std::vector<std::string>& aExpected,
+            std::int64_t aRevision);
 
 } // namespace savory
--- a/core/include/savory/core/explain.h
+++ b/core/include/savory/core/explain.h
@@ -71,19 +71,21 @@
 };
 
 // Adds a decision to a request, which becomes known with its first.
-void AddDecision(ExplainLog& aLog,
-                 const std::string& aRequestId,
-                 const std::string& aCustomer,
-                 Decision aDecision);
+void
+AddDecision(ExplainLog& aLog,
+            const std::string& aRequestId,
+            const std::string& aCustomer,
+            Decision aDecision);
 
 // The explanation of a request, or null when it is not or no longer known.
-const Explanation* FindExplanation(const ExplainLog& aLog,
-                                   const std::string& aRequestId);
+const Explanation*
+FindExplanation(const ExplainLog& aLog, const std::string& aRequestId);
 
 // The newest request ids, newest first.
-std::vector<std::string> RecentRequests(const ExplainLog& aLog,
-                                        std::size_t aMost);
+std::vector<std::string>
+RecentRequests(const ExplainLog& aLog, std::size_t aMost);
 
-nlohmann::json ToJson(const Explanation& aExplanation);
+nlohmann::json
+ToJson(const Explanation& aExplanation);
 
 } // namespace savory
--- a/core/include/savory/core/membership.h
+++ b/core/include/savory/core/membership.h
@@ -78,11 +78,17 @@
 inline constexpr std::size_t kMaxSectionBytes = 4096;
 
 // Peers that an entry asks in each round of gossip, and the length of a round.
-// The three requests are spread over the round: at 410 entries more than half
-// of the beats are then younger than 3 s, which the staleness rule needs.
+// One request in three asks for rows and beats, the others for revision and
+// age of the head alone.
 inline constexpr int kFanOut = 3;
 inline constexpr TimeMs kRoundMs = 1000;
 
+// The age of the last known state of the head beyond which all requests ask
+// for beats. The staleness rule then needs to have heard more than half of the
+// entries within 3 s, for which one request a second is too few at 410.
+// Ordinary ages are up to 3.1 s at 412 entries.
+inline constexpr TimeMs kAllBeatsAgeMs = 4500;
+
 // The age beyond which a beat says nothing of the present, the age at which an
 // entry counts as gone, and the age at which its row is dropped. Rows that are
 // as good as gone are neither sent nor taken, so that none comes back.
@@ -91,8 +97,9 @@
 inline constexpr TimeMs kDropMs = 60000;
 
 // Time between changes of a row that are not urgent, for each known entry: the
-// fleet then publishes about 6 rows a second whatever its size.
-inline constexpr TimeMs kRowSpacingMs = 160;
+// fleet then publishes about 3 rows a second whatever its size, and demand is
+// up to 130 s old at 410 entries.
+inline constexpr TimeMs kRowSpacingMs = 320;
 
 // An entry sends its own row with each request for this long after it starts
 // and after an urgent change, so that the others need not find it first.
@@ -107,9 +114,10 @@
 struct Membership
 {
   EntryRow mSelf;
-  TimeMs mPublishedMs = 0;
+  TimeMs mNextPublishMs = 0;
   TimeMs mAnnounceUntilMs = 0;
   TimeMs mNextRequestMs = 0;
+  std::int64_t mRequests = 0;
   bool mDirty = false;
   bool mListKnown = false;
   std::map<std::string, Member, std::less<>> mMembers;
@@ -143,69 +151,78 @@
   GossipStatus mStatus;
 };
 
-Membership StartMembership(EntryRow aSelf, TimeMs aNowMs);
+Membership
+StartMembership(EntryRow aSelf, TimeMs aNowMs);
 
 // Takes the host list in place of the one before. A host that the list calls
 // leaving is leaving whatever the gossip says.
-void MergeHostList(Membership& aTable,
-                   const std::vector<HostRow>& aHosts,
-                   TimeMs aNowMs);
+void
+MergeHostList(Membership& aTable,
+              const std::vector<HostRow>& aHosts,
+              TimeMs aNowMs);
 
 // Takes an agent's report. Reports of an older incarnation are ignored, and
 // leaving wins over live within one.
-void MergeReport(Membership& aTable, const Report& aReport, TimeMs aNowMs);
+void
+MergeReport(Membership& aTable, const Report& aReport, TimeMs aNowMs);
 
 // Takes a row of an entry that was alive at `aBeatMs`. A higher incarnation
 // wins, then a higher sequence; leaving stays within an incarnation. Returns
 // whether the row was newer than the known one.
-bool MergeRow(Membership& aTable, EntryRow aRow, TimeMs aBeatMs);
+bool
+MergeRow(Membership& aTable, EntryRow aRow, TimeMs aBeatMs);
 
 // Changes the own row. Leaving and an urgent section are published at once,
 // other changes with the next row that the spacing allows. A section of more
 // than kMaxSectionBytes is refused.
-void SetLeaving(Membership& aTable, TimeMs aNowMs);
-bool SetSection(Membership& aTable,
-                const std::string& aName,
-                nlohmann::json aValue,
-                bool aUrgent,
-                TimeMs aNowMs);
-void SetDemand(Membership& aTable, std::map<std::string, double> aDemand);
+void
+SetLeaving(Membership& aTable, TimeMs aNowMs);
+bool
+SetSection(Membership& aTable,
+           const std::string& aName,
+           nlohmann::json aValue,
+           bool aUrgent,
+           TimeMs aNowMs);
+void
+SetDemand(Membership& aTable, std::map<std::string, double> aDemand);
 
 // Drops members that are gone, publishes the own row when it is due, and gives
 // the gossip request that is due, if any.
-std::optional<GossipRequest> TickMembership(Membership& aTable,
-                                            const GossipStatus& aStatus,
-                                            TimeMs aNowMs,
-                                            std::mt19937_64& aRandom);
+std::optional<GossipRequest>
+TickMembership(Membership& aTable,
+               const GossipStatus& aStatus,
+               TimeMs aNowMs,
+               std::mt19937_64& aRandom);
 
 // Answers a gossip request: rows which the requester lacks, and the beats of
 // the rows that both know. Fills `aNews` with what the request told.
-tl::expected<nlohmann::json, WireError> AnswerGossip(
-  Membership& aTable,
-  const nlohmann::json& aRequest,
-  const GossipStatus& aStatus,
-  TimeMs aNowMs,
-  GossipNews& aNews);
+tl::expected<nlohmann::json, WireError>
+AnswerGossip(Membership& aTable,
+             const nlohmann::json& aRequest,
+             const GossipStatus& aStatus,
+             TimeMs aNowMs,
+             GossipNews& aNews);
 
 // Takes the answer of a request that was sent at `aSentMs`. All ages of the
 // answer count from then, so that a delay of the answer makes them older.
-tl::expected<GossipNews, WireError> MergeGossipAnswer(
-  Membership& aTable,
-  const nlohmann::json& aAnswer,
-  TimeMs aSentMs,
-  TimeMs aNowMs);
+tl::expected<GossipNews, WireError>
+MergeGossipAnswer(Membership& aTable,
+                  const nlohmann::json& aAnswer,
+                  TimeMs aSentMs,
+                  TimeMs aNowMs);
 
 // Whether a member takes new work: known, not leaving and not gone.
-bool IsLive(const Membership& aTable, const Member& aMember, TimeMs aNowMs);
+bool
+IsLive(const Membership& aTable, const Member& aMember, TimeMs aNowMs);
 
 // The entries that the host list names, the own one not among them.
-std::vector<std::string> ListedEntries(const Membership& aTable);
+std::vector<std::string>
+ListedEntries(const Membership& aTable);
 
 // The names of the live entries of a region, or of all with an empty one; the
 // own name is among them.
-std::vector<std::string> LiveEntries(const Membership& aTable,
-                                     std::string_view aRegion,
-                                     TimeMs aNowMs);
+std::vector<std::string>
+LiveEntries(const Membership& aTable, std::string_view aRegion, TimeMs aNowMs);
 
 // What the fleet looks like to the staleness rule: entries that count, those
 // heard from within kHeardMs including the own one, and whether any of those
@@ -222,22 +239,27 @@
 // the first `kWatchersPerRegion` live entries of its region.
 inline constexpr std::size_t kWatchersPerRegion = 3;
 
-FleetView ViewFleet(const Membership& aTable, TimeMs aNowMs);
+FleetView
+ViewFleet(const Membership& aTable, TimeMs aNowMs);
 
 // The host with the highest rendezvous rank for a key; empty for no hosts.
-std::string RendezvousFirst(const std::vector<std::string>& aHosts,
-                            std::string_view aKey);
+std::string
+RendezvousFirst(const std::vector<std::string>& aHosts, std::string_view aKey);
 
 // The share in [0, 1] of a customer's demand that the own entry sees; an equal
 // share while no demand is known.
-double DemandShare(const Membership& aTable,
-                   const std::string& aCustomer,
-                   TimeMs aNowMs);
+double
+DemandShare(const Membership& aTable,
+            const std::string& aCustomer,
+            TimeMs aNowMs);
 
-nlohmann::json ToJson(const EntryRow& aRow);
-tl::expected<EntryRow, WireError> ParseEntryRow(const nlohmann::json& aRow);
+nlohmann::json
+ToJson(const EntryRow& aRow);
+tl::expected<EntryRow, WireError>
+ParseEntryRow(const nlohmann::json& aRow);
 
 // The table for the state dump.
-nlohmann::json ToJson(const Membership& aTable, TimeMs aNowMs);
+nlohmann::json
+ToJson(const Membership& aTable, TimeMs aNowMs);
 
 } // namespace savory
--- a/core/src/config_sync.cpp
+++ b/core/src/config_sync.cpp
@@ -17,20 +17,23 @@
 // Time between rounds of questions of an entry that starts without the store.
 constexpr TimeMs kStartEveryMs = 2000;
 
-json DocumentOf(const Configuration& aConfig)
+json
+DocumentOf(const Configuration& aConfig)
 {
   json document = ToJson(aConfig);
   document.erase("revision");
   return document;
 }
 
-std::uint64_t HashDocument(const json& aDocument)
+std::uint64_t
+HashDocument(const json& aDocument)
 {
   return HashOf(aDocument.dump());
 }
 
 // A hash of each top-level field, by which a puller tells what it has.
-json FieldHashes(const json& aDocument)
+json
+FieldHashes(const json& aDocument)
 {
   json hashes = json::object();
   for (const auto& [key, value] : aDocument.items()) {
@@ -40,7 +43,8 @@
 }
 
 // Keeps a state of the head, and counts those that the configuration meets.
-void NoteVerified(ConfigSync& aSync, VerifiedHead aState)
+void
+NoteVerified(ConfigSync& aSync, VerifiedHead aState)
 {
   if (aSync.mConfig.mRevision >= aState.mRevision) {
     if (aSync.mConfig.mRevision > 0) {
@@ -56,15 +60,18 @@
 }
 
 // Puts a configuration in force when it is newer.
-SyncActions Adopt(ConfigSync& aSync, Configuration aConfig)
+SyncActions
+Adopt(ConfigSync& aSync, Configuration aConfig)
 {
   if (aSync.mOptions.mOnlyNewer &&
       aConfig.mRevision <= aSync.mConfig.mRevision) {
     return {};
   }
   aSync.mConfig = std::move(aConfig);
+  json document = DocumentOf(aSync.mConfig);
+  std::uint64_t hash = HashDocument(document);
   aSync.mKept.push_back(
-    { aSync.mConfig.mRevision, DocumentOf(aSync.mConfig), {} });
+    { aSync.mConfig.mRevision, std::move(document), hash, {} });
   std::size_t most = aSync.mRole == Role::Entry ? kKeptDocuments : 1;
   while (aSync.mKept.size() > most) {
     aSync.mKept.pop_front();
@@ -81,17 +88,19 @@
   return { adopted };
 }
 
-bool TimedOut(const std::optional<PendingCall>& aCall, TimeMs aNowMs)
+bool
+TimedOut(const std::optional<PendingCall>& aCall, TimeMs aNowMs)
 {
   return aCall && aNowMs - aCall->mSentMs > aCall->mTimeoutMs;
 }
 
 // An action of the store with a new call number.
-SyncAction StoreAction(ConfigSync& aSync,
-                       SyncAction::Kind aKind,
-                       std::optional<PendingCall>& aPending,
-                       TimeMs aWaitMs,
-                       TimeMs aNowMs)
+SyncAction
+StoreAction(ConfigSync& aSync,
+            SyncAction::Kind aKind,
+            std::optional<PendingCall>& aPending,
+            TimeMs aWaitMs,
+            TimeMs aNowMs)
 {
   aSync.mLastCall += 1;
   aPending = PendingCall{ aSync.mLastCall, aNowMs, aWaitMs + kStoreTimeoutMs };
@@ -104,8 +113,8 @@
 }
 
 // Takes a pending call out when the number is its own.
-std::optional<PendingCall> TakeCall(std::optional<PendingCall>& aPending,
-                                    std::int64_t aCall)
+std::optional<PendingCall>
+TakeCall(std::optional<PendingCall>& aPending, std::int64_t aCall)
 {
   if (!aPending || aPending->mCall != aCall) {
     return std::nullopt;
@@ -115,8 +124,8 @@
 
 // The texts of the sections in force that a head refers to; nothing for a
 // section that has to be read.
-std::vector<std::optional<std::string>> KnownTexts(const ConfigSync& aSync,
-                                                   const Head& aHead)
+std::vector<std::optional<std::string>>
+KnownTexts(const ConfigSync& aSync, const Head& aHead)
 {
   std::vector<std::optional<std::string>> texts(kSectionCount);
   if (aSync.mConfig.mRevision == 0) {
@@ -131,9 +140,24 @@
   return texts;
 }
 
-SyncAction PullAction(ConfigSync& aSync,
-                      const std::string& aHost,
-                      TimeMs aNowMs)
+// A patch as it travels: one that only replaces values is a map of paths to
+// values, which takes half the bytes.
+json
+Compact(json aPatch)
+{
+  json set = json::object();
+  for (const auto& operation : aPatch) {
+    auto path = operation.at("path").get<std::string>();
+    if (operation.at("op") != "replace" || set.contains(path)) {
+      return { { "patch", std::move(aPatch) } };
+    }
+    set[path] = operation.at("value");
+  }
+  return { { "set", std::move(set) } };
+}
+
+SyncAction
+PullAction(ConfigSync& aSync, const std::string& aHost, TimeMs aNowMs)
 {
   aSync.mPullFrom = aHost;
   aSync.mPullSentMs = aNowMs;
@@ -149,7 +173,8 @@
 }
 
 // Whether an entry has to hear the fleet before it takes a configuration.
-bool NeedsMajority(const ConfigSync& aSync)
+bool
+NeedsMajority(const ConfigSync& aSync)
 {
   return aSync.mRole == Role::Entry && aSync.mConfig.mRevision == 0 &&
          aSync.mOptions.mMajorityAtStart;
@@ -157,10 +182,11 @@
 
 // The questions of an entry that starts without the store, and the pull once
 // enough have answered.
-void TickStart(ConfigSync& aSync,
-               const std::vector<std::string>& aListed,
-               TimeMs aNowMs,
-               SyncActions& aActions)
+void
+TickStart(ConfigSync& aSync,
+          const std::vector<std::string>& aListed,
+          TimeMs aNowMs,
+          SyncActions& aActions)
 {
   std::string newest;
   std::size_t answers = 0;
@@ -198,7 +224,8 @@
 
 // The document that a patch or a set of fields makes of the one in force;
 // throws json::exception when it does not fit.
-json ApplyDifference(const ConfigSync& aSync, const json& aAnswer)
+json
+ApplyDifference(const ConfigSync& aSync, const json& aAnswer)
 {
   auto whole = aAnswer.find("whole");
   if (whole != aAnswer.end()) {
@@ -208,13 +235,22 @@
     throw json::other_error::create(501, "no document to change", &aAnswer);
   }
   const json& base = aSync.mKept.back().mDocument;
+  if (aAnswer.contains("base") &&
+      aAnswer.at("base").get<std::int64_t>() != aSync.mConfig.mRevision) {
+    throw json::other_error::create(501, "patch of another base", &aAnswer);
+  }
   auto patch = aAnswer.find("patch");
   if (patch != aAnswer.end()) {
-    if (aAnswer.at("base").get<std::int64_t>() != aSync.mConfig.mRevision) {
-      throw json::other_error::create(501, "patch of another base", &aAnswer);
-    }
     return base.patch(*patch);
   }
+  auto set = aAnswer.find("set");
+  if (set != aAnswer.end()) {
+    json changed = base;
+    for (const auto& [path, value] : set->items()) {
+      changed.at(json::json_pointer(path)) = value;
+    }
+    return changed;
+  }
   json document = base;
   document.update(aAnswer.at("fields"));
   return document;
@@ -222,10 +258,11 @@
 
 } // namespace
 
-SyncActions TickSync(ConfigSync& aSync,
-                     const FleetView& aView,
-                     const std::vector<std::string>& aListed,
-                     TimeMs aNowMs)
+SyncActions
+TickSync(ConfigSync& aSync,
+         const FleetView& aView,
+         const std::vector<std::string>& aListed,
+         TimeMs aNowMs)
 {
   SyncActions actions;
   if (aSync.mRole != Role::Entry) {
@@ -260,10 +297,11 @@
   return actions;
 }
 
-SyncActions OnHead(ConfigSync& aSync,
-                   std::int64_t aCall,
-                   const std::optional<std::string>& aText,
-                   TimeMs aNowMs)
+SyncActions
+OnHead(ConfigSync& aSync,
+       std::int64_t aCall,
+       const std::optional<std::string>& aText,
+       TimeMs aNowMs)
 {
   auto call = TakeCall(aSync.mHeadCall, aCall);
   if (!call) {
@@ -298,10 +336,11 @@
   return { action };
 }
 
-SyncActions OnSections(ConfigSync& aSync,
-                       std::int64_t aCall,
-                       const std::vector<std::optional<std::string>>& aValues,
-                       TimeMs aNowMs)
+SyncActions
+OnSections(ConfigSync& aSync,
+           std::int64_t aCall,
+           const std::vector<std::optional<std::string>>& aValues,
+           TimeMs aNowMs)
 {
   auto call = TakeCall(aSync.mSectionCall, aCall);
   if (!call || !aSync.mWantedHead ||
@@ -331,17 +370,19 @@
   return Adopt(aSync, std::move(*config));
 }
 
-void OnStoreFailed(ConfigSync& aSync, std::int64_t aCall)
+void
+OnStoreFailed(ConfigSync& aSync, std::int64_t aCall)
 {
   if (TakeCall(aSync.mHeadCall, aCall) || TakeCall(aSync.mSectionCall, aCall)) {
     aSync.mStoreFailed = true;
   }
 }
 
-SyncActions OnPeerRevision(ConfigSync& aSync,
-                           const Sender& aPeer,
-                           bool aUrgent,
-                           TimeMs aNowMs)
+SyncActions
+OnPeerRevision(ConfigSync& aSync,
+               const Sender& aPeer,
+               bool aUrgent,
+               TimeMs aNowMs)
 {
   NoteConfirmed(aSync, aPeer, aNowMs);
   if (aPeer.mRevision <= aSync.mConfig.mRevision || NeedsMajority(aSync)) {
@@ -355,12 +396,14 @@
   return { PullAction(aSync, aPeer.mHost, aNowMs) };
 }
 
-void OnPeerVerified(ConfigSync& aSync, std::int64_t aRevision, TimeMs aAtMs)
+void
+OnPeerVerified(ConfigSync& aSync, std::int64_t aRevision, TimeMs aAtMs)
 {
   NoteVerified(aSync, { aRevision, aAtMs });
 }
 
-json AnswerPull(ConfigSync& aSync, const json& aRequest)
+json
+AnswerPull(ConfigSync& aSync, const json& aRequest)
 {
   json answer = { { "revision", aSync.mConfig.mRevision } };
   std::int64_t known = 0;
@@ -374,17 +417,17 @@
     return answer;
   }
   KeptDocument& newest = aSync.mKept.back();
-  answer["hash"] = HashDocument(newest.mDocument);
+  answer["hash"] = newest.mHash;
   for (const auto& kept : aSync.mKept) {
     if (kept.mRevision != known) {
       continue;
     }
     auto [patch, added] = newest.mPatches.try_emplace(known);
     if (added) {
-      patch->second = json::diff(kept.mDocument, newest.mDocument);
+      patch->second = Compact(json::diff(kept.mDocument, newest.mDocument));
     }
     answer["base"] = known;
-    answer["patch"] = patch->second;
+    answer.update(patch->second);
     return answer;
   }
   auto fields = aRequest.is_object() ? aRequest.find("fields") : aRequest.end();
@@ -403,10 +446,11 @@
   return answer;
 }
 
-SyncActions OnPullAnswer(ConfigSync& aSync,
-                         const std::string& aHost,
-                         const json& aAnswer,
-                         TimeMs aNowMs)
+SyncActions
+OnPullAnswer(ConfigSync& aSync,
+             const std::string& aHost,
+             const json& aAnswer,
+             TimeMs aNowMs)
 {
   bool asked = aSync.mPullFrom == aHost;
   if (asked) {
@@ -451,16 +495,18 @@
   }
 }
 
-void OnPullFailed(ConfigSync& aSync, const std::string& aHost)
+void
+OnPullFailed(ConfigSync& aSync, const std::string& aHost)
 {
   if (aSync.mPullFrom == aHost) {
     aSync.mPullFrom.clear();
   }
 }
 
-SyncActions PushToAgents(ConfigSync& aSync,
-                         const std::vector<std::string>& aAgents,
-                         TimeMs aNowMs)
+SyncActions
+PushToAgents(ConfigSync& aSync,
+             const std::vector<std::string>& aAgents,
+             TimeMs aNowMs)
 {
   SyncActions actions;
   for (const auto& agent : aAgents) {
@@ -484,14 +530,14 @@
   return actions;
 }
 
-bool ReachesStore(const ConfigSync& aSync, TimeMs aNowMs)
+bool
+ReachesStore(const ConfigSync& aSync, TimeMs aNowMs)
 {
   return aSync.mStoreOkMs && aNowMs - *aSync.mStoreOkMs <= kReachMs;
 }
 
-Freshness JudgeFreshness(const ConfigSync& aSync,
-                         const FleetView& aView,
-                         TimeMs aNowMs)
+Freshness
+JudgeFreshness(const ConfigSync& aSync, const FleetView& aView, TimeMs aNowMs)
 {
   if (aSync.mConfig.mRevision == 0) {
     return Freshness::None;
@@ -505,10 +551,11 @@
   return outage ? Freshness::StoreOutage : Freshness::Stale;
 }
 
-WorkStamp StampWork(const ConfigSync& aSync,
-                    const FleetView& aView,
-                    TimeMs aEchoMs,
-                    TimeMs aNowMs)
+WorkStamp
+StampWork(const ConfigSync& aSync,
+          const FleetView& aView,
+          TimeMs aEchoMs,
+          TimeMs aNowMs)
 {
   WorkStamp stamp{ aSync.mConfig.mRevision, aEchoMs, kFreshMs };
   Freshness freshness = JudgeFreshness(aSync, aView, aNowMs);
@@ -520,9 +567,8 @@
   return stamp;
 }
 
-SenderJudgement JudgeWork(ConfigSync& aSync,
-                          const WorkStamp& aStamp,
-                          TimeMs aNowMs)
+SenderJudgement
+JudgeWork(ConfigSync& aSync, const WorkStamp& aStamp, TimeMs aNowMs)
 {
   SenderJudgement judgement = JudgeSender(aSync, aStamp.mRevision);
   if (aStamp.mEchoMs <= aNowMs) {
@@ -536,7 +582,8 @@
   return judgement;
 }
 
-SenderJudgement JudgeSender(const ConfigSync& aSync, std::int64_t aRevision)
+SenderJudgement
+JudgeSender(const ConfigSync& aSync, std::int64_t aRevision)
 {
   if (aRevision > aSync.mConfig.mRevision) {
     return SenderJudgement::PullFirst;
@@ -550,9 +597,10 @@
   return SenderJudgement::Accept;
 }
 
-GossipStatus StatusOf(const ConfigSync& aSync,
-                      const std::vector<std::string>& aAgents,
-                      TimeMs aNowMs)
+GossipStatus
+StatusOf(const ConfigSync& aSync,
+         const std::vector<std::string>& aAgents,
+         TimeMs aNowMs)
 {
   GossipStatus status;
   status.mRevision = aSync.mConfig.mRevision;
@@ -570,7 +618,8 @@
   return status;
 }
 
-void NoteConfirmed(ConfigSync& aSync, const Sender& aPeer, TimeMs aNowMs)
+void
+NoteConfirmed(ConfigSync& aSync, const Sender& aPeer, TimeMs aNowMs)
 {
   auto [found, added] = aSync.mConfirmed.try_emplace(aPeer.mHost);
   Confirmation& known = found->second;
@@ -586,15 +635,17 @@
   known = { aPeer.mIncarnation, aPeer.mRevision, aNowMs };
 }
 
-void ForgetMember(ConfigSync& aSync, const std::string& aHost)
+void
+ForgetMember(ConfigSync& aSync, const std::string& aHost)
 {
   aSync.mConfirmed.erase(aHost);
   aSync.mPushedMs.erase(aHost);
 }
 
-std::vector<std::string> Unconfirmed(const ConfigSync& aSync,
-                                     const std::vector<std::string>& aExpected,
-                                     std::int64_t aRevision)
+std::vector<std::string>
+Unconfirmed(const ConfigSync& aSync,
+            const std::vector<std::string>& aExpected,
+            std::int64_t aRevision)
 {
   std::vector<std::string> missing;
   for (const auto& host : aExpected) {
--- a/core/src/membership.cpp
+++ b/core/src/membership.cpp
@@ -3,6 +3,7 @@
 #include "savory/core/identity.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace savory {
 
@@ -12,15 +13,23 @@
 
 // A beat is one byte: 4 bits of age, 1 bit "reaches the store", 3 bits of the
 // revisions by which the member is behind the answer's. The highest value of
-// age and lag stands for "more than that".
-constexpr TimeMs kAgeUnitMs = 250;
-constexpr TimeMs kMaxAgeUnits = 15;
+// age and lag stands for "more than that". Ages are fine below 3 s, which the
+// staleness rule looks at, and reach to kGoneMs.
+constexpr std::array<TimeMs, 15> kAgeCodes{ 0,    250,  500,  750,   1000,
+                                            1250, 1500, 2000, 2500,  3000,
+                                            4500, 6000, 8000, 10500, 13500 };
+constexpr std::size_t kOlder = kAgeCodes.size();
 constexpr std::int64_t kMaxLag = 7;
 
+// The most customers of a row, and requests per second of one of them.
+constexpr std::size_t kMaxDemandRows = 256;
+constexpr double kMaxDemand = 1e9;
+
 constexpr std::size_t kMinSlots = 16;
 constexpr std::size_t kMaxSlots = 4096;
 
-std::uint64_t HashRow(const EntryRow& aRow)
+std::uint64_t
+HashRow(const EntryRow& aRow)
 {
   std::string text = aRow.mHost + '\n' + std::to_string(aRow.mIncarnation) +
                      '\n' + std::to_string(aRow.mSequence);
@@ -28,15 +37,23 @@
 }
 
 // Spreads a hash over all bits (the finalizer of SplitMix64).
-std::uint64_t Spread(std::uint64_t aValue)
+std::uint64_t
+Spread(std::uint64_t aValue)
 {
   aValue = (aValue ^ aValue >> 30) * 0xbf58476d1ce4e5b9ULL;
   aValue = (aValue ^ aValue >> 27) * 0x94d049bb133111ebULL;
   return aValue ^ aValue >> 31;
 }
 
-json RowArray(const EntryRow& aRow)
+// A row as it travels. Demand is in tenths of a request, which takes 1 to 3
+// bytes where a number with a fraction takes 9.
+json
+RowArray(const EntryRow& aRow)
 {
+  json demand = json::object();
+  for (const auto& [customer, rate] : aRow.mDemand) {
+    demand[customer] = std::llround(std::clamp(rate, 0., kMaxDemand) * 10);
+  }
   return json::array({ aRow.mHost,
                        aRow.mIncarnation,
                        aRow.mSequence,
@@ -44,12 +61,13 @@
                        aRow.mZone,
                        aRow.mRegion,
                        aRow.mLeaving,
-                       aRow.mDemand,
+                       std::move(demand),
                        aRow.mSections });
 }
 
 // Reads a row; throws json::exception on another shape.
-EntryRow ReadRow(const json& aRow)
+EntryRow
+ReadRow(const json& aRow)
 {
   EntryRow row{
     .mHost = aRow.at(0).get<std::string>(),
@@ -59,10 +77,15 @@
     .mZone = aRow.at(4).get<std::string>(),
     .mRegion = aRow.at(5).get<std::string>(),
     .mLeaving = aRow.at(6).get<bool>(),
-    .mDemand = aRow.at(7).get<std::map<std::string, double>>(),
+    .mDemand = {},
     .mSections = aRow.at(8),
   };
+  for (const auto& [customer, tenths] : aRow.at(7).items()) {
+    row.mDemand[customer] =
+      std::clamp(tenths.get<double>() / 10, 0., kMaxDemand);
+  }
   if (!row.mSections.is_object() || row.mHost.empty() ||
+      row.mDemand.size() > kMaxDemandRows ||
       row.mSections.dump().size() > kMaxSectionBytes) {
     throw json::other_error::create(501, "bad row", &aRow);
   }
@@ -70,7 +93,8 @@
 }
 
 // The member of a name, added when the table has room; null when it has not.
-Member* MemberOf(Membership& aTable, const std::string& aHost)
+Member*
+MemberOf(Membership& aTable, const std::string& aHost)
 {
   auto found = aTable.mMembers.find(aHost);
   if (found != aTable.mMembers.end()) {
@@ -86,7 +110,8 @@
 }
 
 // Whether a member's row takes part in gossip.
-bool HasRow(const Member& aMember, TimeMs aNowMs)
+bool
+HasRow(const Member& aMember, TimeMs aNowMs)
 {
   return aMember.mRole == Role::Entry && aMember.mRowHash != 0 &&
          aNowMs - aMember.mBeatMs <= kGoneMs;
@@ -101,11 +126,12 @@
   std::vector<std::vector<const Member*>> mMembers;
 };
 
-Slots SlotsOf(const Membership& aTable,
-              std::size_t aCount,
-              std::uint64_t aNonce,
-              TimeMs aNowMs,
-              bool aWithMembers)
+Slots
+SlotsOf(const Membership& aTable,
+        std::size_t aCount,
+        std::uint64_t aNonce,
+        TimeMs aNowMs,
+        bool aWithMembers)
 {
   Slots slots;
   slots.mDigests.resize(aCount);
@@ -126,9 +152,10 @@
 
 // The beat of a slot: the oldest age, the lowest revision and whether any
 // member reaches the store, so that no member looks better than it is.
-std::uint8_t BeatOf(const std::vector<const Member*>& aMembers,
-                    std::int64_t aRevision,
-                    TimeMs aNowMs)
+std::uint8_t
+BeatOf(const std::vector<const Member*>& aMembers,
+       std::int64_t aRevision,
+       TimeMs aNowMs)
 {
   TimeMs age = 0;
   std::int64_t lag = 0;
@@ -138,13 +165,15 @@
     lag = std::max(lag, aRevision - member->mRevision);
     reaches = reaches || member->mReachesStore;
   }
-  TimeMs units = std::min((age + kAgeUnitMs - 1) / kAgeUnitMs, kMaxAgeUnits);
-  return static_cast<std::uint8_t>(units << 4 | (reaches ? 8 : 0) |
+  auto code = std::lower_bound(kAgeCodes.begin(), kAgeCodes.end(), age) -
+              kAgeCodes.begin();
+  return static_cast<std::uint8_t>(code << 4 | (reaches ? 8 : 0) |
                                    std::min(lag, kMaxLag));
 }
 
 // Brings the own member up to date with the status.
-void RefreshSelf(Membership& aTable, const GossipStatus& aStatus, TimeMs aNowMs)
+void
+RefreshSelf(Membership& aTable, const GossipStatus& aStatus, TimeMs aNowMs)
 {
   Member& self = aTable.mMembers[aTable.mSelf.mHost];
   self.mBeatMs = aNowMs;
@@ -152,17 +181,18 @@
   self.mReachesStore = aStatus.mReachesStore;
 }
 
-void Publish(Membership& aTable, TimeMs aNowMs)
+void
+Publish(Membership& aTable)
 {
   aTable.mDirty = false;
-  aTable.mPublishedMs = aNowMs;
   aTable.mSelf.mSequence += 1;
   Member& self = aTable.mMembers[aTable.mSelf.mHost];
   self.mRow = aTable.mSelf;
   self.mRowHash = HashRow(self.mRow);
 }
 
-json StatusJson(const Membership& aTable, const GossipStatus& aStatus)
+json
+StatusJson(const Membership& aTable, const GossipStatus& aStatus)
 {
   json message = { { "from", aTable.mSelf.mHost },
                    { "incarnation", aTable.mSelf.mIncarnation },
@@ -176,7 +206,8 @@
 }
 
 // Reads the status of a message; throws json::exception on another shape.
-GossipNews ReadStatus(const json& aMessage)
+GossipNews
+ReadStatus(const json& aMessage)
 {
   GossipNews news{
     .mHost = aMessage.at("from").get<std::string>(),
@@ -194,7 +225,8 @@
   return news;
 }
 
-tl::unexpected<WireError> BadMessage(const json::exception& aError)
+tl::unexpected<WireError>
+BadMessage(const json::exception& aError)
 {
   return tl::unexpected(
     WireError{ WireErrorCode::MissingField, aError.what() });
@@ -202,7 +234,8 @@
 
 } // namespace
 
-Membership StartMembership(EntryRow aSelf, TimeMs aNowMs)
+Membership
+StartMembership(EntryRow aSelf, TimeMs aNowMs)
 {
   Membership table;
   table.mSelf = std::move(aSelf);
@@ -210,13 +243,14 @@
   table.mNextRequestMs = aNowMs;
   Member* self = MemberOf(table, table.mSelf.mHost);
   self->mBeatMs = aNowMs;
-  Publish(table, aNowMs);
+  Publish(table);
   return table;
 }
 
-void MergeHostList(Membership& aTable,
-                   const std::vector<HostRow>& aHosts,
-                   TimeMs aNowMs)
+void
+MergeHostList(Membership& aTable,
+              const std::vector<HostRow>& aHosts,
+              TimeMs aNowMs)
 {
   aTable.mListKnown = true;
   for (auto& [host, member] : aTable.mMembers) {
@@ -244,7 +278,8 @@
   }
 }
 
-void MergeReport(Membership& aTable, const Report& aReport, TimeMs aNowMs)
+void
+MergeReport(Membership& aTable, const Report& aReport, TimeMs aNowMs)
 {
   Member* member = MemberOf(aTable, aReport.mFrom.mHost);
   if (!member || aReport.mFrom.mIncarnation < member->mRow.mIncarnation) {
@@ -260,7 +295,8 @@
   member->mRevision = aReport.mFrom.mRevision;
 }
 
-bool MergeRow(Membership& aTable, EntryRow aRow, TimeMs aBeatMs)
+bool
+MergeRow(Membership& aTable, EntryRow aRow, TimeMs aBeatMs)
 {
   if (aRow.mHost == aTable.mSelf.mHost) {
     return false;
@@ -291,18 +327,20 @@
   return newer;
 }
 
-void SetLeaving(Membership& aTable, TimeMs aNowMs)
+void
+SetLeaving(Membership& aTable, TimeMs aNowMs)
 {
   aTable.mSelf.mLeaving = true;
   aTable.mAnnounceUntilMs = aNowMs + kAnnounceMs;
-  Publish(aTable, aNowMs);
+  Publish(aTable);
 }
 
-bool SetSection(Membership& aTable,
-                const std::string& aName,
-                json aValue,
-                bool aUrgent,
-                TimeMs aNowMs)
+bool
+SetSection(Membership& aTable,
+           const std::string& aName,
+           json aValue,
+           bool aUrgent,
+           TimeMs aNowMs)
 {
   json sections = aTable.mSelf.mSections;
   if (aValue.is_null()) {
@@ -320,12 +358,13 @@
   aTable.mDirty = true;
   if (aUrgent) {
     aTable.mAnnounceUntilMs = aNowMs + kRoundMs;
-    Publish(aTable, aNowMs);
+    Publish(aTable);
   }
   return true;
 }
 
-void SetDemand(Membership& aTable, std::map<std::string, double> aDemand)
+void
+SetDemand(Membership& aTable, std::map<std::string, double> aDemand)
 {
   if (aDemand != aTable.mSelf.mDemand) {
     aTable.mSelf.mDemand = std::move(aDemand);
@@ -333,10 +372,11 @@
   }
 }
 
-std::optional<GossipRequest> TickMembership(Membership& aTable,
-                                            const GossipStatus& aStatus,
-                                            TimeMs aNowMs,
-                                            std::mt19937_64& aRandom)
+std::optional<GossipRequest>
+TickMembership(Membership& aTable,
+               const GossipStatus& aStatus,
+               TimeMs aNowMs,
+               std::mt19937_64& aRandom)
 {
   if (aNowMs < aTable.mNextRequestMs) {
     return std::nullopt;
@@ -363,9 +403,13 @@
       peers.push_back(&member);
     }
   }
-  TimeMs spacing = kRowSpacingMs * static_cast<TimeMs>(rows);
-  if (aTable.mDirty && aNowMs - aTable.mPublishedMs >= spacing) {
-    Publish(aTable, aNowMs);
+  // The times differ by up to a half, so that a fleet that started at once
+  // does not publish at once.
+  if (aTable.mDirty && aNowMs >= aTable.mNextPublishMs) {
+    Publish(aTable);
+    TimeMs spacing = kRowSpacingMs * static_cast<TimeMs>(rows);
+    std::uniform_int_distribution<TimeMs> times(spacing / 2, spacing * 3 / 2);
+    aTable.mNextPublishMs = aNowMs + times(aRandom);
   }
   if (peers.empty()) {
     return std::nullopt;
@@ -387,30 +431,35 @@
                         std::move(request) };
 }
 
-tl::expected<json, WireError> AnswerGossip(Membership& aTable,
-                                           const json& aRequest,
-                                           const GossipStatus& aStatus,
-                                           TimeMs aNowMs,
-                                           GossipNews& aNews)
+tl::expected<json, WireError>
+AnswerGossip(Membership& aTable,
+             const json& aRequest,
+             const GossipStatus& aStatus,
+             TimeMs aNowMs,
+             GossipNews& aNews)
 {
   try {
     aNews = ReadStatus(aRequest);
-    auto nonce = aRequest.at("nonce").get<std::uint64_t>();
-    const auto& digests = aRequest.at("digests").get_binary();
-    if (digests.empty() || digests.size() > kMaxSlots) {
-      return tl::unexpected(
-        WireError{ WireErrorCode::BadEncoding, "bad number of slots" });
-    }
     // 1. The requester's own row. When it was sent is not known, so that it
     // does not count as heard from at this moment.
     auto row = aRequest.find("row");
     if (row != aRequest.end()) {
-      MergeRow(aTable, ReadRow(*row), aNowMs - kHeardMs - kAgeUnitMs);
+      MergeRow(aTable, ReadRow(*row), aNowMs - kHeardMs - 1);
     }
-    // 2. Rows of the slots that differ, beats of those that do not.
     RefreshSelf(aTable, aStatus, aNowMs);
+    json answer = StatusJson(aTable, aStatus);
+    if (!aRequest.contains("digests")) {
+      return answer;
+    }
+    // 2. Rows of the slots that differ, beats of those that do not.
+    auto nonce = aRequest.at("nonce").get<std::uint64_t>();
+    const auto& digests = aRequest.at("digests").get_binary();
+    if (digests.empty() || digests.size() > kMaxSlots) {
+      return tl::unexpected(
+        WireError{ WireErrorCode::BadEncoding, "bad number of slots" });
+    }
     Slots slots = SlotsOf(aTable, digests.size(), nonce, aNowMs, true);
-    std::vector<std::uint8_t> beats(digests.size(), 0xff);
+    std::vector<std::uint8_t> beats(digests.size(), kOlder << 4);
     json rows = json::array();
     for (std::size_t i = 0; i < digests.size(); ++i) {
       std::size_t slot = (i + nonce) % digests.size();
@@ -430,8 +479,6 @@
         }
       }
     }
-    json answer = StatusJson(aTable, aStatus);
-    answer["nonce"] = nonce;
     answer["beats"] = json::binary(std::move(beats));
     if (!rows.empty()) {
       answer["rows"] = std::move(rows);
@@ -442,34 +489,36 @@
   }
 }
 
-tl::expected<GossipNews, WireError> MergeGossipAnswer(Membership& aTable,
-                                                      const json& aAnswer,
-                                                      TimeMs aSentMs,
-                                                      TimeMs aNowMs)
+tl::expected<GossipNews, WireError>
+MergeGossipAnswer(Membership& aTable,
+                  const json& aAnswer,
+                  TimeMs aSentMs,
+                  TimeMs aNowMs)
 {
   try {
     GossipNews news = ReadStatus(aAnswer);
-    auto nonce = aAnswer.at("nonce").get<std::uint64_t>();
-    const auto& beats = aAnswer.at("beats").get_binary();
-    if (beats.empty() || beats.size() > kMaxSlots) {
+    json::binary_t beats;
+    if (aAnswer.contains("beats")) {
+      beats = aAnswer.at("beats").get_binary();
+    }
+    if (beats.size() > kMaxSlots) {
       return tl::unexpected(
         WireError{ WireErrorCode::BadEncoding, "bad number of slots" });
     }
     // 1. Beats, before the rows change the slots. A row that changed since the
     // request moves no member to another slot, and its beat remains true.
-    std::vector<TimeMs> beatMs(beats.size(), 0);
     for (auto& [host, member] : aTable.mMembers) {
-      if (!HasRow(member, aNowMs) || host == aTable.mSelf.mHost) {
+      if (beats.empty() || !HasRow(member, aNowMs) ||
+          host == aTable.mSelf.mHost) {
         continue;
       }
       std::uint8_t beat = beats[member.mHostHash % beats.size()];
-      TimeMs units = beat >> 4;
-      TimeMs at = aSentMs - units * kAgeUnitMs;
-      if (units >= kMaxAgeUnits || at <= member.mBeatMs) {
+      std::size_t code = beat >> 4;
+      if (code == kOlder || aSentMs - kAgeCodes[code] <= member.mBeatMs) {
         continue;
       }
       std::int64_t lag = beat & 7;
-      member.mBeatMs = at;
+      member.mBeatMs = aSentMs - kAgeCodes[code];
       member.mReachesStore = (beat & 8) != 0;
       member.mRevision =
         lag < kMaxLag ? std::max<std::int64_t>(0, news.mStatus.mRevision - lag)
@@ -494,14 +543,14 @@
       member.mReachesStore = news.mStatus.mReachesStore;
       member.mRevision = news.mStatus.mConfirmed;
     }
-    (void)nonce;
     return news;
   } catch (const json::exception& error) {
     return BadMessage(error);
   }
 }
 
-bool IsLive(const Membership& aTable, const Member& aMember, TimeMs aNowMs)
+bool
+IsLive(const Membership& aTable, const Member& aMember, TimeMs aNowMs)
 {
   bool leaving = aMember.mRow.mLeaving || aMember.mListLeaving;
   if (aMember.mRow.mHost == aTable.mSelf.mHost) {
@@ -511,7 +560,8 @@
   return seen && !leaving && aNowMs - aMember.mBeatMs <= kGoneMs;
 }
 
-std::vector<std::string> ListedEntries(const Membership& aTable)
+std::vector<std::string>
+ListedEntries(const Membership& aTable)
 {
   std::vector<std::string> hosts;
   for (const auto& [host, member] : aTable.mMembers) {
@@ -523,9 +573,8 @@
   return hosts;
 }
 
-std::vector<std::string> LiveEntries(const Membership& aTable,
-                                     std::string_view aRegion,
-                                     TimeMs aNowMs)
+std::vector<std::string>
+LiveEntries(const Membership& aTable, std::string_view aRegion, TimeMs aNowMs)
 {
   std::vector<std::string> hosts;
   for (const auto& [host, member] : aTable.mMembers) {
@@ -537,7 +586,8 @@
   return hosts;
 }
 
-FleetView ViewFleet(const Membership& aTable, TimeMs aNowMs)
+FleetView
+ViewFleet(const Membership& aTable, TimeMs aNowMs)
 {
   FleetView view;
   std::uint64_t selfRank = Spread(HashOf(aTable.mSelf.mHost));
@@ -562,8 +612,8 @@
   return view;
 }
 
-std::string RendezvousFirst(const std::vector<std::string>& aHosts,
-                            std::string_view aKey)
+std::string
+RendezvousFirst(const std::vector<std::string>& aHosts, std::string_view aKey)
 {
   std::string best;
   std::uint64_t bestRank = 0;
@@ -578,9 +628,10 @@
   return best;
 }
 
-double DemandShare(const Membership& aTable,
-                   const std::string& aCustomer,
-                   TimeMs aNowMs)
+double
+DemandShare(const Membership& aTable,
+            const std::string& aCustomer,
+            TimeMs aNowMs)
 {
   double all = 0;
   std::size_t live = 0;
@@ -601,7 +652,8 @@
   return mine / (all + mine);
 }
 
-json ToJson(const EntryRow& aRow)
+json
+ToJson(const EntryRow& aRow)
 {
   return { { "host", aRow.mHost },         { "incarnation", aRow.mIncarnation },
            { "sequence", aRow.mSequence }, { "address", aRow.mAddress },
@@ -610,7 +662,8 @@
            { "sections", aRow.mSections } };
 }
 
-tl::expected<EntryRow, WireError> ParseEntryRow(const json& aRow)
+tl::expected<EntryRow, WireError>
+ParseEntryRow(const json& aRow)
 {
   try {
     return ReadRow(json::array({ aRow.at("host"),
@@ -620,14 +673,15 @@
                                  aRow.at("zone"),
                                  aRow.at("region"),
                                  aRow.at("leaving"),
-                                 aRow.at("demand"),
+                                 aRow.at("demand_tenths"),
                                  aRow.at("sections") }));
   } catch (const json::exception& error) {
     return BadMessage(error);
   }
 }
 
-json ToJson(const Membership& aTable, TimeMs aNowMs)
+json
+ToJson(const Membership& aTable, TimeMs aNowMs)
 {
   json members = json::array();
   for (const auto& [host, member] : aTable.mMembers) {
--- a/router/src/fleet.cpp
+++ b/router/src/fleet.cpp
@@ -101,13 +101,32 @@
   // 2. Configuration.
   Perform(
     TickSync(mSync, ViewFleet(mMembers, now), ListedEntries(mMembers), now));
-  // 3. What other modules publish.
+  // 3. What other modules publish, and what operators have to know.
+  LogChanges();
   if (now >= mNextRoundMs) {
     mNextRoundMs = now + kRoundPeriodMs;
     mOnRound.emit();
   }
 }
 
+// Logs when the store is lost or found, and when the configuration turns stale.
+void
+Fleet::LogChanges()
+{
+  bool reaches = ReachesStore(mSync, mNode.mLoop.NowMs());
+  if (mNode.mConfig && reaches != mLoggedReach) {
+    mLoggedReach = reaches;
+    LogEvent(reaches ? Event::StoreUp : Event::StoreDown,
+             { { "store", ToString(mNode.mSettings.mStore) } });
+  }
+  bool stale = JudgeNow() == Freshness::Stale;
+  if (stale && !mLoggedStale) {
+    LogEvent(Event::ConfigStale,
+             { { "revision", std::to_string(mSync.mConfig.mRevision) } });
+  }
+  mLoggedStale = stale;
+}
+
 void
 Fleet::PollHosts()
 {
@@ -451,6 +470,15 @@
   }
 }
 
+Stamp
+Fleet::StampFor(const AgentLink& aLink) const
+{
+  TimeMs now = mNode.mLoop.NowMs();
+  WorkStamp stamp =
+    StampWork(mSync, ViewFleet(mMembers, now), aLink.mReport.mClockMs, now);
+  return { stamp.mEchoMs, stamp.mVerifiedAgeMs };
+}
+
 void
 Fleet::HeardOf(const Sender& aSender)
 {
@@ -494,6 +522,19 @@
   SetLeaving(mMembers, mNode.mLoop.NowMs());
 }
 
+void
+Fleet::Close()
+{
+  mTick.Cancel();
+  mHostsTimer.Cancel();
+  mWatchEnd.Cancel();
+  for (auto& [address, connection] : mPeers) {
+    if (connection) {
+      connection->Close();
+    }
+  }
+}
+
 nlohmann::json
 Fleet::State() const
 {
--- a/router/src/fleet.h
+++ b/router/src/fleet.h
@@ -32,6 +32,9 @@
   // Looks at the head in the store at once, as after an operator's hint.
   void LookAtHead();
 
+  // What this entry tells an agent with a piece of work.
+  Stamp StampFor(const AgentLink& aLink) const;
+
   // Takes the revision that any message of another process carried.
   void HeardOf(const Sender& aSender);
 
@@ -47,6 +50,9 @@
   // Tells the other entries that this one is leaving.
   void Leave();
 
+  // Ends gossip and closes all connections to peers.
+  void Close();
+
   nlohmann::json State() const;
 
   Membership mMembers;
@@ -55,6 +61,7 @@
 
 private:
   void Tick();
+  void LogChanges();
   void PollHosts();
   void TakeHosts(const std::vector<Host>& aHosts);
   void SendGossip(const GossipRequest& aRequest);
@@ -79,7 +86,9 @@
   Timer mTick;
   Timer mHostsTimer;
   TimeMs mNextRoundMs = 0;
-  TimeMs mNextPushMs = 0;
+  // What the log last said, so that it tells changes only.
+  bool mLoggedReach = true;
+  bool mLoggedStale = false;
 };
 
 } // namespace savory
--- a/router/src/model_call.cpp
+++ b/router/src/model_call.cpp
@@ -514,6 +514,7 @@
   }
   RunRequest request{
     .mFrom = SenderOf(mEntry.mNode),
+    .mStamp = mEntry.mFleet.StampFor(*link),
     .mRequestId = mContext.mRequestId,
     .mStep = static_cast<int>(mStep),
     .mAttempt = ++mAttempt,
@@ -893,7 +894,7 @@
   if (mOver) {
     return;
   }
-  mEntry.CountAnswer(HttpStatus(aError.mCode));
+  mEntry.CountError(aError, mContext.mRequestId);
   Explain("failed",
           std::string(NameOf(kErrorCodeNames, aError.mCode)),
           aError.mMessage);
--- a/router/src/service_call.cpp
+++ b/router/src/service_call.cpp
@@ -131,6 +131,7 @@
   mBody = aRequest.mBody;
   mCall = {
     .mFrom = {},
+    .mStamp = {},
     .mRequestId = mContext.mRequestId,
     .mCustomer = mContext.mCustomer->mName,
     .mService = mService.mName,
@@ -261,6 +262,7 @@
   AgentLink* link = mEntry.mLinks.Find(aAddress);
   mEntry.mFleet.BringUpToDate(*link);
   mCall.mFrom = SenderOf(mEntry.mNode);
+  mCall.mStamp = mEntry.mFleet.StampFor(*link);
   mExchange =
     AgentExchange::Start(*link->mConnection, "/call", Encode(mCall), mBody);
   if (!mExchange) {
@@ -420,6 +422,7 @@
                       .mOutputTokens = 0,
                       .mCost = 0,
                       .mComplete = true });
+  mEntry.CountAnswer(mHead.mStatus);
   mDeadline.Cancel();
   mReply->mOnClosed = {};
   Headers headers = mHead.mHeaders;
@@ -449,6 +452,7 @@
 {
   mDeadline.Cancel();
   mReply->mOnClosed = {};
+  mEntry.CountError(aError, mContext.mRequestId);
   SendError(*mReply, aError, mContext.mRequestId);
 }
 
