Fix false cold starts, refusals at the start of an outage and false suspects

Streams waited 15 s: a busy host made waits of a few milliseconds ten times as long, which counted as a cold start. Calls failed for a second at the start of a store outage: the agent adds the age of its last report to the age of the entry's known head and passed 9 s before the entry turned to the outage rule. An innocent call was quarantined: the entry counted each crash as one of an isolated run. It now does so only for runs that it sent alone. Ruled out: slower callers in the tests; the refusals carried the codes above.

--- a/core/include/savory/core/warmup.h
+++ b/core/include/savory/core/warmup.h
@@ -17,6 +17,10 @@
   double mSlowFactor = 4;
   double mVerySlowFactor = 10;
   int mSlowInRow = 3;
+  // A wait below this is no sign of a cold start, however short the ordinary
+  // one is: with engines that answer within a few milliseconds, a busy host
+  // alone makes waits ten times as long.
+  TimeMs mLeastColdMs = 500;
   int mMinSamples = 8;
   bool mEnabled = true;
 };
--- a/core/src/config_sync.cpp
+++ b/core/src/config_sync.cpp
@@ -536,6 +536,20 @@
   return aSync.mStoreOkMs && aNowMs - *aSync.mStoreOkMs <= kReachMs;
 }
 
+namespace {
+
+// Whether the fleet is in an outage of the store, in which nothing can be
+// accepted: this entry failed to reach it, and more than half of the entries
+// were heard from lately, none of which reaches it.
+bool
+IsOutage(const ConfigSync& aSync, const FleetView& aView, TimeMs aNowMs)
+{
+  return aSync.mStoreFailed && !ReachesStore(aSync, aNowMs) &&
+         !aView.mOtherReachesStore && 2 * aView.mHeard > aView.mEntries;
+}
+
+} // namespace
+
 Freshness
 JudgeFreshness(const ConfigSync& aSync, const FleetView& aView, TimeMs aNowMs)
 {
@@ -546,9 +560,8 @@
       (aSync.mVerifiedMs && aNowMs - *aSync.mVerifiedMs <= kFreshMs)) {
     return Freshness::Fresh;
   }
-  bool outage = aSync.mStoreFailed && !ReachesStore(aSync, aNowMs) &&
-                !aView.mOtherReachesStore && 2 * aView.mHeard > aView.mEntries;
-  return outage ? Freshness::StoreOutage : Freshness::Stale;
+  return IsOutage(aSync, aView, aNowMs) ? Freshness::StoreOutage
+                                        : Freshness::Stale;
 }
 
 WorkStamp
@@ -559,7 +572,11 @@
 {
   WorkStamp stamp{ aSync.mConfig.mRevision, aEchoMs, kFreshMs };
   Freshness freshness = JudgeFreshness(aSync, aView, aNowMs);
-  if (freshness == Freshness::StoreOutage) {
+  // In an outage the age does not count even while it is still fresh: the agent
+  // adds the age of its last report, and would refuse work for the last second
+  // before the entry itself turns to the rule of the outage.
+  if (freshness != Freshness::Stale && freshness != Freshness::None &&
+      IsOutage(aSync, aView, aNowMs)) {
     stamp.mVerifiedAgeMs = 0;
   } else if (freshness == Freshness::Fresh && aSync.mVerifiedMs) {
     stamp.mVerifiedAgeMs = aNowMs - *aSync.mVerifiedMs;
--- a/core/src/warmup.cpp
+++ b/core/src/warmup.cpp
@@ -70,6 +70,7 @@
           TimeMs aElapsedMs)
 {
   return aWarmup.mSamples >= aOptions.mMinSamples &&
+         aElapsedMs >= aOptions.mLeastColdMs &&
          PerToken(aInputTokens, aElapsedMs) >
            aOptions.mVerySlowFactor * aWarmup.mLearned;
 }
@@ -87,7 +88,8 @@
   double sample = PerToken(aInputTokens, aElapsedMs);
   bool cold = IsCold(aWarmup, aOptions);
   bool known = aWarmup.mSamples >= aOptions.mMinSamples;
-  bool slow = known && sample > aOptions.mSlowFactor * aWarmup.mLearned;
+  bool slow = known && aElapsedMs >= aOptions.mLeastColdMs &&
+              sample > aOptions.mSlowFactor * aWarmup.mLearned;
   if (!slow) {
     // Times of a cold backend server would raise what counts as ordinary.
     if (!cold || !known) {
--- a/router/src/model_call.cpp
+++ b/router/src/model_call.cpp
@@ -37,6 +37,10 @@
 // Pause before a request is sent again to backend servers that refused it.
 constexpr TimeMs kRetryPauseMs = 25;
 
+// Pause before work is sent again that an agent could not tell to be new
+// enough; its next report, within a second, makes the difference.
+constexpr TimeMs kStalePauseMs = 250;
+
 // Time kept for a second step when the first one waits for its rating.
 constexpr double kRatingWaitShare = 0.3;
 
@@ -549,6 +553,7 @@
     return false;
   }
   mAddress = aAddress;
+  mAlone = aAlone;
   mBackendHost = link->mReport.mFrom.mHost;
   mTried.push_back(aAddress);
   mStepStartedMs = mEntry.mNode.mLoop.NowMs();
@@ -640,10 +645,14 @@
     AfterFailure(aHead.mCrash);
     return;
   }
-  if (aHead.mCode == ErrorCode::ConfigOlder ||
-      aHead.mCode == ErrorCode::NoConfiguration) {
+  bool config = aHead.mCode == ErrorCode::ConfigOlder ||
+                aHead.mCode == ErrorCode::ConfigStale ||
+                aHead.mCode == ErrorCode::NoConfiguration;
+  if (config) {
+    // The next message carries a newer revision or a younger state of the head.
     mTried.clear();
-    RetryAfter(kRetryPauseMs);
+    RetryAfter(aHead.mCode == ErrorCode::ConfigStale ? kStalePauseMs
+                                                     : kRetryPauseMs);
     return;
   }
   Proceed();
@@ -725,8 +734,10 @@
 {
   TimeMs now = mEntry.mNode.mLoop.NowMs();
   if (aCrash != 0) {
-    std::uint64_t fingerprints[] = { mFingerprint };
-    OnCrash(mEntry.mQuarantine, {}, aCrash, fingerprints, now);
+    // Only a run that was sent alone is known here to have been alone; the
+    // agent's own count of what broke comes with its report.
+    SuspectRow rows[] = { { mFingerprint, { { aCrash, mAlone, false } }, 0 } };
+    MergeSuspects(mEntry.mQuarantine, {}, rows, now);
   }
   mAnswer.clear();
   mText.clear();
--- a/router/src/model_call.h
+++ b/router/src/model_call.h
@@ -111,6 +111,7 @@
   int mAttempt = 0;
   bool mRan = false;
   bool mQueued = false;
+  bool mAlone = false;
   bool mOver = false;
   bool mRated = false;
 
--- a/tests/core/test_warmup.cpp
+++ b/tests/core/test_warmup.cpp
@@ -162,4 +162,21 @@
   BOOST_TEST(Allowance(warmup, options) == 1);
 }
 
+// Guards against a busy host being taken for a cold backend server: with
+// ordinary waits of a few milliseconds, ten times as long is still short.
+BOOST_AUTO_TEST_CASE(short_waits_are_no_sign_of_a_cold_start)
+{
+  WarmupOptions options;
+  Warmup warmup;
+  warmup.mAllowance = options.mFull;
+  for (int i = 0; i < 3 * options.mMinSamples; ++i) {
+    BOOST_TEST(!OnFirstToken(warmup, options, 0, 10, 2));
+  }
+  for (TimeMs wait : { 40, 200, 499 }) {
+    BOOST_TEST(!LooksCold(warmup, options, 10, wait));
+    BOOST_TEST(!OnFirstToken(warmup, options, 0, 10, wait));
+  }
+  BOOST_TEST(LooksCold(warmup, options, 10, options.mLeastColdMs));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
