Give cold backend servers a small share of the choices

Cause: a returned zone got no work while the others had room (test_zone_return, no run in 30 s): ranked by occupancy, an empty cold server with an allowance of 1 stays behind warm ones that are nearly full, and never warms up. Change: in 1% of the choices a cold server that is fit goes first.

--- a/core/include/savory/core/balancer.h
+++ b/core/include/savory/core/balancer.h
@@ -48,6 +48,10 @@
   TimeMs mZoneStepMs = 5000;
   double mCachedBonus = 2.0;
   double mOtherZonePenalty = 0.02;
+  // Share of choices that put a cold backend server first when one is fit.
+  // Ranked by occupancy alone, an empty one with an allowance of 1 stays behind
+  // warm ones that are nearly full, and never warms up.
+  double mWarmupShare = 0.01;
   bool mUseAllowance = true;
   bool mUseZones = true;
   bool mUseLeaving = true;
--- a/core/src/balancer.cpp
+++ b/core/src/balancer.cpp
@@ -373,6 +373,13 @@
   std::sort(begin, end, [](const Scored& aLeft, const Scored& aRight) {
     return aLeft.mScore < aRight.mScore;
   });
+  auto cold = std::find_if(begin, end, [&](const Scored& aPlace) {
+    return aBalancer.mRows[aPlace.mRow].mAllowance < selection.mPoolAllowance;
+  });
+  if (cold != end && cold != begin &&
+      std::bernoulli_distribution(aOptions.mWarmupShare)(aRandom)) {
+    std::rotate(begin, cold, cold + 1);
+  }
   for (auto place = begin;
        place != end && choice.mCandidates.size() < aOptions.mMaxCandidates;
        ++place) {
