Take a broken connection as a possible restart at once

Ruled out: a shorter poll; the queue starts requests in the very turn in which the broken ones leave. Change: the first broken connection resets the warm-up, and the poll that follows restores the allowance when the engine had not restarted.

--- a/router/src/agent.cpp
+++ b/router/src/agent.cpp
@@ -133,6 +133,10 @@
   if (broken.empty()) {
     return;
   }
+  auto before = std::exchange(mAllowanceBefore, std::nullopt);
+  if (!aCrashed && before) {
+    mWarmup.mAllowance = *before;
+  }
   std::uint64_t crash = 0;
   if (aCrashed) {
     crash = CrashId(ToString(mNode.mSettings.mInner), mLoad.mInstance);
@@ -152,6 +156,15 @@
   }
 }
 
+void
+Agent::SuspectRestart()
+{
+  if (!mAllowanceBefore) {
+    mAllowanceBefore = mWarmup.mAllowance;
+    ResetWarmup(mWarmup, "broken connection");
+  }
+}
+
 void
 Agent::RunBroke(std::uint64_t aFingerprint,
                 const sigc::slot<void(std::uint64_t)>& aTold)
--- a/router/src/agent.h
+++ b/router/src/agent.h
@@ -63,6 +63,11 @@
   // Takes the tokens that a run has generated so far.
   void RunGenerated(const std::string& aId, std::int64_t aTokens);
 
+  // A connection to the backend server broke, which may be a restart. Until
+  // that is known it gets no more than a cold one, so that queued requests do
+  // not start on it at once.
+  void SuspectRestart();
+
   // A request broke at the backend server. Finds out whether it crashed and
   // then tells the crash's id, 0 for none.
   void RunBroke(std::uint64_t aFingerprint,
@@ -120,6 +125,8 @@
   TimeMs mStartedMs;
   std::map<std::string, std::weak_ptr<AgentRun>> mRuns;
   std::vector<BrokenRun> mBroken;
+  // The allowance before a suspected restart; restored when there was none.
+  std::optional<int> mAllowanceBefore;
   ZoneState mZoneState = ZoneState::In;
   Admin mAdmin;
   ConfigSync mSync;
--- a/router/src/agent_run.cpp
+++ b/router/src/agent_run.cpp
@@ -360,14 +360,18 @@
   // The backend server broke the request, or crashed. The answer waits until
   // that is known, so that the entry does not send the cause of a crash to the
   // next backend server.
+  bool broke = !aResult && aResult.error() != HttpErrorCode::NotConnected &&
+               aResult.error() != HttpErrorCode::Timeout;
+  if (broke) {
+    mAgent.SuspectRestart();
+  }
   LeaveBackend();
   bool reached =
     aResult.has_value() || aResult.error() != HttpErrorCode::NotConnected;
   std::string reason =
     aResult ? "the backend server answered " + std::to_string(mStatus)
             : std::string(NameOf(kHttpErrorNames, aResult.error()));
-  bool timeout = !aResult && aResult.error() == HttpErrorCode::Timeout;
-  if (!reached || timeout || aResult) {
+  if (!broke) {
     SendBroken(reached, reason, 0);
     return;
   }
