--- /dev/null
+++ b/core/include/savory/core/model_choice.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "savory/core/types.h"
+
+#include <map>
+#include <string>
+
+namespace savory {
+
+// Choice of the model size for requests that leave it open. The smallest model
+// answers first; its answer comes with a rough confidence before its first
+// token, and an answer that is not good enough is dropped and asked again from
+// the largest model while the caller has received nothing.
+
+// How long reading a prompt takes with a model, learned from answers.
+struct ReadSpeed
+{
+  double mMsPerToken = 0.03;
+  double mFixedMs = 20;
+};
+
+// Learns from one answer: what was expected and what was observed.
+void
+LearnReadSpeed(ReadSpeed& aSpeed, double aExpectedMs, double aObservedMs);
+
+struct ModelChoiceOptions
+{
+  // Confidence below which an answer is dropped on an idle pool, and on one
+  // whose prompts wait for mBusyMs.
+  double mCalmConfidence = 55;
+  double mBusyConfidence = 15;
+  double mBusyMs = 1500;
+  // Part of the latency goal that must be left over after the larger model's
+  // expected first event.
+  double mReserve = 0.1;
+};
+
+struct SizeOutlook
+{
+  // 0 to 100, as the smaller model judges its own answer.
+  double mConfidence = 100;
+  // Since the caller's request arrived.
+  double mElapsedMs = 0;
+  // Expected time to the first event of the larger model.
+  double mLargerMs = 0;
+  double mLatencyGoalMs = 0;
+  // Recent time that prompts waited beyond their own reading, on the pool.
+  double mPoolWaitMs = 0;
+};
+
+// The confidence from which on an answer is kept.
+double
+KeepConfidence(const SizeOutlook& aOutlook, const ModelChoiceOptions& aOptions);
+
+// Whether to drop the answer and ask the larger model.
+bool
+ShouldAskLarger(const SizeOutlook& aOutlook,
+                const ModelChoiceOptions& aOptions = {});
+
+} // namespace savory
--- /dev/null
+++ b/core/src/event_stream.cpp
@@ -0,0 +1,85 @@
+#include "savory/core/event_stream.h"
+
+#include <charconv>
+
+namespace savory {
+
+namespace {
+
+// The id of an event, from its line "id: N".
+std::optional<std::int64_t>
+ReadId(std::string_view aEvent)
+{
+  while (!aEvent.empty()) {
+    std::size_t end = std::min(aEvent.find('\n'), aEvent.size());
+    std::string_view line = aEvent.substr(0, end);
+    aEvent.remove_prefix(std::min(end + 1, aEvent.size()));
+    if (!line.starts_with("id:")) {
+      continue;
+    }
+    line.remove_prefix(3);
+    while (!line.empty() && line.front() == ' ') {
+      line.remove_prefix(1);
+    }
+    std::int64_t id = 0;
+    auto [last, error] =
+      std::from_chars(line.data(), line.data() + line.size(), id);
+    if (error == std::errc() && last != line.data()) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+// The end of the first event in the text, behind its empty line, or npos.
+std::size_t
+EventEnd(std::string_view aText, std::size_t aFrom)
+{
+  std::size_t plain = aText.find("\n\n", aFrom);
+  std::size_t carriage = aText.find("\r\n\r\n", aFrom);
+  if (plain == std::string_view::npos && carriage == std::string_view::npos) {
+    return std::string_view::npos;
+  }
+  return plain < carriage ? plain + 2 : carriage + 4;
+}
+
+} // namespace
+
+std::vector<StreamEvent>
+TakeEvents(EventStream& aStream, std::string_view aBytes)
+{
+  std::vector<StreamEvent> events;
+  // An end may lie across the border of the bytes known before.
+  std::size_t known = aStream.mPending.size();
+  std::size_t from = known < 3 ? 0 : known - 3;
+  aStream.mPending += aBytes;
+  std::size_t start = 0;
+  for (std::size_t end = EventEnd(aStream.mPending, from);
+       end != std::string_view::npos;
+       end = EventEnd(aStream.mPending, start)) {
+    StreamEvent event;
+    event.mBytes = aStream.mPending.substr(start, end - start);
+    event.mId = ReadId(event.mBytes);
+    events.push_back(std::move(event));
+    start = end;
+  }
+  aStream.mPending.erase(0, start);
+  return events;
+}
+
+bool
+HasPartialEvent(const EventStream& aStream)
+{
+  return !aStream.mPending.empty();
+}
+
+EventOrder
+OrderOf(const StreamEvent& aEvent, std::optional<std::int64_t> aLastId)
+{
+  if (!aEvent.mId || !aLastId || *aEvent.mId == *aLastId + 1) {
+    return EventOrder::Next;
+  }
+  return *aEvent.mId <= *aLastId ? EventOrder::Repeated : EventOrder::Gap;
+}
+
+} // namespace savory
--- /dev/null
+++ b/core/src/routes.cpp
@@ -0,0 +1,68 @@
+#include "savory/core/routes.h"
+
+#include <algorithm>
+
+namespace savory {
+
+const Route*
+FindRoute(const RouteTable& aTable,
+          std::string_view aHost,
+          std::string_view aPath)
+{
+  std::string host(aHost.substr(0, aHost.find(':')));
+  auto found = aTable.mRoutes.find(host);
+  if (found == aTable.mRoutes.end()) {
+    return nullptr;
+  }
+  std::string_view path = aPath.substr(0, aPath.find('?'));
+  for (const Route& route : found->second) {
+    if (path.starts_with(route.mPrefix)) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+const ServiceInfo*
+FindService(const RouteTable& aTable, const std::string& aName)
+{
+  auto found = aTable.mServices.find(aName);
+  return found == aTable.mServices.end() ? nullptr : &found->second;
+}
+
+void
+SortRoutes(RouteTable& aTable)
+{
+  for (auto& [host, routes] : aTable.mRoutes) {
+    std::stable_sort(routes.begin(),
+                     routes.end(),
+                     [](const Route& aLeft, const Route& aRight) {
+                       return aLeft.mPrefix.size() > aRight.mPrefix.size();
+                     });
+  }
+}
+
+const RouteTarget*
+PickTarget(const Route& aRoute, double aPoint)
+{
+  double total = 0;
+  for (const auto& target : aRoute.mTargets) {
+    total += target.mWeight;
+  }
+  double mark = aPoint * total;
+  for (const auto& target : aRoute.mTargets) {
+    mark -= target.mWeight;
+    if (mark < 0 && target.mWeight > 0) {
+      return &target;
+    }
+  }
+  return aRoute.mTargets.empty() ? nullptr : &aRoute.mTargets.back();
+}
+
+bool
+IsNewer(const RouteTable* aPresent, const RouteTable& aOffered)
+{
+  return !aPresent || aOffered.mVersion > aPresent->mVersion;
+}
+
+} // namespace savory
--- /dev/null
+++ b/core/src/runners.cpp
@@ -0,0 +1,340 @@
+#include "savory/core/runners.h"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace savory {
+
+namespace {
+
+// A part counts as cached for this long after its last use; engines evict the
+// least recently used parts, and their caches hold about this much of traffic.
+constexpr TimeMs kCacheBeliefMs = 20000;
+
+// The first pause after a failed connection and the longest one. A crashed
+// runner is back after some seconds; an attempt costs little when refused.
+constexpr TimeMs kFirstBlockMs = 250;
+constexpr TimeMs kMaxBlockMs = 4000;
+
+// Half-life of the share of failures, so that a runner that recovered is used
+// again, and the weight of one outcome.
+constexpr double kErrorHalfLifeMs = 3000;
+constexpr double kErrorWeight = 0.25;
+
+// The time that an expected failure costs, in milliseconds of waiting: the
+// request starts anew elsewhere.
+constexpr double kFailureCostMs = 1500;
+
+// Reports of load older than this say nothing.
+constexpr TimeMs kReportAgeMs = 1000;
+
+// What a byte to another availability zone is worth in milliseconds of
+// waiting.
+constexpr double kCrossZoneMsPerKiB = 1.0;
+constexpr double kCrossZoneMs = 3.0;
+
+// A running stream slows the others down by about this share of a step.
+constexpr double kRunningCostMs = 0.3;
+
+// The share of a prompt's shared tokens that is expected to be read anew at
+// the key's home, at its second choice and elsewhere, when this host does not
+// know that they are cached.
+constexpr double kUnknownHome = 0.4;
+constexpr double kUnknownSecond = 0.7;
+constexpr double kUnknownElsewhere = 1.0;
+
+// Bounds the memory of what is believed to be cached at one runner.
+constexpr std::size_t kMaxCachedParts = 4096;
+
+bool
+IsLive(const RunnerState& aRunner)
+{
+  return !aRunner.mGone && !aRunner.mRegistration.mDraining;
+}
+
+// The shortest time between two requests of this host to a cold runner, so
+// that all hosts together stay within its allowance.
+double
+ColdGapMs(const RunnerSet& aSet, const ServiceInfo* aService)
+{
+  if (!aService || aService->mColdPerSecond <= 0) {
+    return 0;
+  }
+  return 1000.0 * std::max(1, aSet.mEntryHosts) / aService->mColdPerSecond;
+}
+
+std::uint64_t
+HomeKey(const PlacementRequest& aRequest)
+{
+  return aRequest.mShared.empty()
+           ? 0
+           : CacheKey(aRequest.mModel, aRequest.mShared.back().mId);
+}
+
+} // namespace
+
+std::uint64_t
+CacheKey(std::string_view aModel, std::uint64_t aPart)
+{
+  return XXH3_64bits_withSeed(aModel.data(), aModel.size(), aPart);
+}
+
+std::uint64_t
+RendezvousRank(std::uint64_t aKey, std::string_view aRunner)
+{
+  return XXH3_64bits_withSeed(aRunner.data(), aRunner.size(), aKey);
+}
+
+bool
+ApplyRegistration(RunnerSet& aSet,
+                  const Registration& aRegistration,
+                  std::int64_t aRevision,
+                  TimeMs aNowMs)
+{
+  auto [found, isNew] = aSet.mRunners.try_emplace(aRegistration.mId);
+  RunnerState& runner = found->second;
+  if (!isNew && aRevision < runner.mRevision) {
+    return false;
+  }
+  const Registration old = runner.mRegistration;
+  bool reborn = !isNew && (old.mAddress != aRegistration.mAddress ||
+                           old.mService != aRegistration.mService ||
+                           (old.mBornMs != 0 && aRegistration.mBornMs != 0 &&
+                            old.mBornMs != aRegistration.mBornMs));
+  if (reborn) {
+    int inFlight = runner.mInFlight;
+    runner = {};
+    runner.mInFlight = inFlight;
+  }
+  if (isNew || reborn) {
+    runner.mFirstSeenMs = aNowMs;
+  }
+  bool changed = isNew || reborn || runner.mGone || runner.mLapsedUntilMs ||
+                 old.mDraining != aRegistration.mDraining ||
+                 old.mVersion != aRegistration.mVersion ||
+                 (old.mColdRemainingMs > 0) !=
+                   (aRegistration.mColdRemainingMs > 0);
+  runner.mRegistration = aRegistration;
+  runner.mRevision = aRevision;
+  runner.mGone = false;
+  runner.mLapsedUntilMs.reset();
+  if (aRegistration.mColdRemainingMs > 0) {
+    runner.mColdUntilMs = aNowMs + aRegistration.mColdRemainingMs;
+  } else if (aNowMs >= runner.mColdUntilMs) {
+    runner.mColdUntilMs = 0;
+  }
+  return changed;
+}
+
+bool
+RemoveRegistration(RunnerSet& aSet,
+                   const std::string& aId,
+                   std::optional<TimeMs> aLapsedUntilMs)
+{
+  auto found = aSet.mRunners.find(aId);
+  if (found == aSet.mRunners.end() || found->second.mGone) {
+    return false;
+  }
+  if (aLapsedUntilMs) {
+    if (!found->second.mLapsedUntilMs) {
+      found->second.mLapsedUntilMs = aLapsedUntilMs;
+    }
+  } else {
+    found->second.mGone = true;
+  }
+  return true;
+}
+
+std::vector<std::string>
+PruneRunners(RunnerSet& aSet, TimeMs aNowMs)
+{
+  std::vector<std::string> gone;
+  for (auto next = aSet.mRunners.begin(); next != aSet.mRunners.end();) {
+    RunnerState& runner = next->second;
+    if (runner.mLapsedUntilMs && aNowMs >= *runner.mLapsedUntilMs) {
+      runner.mLapsedUntilMs.reset();
+      runner.mGone = true;
+      gone.push_back(next->first);
+    }
+    if (runner.mGone && runner.mInFlight == 0) {
+      next = aSet.mRunners.erase(next);
+    } else {
+      ++next;
+    }
+  }
+  return gone;
+}
+
+double
+ErrorShare(const RunnerState& aRunner, TimeMs aNowMs)
+{
+  double age = static_cast<double>(aNowMs - aRunner.mErrorMs);
+  return aRunner.mErrorShare * std::exp2(-age / kErrorHalfLifeMs);
+}
+
+void
+NoteOutcome(RunnerState& aRunner, RunnerOutcome aOutcome, TimeMs aNowMs)
+{
+  bool failed = aOutcome != RunnerOutcome::Success &&
+                aOutcome != RunnerOutcome::Refused;
+  aRunner.mErrorShare = ErrorShare(aRunner, aNowMs) * (1 - kErrorWeight) +
+                        (failed ? kErrorWeight : 0);
+  aRunner.mErrorMs = aNowMs;
+  if (aOutcome == RunnerOutcome::Unreachable) {
+    TimeMs pause = kFirstBlockMs << std::min(aRunner.mBlocks, 4);
+    aRunner.mBlockedUntilMs = aNowMs + std::min(pause, kMaxBlockMs);
+    ++aRunner.mBlocks;
+  } else if (aOutcome == RunnerOutcome::Success ||
+             aOutcome == RunnerOutcome::Failure) {
+    aRunner.mBlocks = 0;
+    aRunner.mBlockedUntilMs = 0;
+  }
+}
+
+void
+NoteLoad(RunnerState& aRunner, int aRunning, int aWaiting, TimeMs aNowMs)
+{
+  aRunner.mReportedRunning = aRunning;
+  aRunner.mReportedWaiting = aWaiting;
+  aRunner.mReportedMs = aNowMs;
+}
+
+void
+NoteRestart(RunnerState& aRunner, TimeMs aColdStartMs, TimeMs aNowMs)
+{
+  aRunner.mCached.clear();
+  aRunner.mColdUntilMs =
+    std::max(aRunner.mColdUntilMs, aNowMs + aColdStartMs);
+}
+
+tl::expected<Placement, PlacementFailure>
+PlaceRequest(const RunnerSet& aSet,
+             const RouteTable& aTable,
+             const PlacementRequest& aRequest,
+             TimeMs aNowMs)
+{
+  const ServiceInfo* service = FindService(aTable, aRequest.mService);
+  double coldGap = ColdGapMs(aSet, service);
+  std::uint64_t homeKey = HomeKey(aRequest);
+
+  // The reason that held back the runner which came furthest.
+  PlacementFailure failure = PlacementFailure::NoRunner;
+  auto hold = [&failure](PlacementFailure aReason) {
+    failure = std::max(failure, aReason);
+  };
+  std::vector<const RunnerState*> eligible;
+  for (const auto& [id, runner] : aSet.mRunners) {
+    const Registration& entry = runner.mRegistration;
+    if (entry.mService != aRequest.mService || !IsLive(runner) ||
+        aSet.mEvacuatedZones.contains(entry.mZone) ||
+        (aRequest.mAllows && !aRequest.mAllows(runner))) {
+      continue;
+    }
+    if (aRequest.mTried.contains(id)) {
+      hold(PlacementFailure::AllTried);
+      continue;
+    }
+    if (aNowMs < runner.mBlockedUntilMs) {
+      hold(PlacementFailure::AllBlocked);
+      continue;
+    }
+    if (aNowMs < runner.mColdUntilMs &&
+        static_cast<double>(aNowMs - runner.mLastColdSendMs) < coldGap) {
+      hold(PlacementFailure::AllCold);
+      continue;
+    }
+    eligible.push_back(&runner);
+  }
+  if (eligible.empty()) {
+    return tl::unexpected(failure);
+  }
+
+  // The home of the shared parts and its second choice.
+  std::uint64_t first = 0;
+  std::uint64_t second = 0;
+  for (const RunnerState* runner : eligible) {
+    std::uint64_t rank = RendezvousRank(homeKey, runner->mRegistration.mId);
+    if (rank > first) {
+      second = std::exchange(first, rank);
+    } else if (rank > second) {
+      second = rank;
+    }
+  }
+
+  Placement best;
+  double bestScore = 0;
+  for (const RunnerState* runner : eligible) {
+    const Registration& entry = runner->mRegistration;
+    double unknown = kUnknownElsewhere;
+    std::uint64_t rank = RendezvousRank(homeKey, entry.mId);
+    if (rank == first) {
+      unknown = kUnknownHome;
+    } else if (rank == second) {
+      unknown = kUnknownSecond;
+    }
+    double uncached = static_cast<double>(aRequest.mOwnTokens);
+    for (const PromptPart& part : aRequest.mShared) {
+      auto cached = runner->mCached.find(CacheKey(aRequest.mModel, part.mId));
+      bool known = cached != runner->mCached.end() &&
+                   aNowMs - cached->second < kCacheBeliefMs;
+      uncached += known ? 0 : unknown * static_cast<double>(part.mTokens);
+    }
+    double readMs = uncached * aRequest.mMsPerToken;
+    bool reported = aNowMs - runner->mReportedMs < kReportAgeMs;
+    int running = std::max(runner->mInFlight,
+                           reported ? runner->mReportedRunning : 0);
+    int waiting = reported ? runner->mReportedWaiting : 0;
+    if (running + waiting >= entry.mSlots && aRequest.mModel.empty()) {
+      waiting += running - entry.mSlots + 1;
+    }
+    double expected =
+      (aRequest.mFixedMs + readMs + runner->mPendingMs +
+       kRunningCostMs * running + aRequest.mFixedMs * waiting) *
+      runner->mSlowness;
+    double score = expected + kFailureCostMs * ErrorShare(*runner, aNowMs);
+    if (entry.mZone != aRequest.mZone) {
+      score += kCrossZoneMs + kCrossZoneMsPerKiB *
+                                static_cast<double>(aRequest.mBodyBytes) / 1024;
+    }
+    if (aNowMs < runner->mColdUntilMs) {
+      score *= 2;
+    }
+    if (best.mRunner.empty() || score < bestScore) {
+      bestScore = score;
+      best = { entry.mId, expected, readMs,
+               static_cast<std::int64_t>(uncached) };
+    }
+  }
+  return best;
+}
+
+void
+NoteSent(RunnerState& aRunner, const PlacementRequest&, double aReadMs,
+         TimeMs aNowMs)
+{
+  ++aRunner.mInFlight;
+  aRunner.mPendingMs += aReadMs;
+  if (aNowMs < aRunner.mColdUntilMs) {
+    aRunner.mLastColdSendMs = aNowMs;
+  }
+}
+
+void
+NotePromptRead(RunnerState& aRunner,
+               const PlacementRequest& aRequest,
+               double aReadMs,
+               TimeMs aNowMs)
+{
+  aRunner.mPendingMs = std::max(0.0, aRunner.mPendingMs - aReadMs);
+  if (aRunner.mCached.size() > kMaxCachedParts) {
+    std::erase_if(aRunner.mCached, [aNowMs](const auto& aRow) {
+      return aNowMs - aRow.second >= kCacheBeliefMs;
+    });
+  }
+  for (const PromptPart& part : aRequest.mShared) {
+    aRunner.mCached[CacheKey(aRequest.mModel, part.mId)] = aNowMs;
+  }
+}
+
+} // namespace savory
--- /dev/null
+++ b/net/include/savory/net/http_link.h
@@ -0,0 +1,231 @@
+#pragma once
+
+#include "savory/net/http_client.h"
+#include "savory/net/http_reader.h"
+#include "savory/net/loop.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace savory {
+
+// HTTP/1.1 on single connections, for relaying: the front end sees a caller
+// leave while its answer is outstanding, and a client link tells a complete
+// answer from one that broke off.
+
+struct IncomingRequest
+{
+  HttpHead mHead;
+  std::string mBody;
+  std::string mPeerAddress;
+};
+
+struct FrontendLimits
+{
+  std::uint32_t mMaxHeaderBytes = 16 * 1024;
+  std::uint64_t mMaxBodyBytes = 4 * 1024 * 1024;
+  TimeMs mHeaderTimeoutMs = 3000;
+  TimeMs mIdleTimeoutMs = 15000;
+};
+
+class HttpFrontend;
+
+// One connection of a caller. It carries one request at a time; calls have no
+// effect once the connection is closed.
+class CallerLink : public std::enable_shared_from_this<CallerLink>
+{
+public:
+  CallerLink(HttpFrontend& aFrontend, bufferevent* aBuffer, std::string aPeer);
+  ~CallerLink();
+  CallerLink(const CallerLink&) = delete;
+  CallerLink& operator=(const CallerLink&) = delete;
+
+  // Sends a whole answer.
+  void Respond(int aStatus, const Headers& aHeaders, std::string_view aBody);
+  // Starts an answer; without a length it is sent in chunks.
+  void Start(int aStatus,
+             const Headers& aHeaders,
+             std::optional<std::uint64_t> aLength);
+  void Write(std::string_view aBytes);
+  void Finish();
+  // Ends the connection so that the answer is seen to be incomplete.
+  void Abort();
+  // The connection is closed after the answer under way.
+  void CloseAfterAnswer() { mCloseAfter = true; }
+
+  bool IsOpen() const { return mBuffer != nullptr; }
+  bool IsStarted() const { return mAnswerStarted; }
+  // Bytes that the caller's socket has not taken yet.
+  std::size_t UnsentBytes() const;
+
+  // The caller left while its request was outstanding.
+  sigc::slot<void()> mOnClosed;
+  // The caller's socket has taken everything written so far.
+  sigc::slot<void()> mOnDrained;
+
+private:
+  friend class HttpFrontend;
+
+  void Read();
+  void NewReader();
+  void Dispatch();
+  void Reject(int aStatus);
+  void EndAnswer();
+  void Drained();
+  void Close();
+  bool Sweep(TimeMs aNowMs);
+  void SendHead(int aStatus,
+                const Headers& aHeaders,
+                std::optional<std::uint64_t> aLength);
+
+  HttpFrontend& mFrontend;
+  bufferevent* mBuffer;
+  std::unique_ptr<HttpReader> mReader;
+  IncomingRequest mRequest;
+  bool mBusy = false;
+  bool mReading = false;
+  bool mAnswerStarted = false;
+  bool mAnswerChunked = false;
+  bool mAnswerHasNoBody = false;
+  bool mCloseAfter = false;
+  bool mCloseWhenDrained = false;
+  bool mHeadSeen = false;
+  TimeMs mLastActivityMs = 0;
+  TimeMs mRequestStartMs = 0;
+};
+
+using RequestHandler =
+  sigc::slot<void(IncomingRequest, std::shared_ptr<CallerLink>)>;
+
+// Accepts callers on one address.
+class HttpFrontend
+{
+public:
+  HttpFrontend(EventLoop& aLoop, RequestHandler aHandler);
+  ~HttpFrontend();
+  HttpFrontend(const HttpFrontend&) = delete;
+  HttpFrontend& operator=(const HttpFrontend&) = delete;
+
+  // Listens; returns the port, or 0 when the address cannot be used.
+  int Listen(const std::string& aAddress, int aPort);
+  void SetLimits(const FrontendLimits& aLimits) { mLimits = aLimits; }
+  // From now on every answer ends its connection.
+  void StartDrain() { mDraining = true; }
+  // Closes connections on which no request is outstanding.
+  void CloseIdle();
+  std::size_t BusyCount() const;
+  std::size_t LinkCount() const { return mLinks.size(); }
+
+private:
+  friend class CallerLink;
+
+  void Accept(int aSocket, std::string aPeer);
+  void Sweep();
+
+  EventLoop& mLoop;
+  RequestHandler mHandler;
+  FrontendLimits mLimits;
+  bool mDraining = false;
+  std::set<std::shared_ptr<CallerLink>> mLinks;
+  evconnlistener* mListener = nullptr;
+  Timer mSweep;
+};
+
+enum class LinkFailure
+{
+  // The connection was never made.
+  NotConnected,
+  // The connection ended before the answer was complete.
+  Broken,
+  // The answer is not HTTP.
+  Malformed,
+};
+
+inline constexpr std::array<EnumName<LinkFailure>, 3> kLinkFailureNames{ {
+  { LinkFailure::NotConnected, "not connected" },
+  { LinkFailure::Broken, "connection broken" },
+  { LinkFailure::Malformed, "malformed answer" },
+} };
+
+struct ClientLinkOptions
+{
+  TimeMs mConnectTimeoutMs = 500;
+  // How long sent bytes may stay unacknowledged before the connection is given
+  // up (TCP_USER_TIMEOUT); also bounds the keep-alive probes.
+  TimeMs mUserTimeoutMs = 1500;
+};
+
+// One connection to a server, for one request at a time.
+class ClientLink : public std::enable_shared_from_this<ClientLink>
+{
+public:
+  static std::shared_ptr<ClientLink> Connect(EventLoop& aLoop,
+                                             const Endpoint& aServer,
+                                             const ClientLinkOptions& aOptions);
+  ~ClientLink();
+  ClientLink(const ClientLink&) = delete;
+  ClientLink& operator=(const ClientLink&) = delete;
+
+  // Sends a request; its bytes wait for the connection when it is not made yet.
+  void Send(const HttpHead& aHead, std::string_view aBody);
+  // Closes at once; no slot runs afterwards.
+  void Close();
+
+  bool IsOpen() const { return mBuffer != nullptr; }
+  bool IsConnected() const { return mConnected; }
+  bool IsBusy() const { return mBusy; }
+  bool IsFresh() const { return mAnswers == 0; }
+  TimeMs IdleSinceMs() const { return mIdleSinceMs; }
+  // How long the server keeps the connection when idle; 0 when unknown.
+  TimeMs KeepAliveMs() const { return mKeepAliveMs; }
+  const Endpoint& Server() const { return mServer; }
+  void PauseReading(bool aPause);
+  // Whether request bytes are still in this process.
+  bool HasUnsentBytes() const;
+  void ClearSlots();
+
+  sigc::slot<void()> mOnConnected;
+  // Decides whether a head belongs to the request; others are skipped.
+  sigc::slot<bool(const HttpHead&)> mAccepts;
+  sigc::slot<void(const HttpHead&)> mOnHead;
+  sigc::slot<void(std::string_view)> mOnBody;
+  // The answer is complete; true when the connection may be used again.
+  sigc::slot<void(bool)> mOnEnd;
+  // The connection ended, idle or not.
+  sigc::slot<void(LinkFailure)> mOnFailed;
+
+private:
+  ClientLink(EventLoop& aLoop, const Endpoint& aServer);
+  void Read();
+  void NewReader();
+  void Fail(LinkFailure aFailure);
+  void EndOfStream();
+  void Complete();
+
+  EventLoop& mLoop;
+  Endpoint mServer;
+  bufferevent* mBuffer = nullptr;
+  std::unique_ptr<HttpReader> mReader;
+  Timer mConnectTimer;
+  bool mConnected = false;
+  bool mBusy = false;
+  bool mReading = false;
+  bool mFailed = false;
+  // Closed from within a slot of the reader, which still holds its input.
+  bufferevent* mClosing = nullptr;
+  bool mSkip = false;
+  bool mServerKeepsOpen = false;
+  int mAnswers = 0;
+  TimeMs mIdleSinceMs = 0;
+  TimeMs mKeepAliveMs = 0;
+};
+
+// The reason phrase of a status.
+std::string_view
+ReasonPhrase(int aStatus);
+
+} // namespace savory
--- /dev/null
+++ b/net/src/client_link.cpp
@@ -0,0 +1,310 @@
+#include "savory/net/http_link.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace savory {
+
+namespace {
+
+// Keep-alive probes start after a second of silence, so that a connection that
+// went silent is found within the user timeout.
+constexpr int kKeepAliveIdleS = 1;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 2;
+
+// The seconds that a Keep-Alive header states ("timeout=5" or "5").
+TimeMs
+ParseKeepAliveMs(const std::string& aValue)
+{
+  auto digit = std::find_if(aValue.begin(), aValue.end(), [](char aChar) {
+    return aChar >= '0' && aChar <= '9';
+  });
+  int seconds = 0;
+  std::from_chars(
+    &*digit, aValue.data() + aValue.size(), seconds); // 0 on failure
+  return TimeMs{ seconds } * 1000;
+}
+
+void
+SetSocketOptions(int aSocket, const ClientLinkOptions& aOptions)
+{
+  evutil_make_socket_nonblocking(aSocket);
+  int on = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt(aSocket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  int idle = kKeepAliveIdleS;
+  int interval = kKeepAliveIntervalS;
+  int probes = kKeepAliveProbes;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  auto timeout = static_cast<unsigned>(aOptions.mUserTimeoutMs);
+  setsockopt(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+} // namespace
+
+ClientLink::ClientLink(EventLoop& aLoop, const Endpoint& aServer)
+  : mLoop(aLoop)
+  , mServer(aServer)
+{
+}
+
+ClientLink::~ClientLink()
+{
+  Close();
+}
+
+std::shared_ptr<ClientLink>
+ClientLink::Connect(EventLoop& aLoop,
+                    const Endpoint& aServer,
+                    const ClientLinkOptions& aOptions)
+{
+  std::shared_ptr<ClientLink> link(new ClientLink(aLoop, aServer));
+  int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (descriptor >= 0) {
+    SetSocketOptions(descriptor, aOptions);
+    link->mBuffer =
+      bufferevent_socket_new(aLoop.Base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
+  }
+  std::weak_ptr<ClientLink> weak = link;
+  auto fail = [weak] {
+    if (auto self = weak.lock()) {
+      self->Fail(LinkFailure::NotConnected);
+    }
+  };
+  if (!link->mBuffer) {
+    if (descriptor >= 0) {
+      evutil_closesocket(descriptor);
+    }
+    Defer(aLoop, fail);
+    return link;
+  }
+  bufferevent_setcb(
+    link->mBuffer,
+    [](bufferevent*, void* aSelf) {
+      static_cast<ClientLink*>(aSelf)->shared_from_this()->Read();
+    },
+    nullptr,
+    [](bufferevent*, short aWhat, void* aSelf) {
+      auto self = static_cast<ClientLink*>(aSelf)->shared_from_this();
+      if (aWhat & BEV_EVENT_CONNECTED) {
+        self->mConnected = true;
+        self->mConnectTimer.Cancel();
+        auto connected = self->mOnConnected;
+        if (connected) {
+          connected();
+        }
+      } else if (aWhat & BEV_EVENT_EOF) {
+        self->EndOfStream();
+      } else {
+        self->Fail(self->mConnected ? LinkFailure::Broken
+                                    : LinkFailure::NotConnected);
+      }
+    },
+    link.get());
+  bufferevent_enable(link->mBuffer, EV_READ | EV_WRITE);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aServer.mPort));
+  inet_pton(AF_INET, aServer.mAddress.c_str(), &address.sin_addr);
+  link->mConnectTimer =
+    Timer::After(aLoop, aOptions.mConnectTimeoutMs, fail);
+  if (bufferevent_socket_connect(link->mBuffer,
+                                 reinterpret_cast<sockaddr*>(&address),
+                                 sizeof address) != 0) {
+    Defer(aLoop, fail);
+  }
+  return link;
+}
+
+void
+ClientLink::NewReader()
+{
+  mReader =
+    std::make_unique<HttpReader>(HttpReader::Kind::Response, HttpReaderLimits{});
+  mSkip = false;
+  mReader->mOnHead = [this](const HttpHead& aHead) {
+    mSkip = aHead.mStatus < 200 || (mAccepts && !mAccepts(aHead));
+    if (mSkip) {
+      return;
+    }
+    mServerKeepsOpen = aHead.mKeepAlive;
+    if (const std::string* value = FindHeader(aHead.mHeaders, "Keep-Alive")) {
+      mKeepAliveMs = ParseKeepAliveMs(*value);
+    }
+    auto head = mOnHead;
+    if (head) {
+      head(aHead);
+    }
+  };
+  mReader->mOnBody = [this](std::string_view aBytes) {
+    auto body = mOnBody;
+    if (!mSkip && body) {
+      body(aBytes);
+    }
+  };
+}
+
+void
+ClientLink::Send(const HttpHead& aHead, std::string_view aBody)
+{
+  if (!mBuffer) {
+    return;
+  }
+  std::string text = aHead.mMethod + ' ' + aHead.mTarget + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : aHead.mHeaders) {
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+  }
+  if (!aBody.empty() || aHead.mLength) {
+    text += "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
+  }
+  text += "\r\n";
+  text += aBody;
+  mBusy = true;
+  NewReader();
+  bufferevent_write(mBuffer, text.data(), text.size());
+}
+
+void
+ClientLink::Read()
+{
+  if (!mBuffer) {
+    return;
+  }
+  evbuffer* input = bufferevent_get_input(mBuffer);
+  while (mBuffer && mBusy && evbuffer_get_length(input) > 0) {
+    mReading = true;
+    auto fed = mReader->Feed(input);
+    mReading = false;
+    if (mClosing) {
+      bufferevent_free(std::exchange(mClosing, nullptr));
+      return;
+    }
+    if (!fed) {
+      Fail(LinkFailure::Malformed);
+      return;
+    }
+    if (!mReader->IsComplete()) {
+      return;
+    }
+    if (mSkip) {
+      NewReader();
+    } else {
+      Complete();
+    }
+  }
+  // Bytes that no request asked for: the connection cannot be trusted.
+  if (mBuffer && !mBusy && evbuffer_get_length(input) > 0) {
+    Fail(LinkFailure::Malformed);
+  }
+}
+
+void
+ClientLink::EndOfStream()
+{
+  Read();
+  if (!mBuffer) {
+    return;
+  }
+  if (mBusy && !mSkip && mReader->FeedEnd() && mReader->IsComplete()) {
+    Complete();
+    Close();
+    return;
+  }
+  Fail(mConnected ? LinkFailure::Broken : LinkFailure::NotConnected);
+}
+
+// Hands over a complete answer. The connection is used again only when nothing
+// of either direction is left on it.
+void
+ClientLink::Complete()
+{
+  mBusy = false;
+  ++mAnswers;
+  mIdleSinceMs = MonotonicMs();
+  bool reusable =
+    mServerKeepsOpen && !mReader->EndsWithConnection() && !HasUnsentBytes() &&
+    evbuffer_get_length(bufferevent_get_input(mBuffer)) == 0;
+  auto end = mOnEnd;
+  ClearSlots();
+  if (end) {
+    end(reusable);
+  }
+}
+
+void
+ClientLink::Fail(LinkFailure aFailure)
+{
+  if (!mBuffer && mFailed) {
+    return;
+  }
+  mFailed = true;
+  auto self = shared_from_this();
+  auto failed = mOnFailed;
+  Close();
+  if (failed) {
+    failed(aFailure);
+  }
+}
+
+void
+ClientLink::Close()
+{
+  mConnectTimer.Cancel();
+  ClearSlots();
+  mFailed = true;
+  if (mBuffer) {
+    bufferevent* buffer = std::exchange(mBuffer, nullptr);
+    if (mReading) {
+      // The reader is at work on the input; Read frees it afterwards.
+      bufferevent_disable(buffer, EV_READ | EV_WRITE);
+      mClosing = buffer;
+    } else {
+      bufferevent_free(buffer);
+    }
+  }
+  mBusy = false;
+}
+
+void
+ClientLink::ClearSlots()
+{
+  mOnConnected = {};
+  mAccepts = {};
+  mOnHead = {};
+  mOnBody = {};
+  mOnEnd = {};
+  mOnFailed = {};
+}
+
+void
+ClientLink::PauseReading(bool aPause)
+{
+  if (mBuffer) {
+    if (aPause) {
+      bufferevent_disable(mBuffer, EV_READ);
+    } else {
+      bufferevent_enable(mBuffer, EV_READ);
+    }
+  }
+}
+
+bool
+ClientLink::HasUnsentBytes() const
+{
+  return mBuffer && evbuffer_get_length(bufferevent_get_output(mBuffer)) > 0;
+}
+
+} // namespace savory
--- /dev/null
+++ b/net/src/http_frontend.cpp
@@ -0,0 +1,463 @@
+#include "savory/net/http_link.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace savory {
+
+namespace {
+
+// Bytes of later requests that are read while one is being answered; more stay
+// in the socket.
+constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+
+// How often idle and slow callers are looked for.
+constexpr TimeMs kSweepPeriodMs = 500;
+
+// A caller whose socket takes nothing keeps a finished answer this long.
+constexpr TimeMs kMaxLingerMs = 20000;
+
+struct ReasonRow
+{
+  int mStatus;
+  std::string_view mReason;
+};
+
+constexpr std::array<ReasonRow, 20> kReasons{ {
+  { 200, "OK" },
+  { 201, "Created" },
+  { 202, "Accepted" },
+  { 204, "No Content" },
+  { 400, "Bad Request" },
+  { 401, "Unauthorized" },
+  { 403, "Forbidden" },
+  { 404, "Not Found" },
+  { 408, "Request Timeout" },
+  { 409, "Conflict" },
+  { 412, "Precondition Failed" },
+  { 413, "Content Too Large" },
+  { 421, "Misdirected Request" },
+  { 429, "Too Many Requests" },
+  { 431, "Request Header Fields Too Large" },
+  { 500, "Internal Server Error" },
+  { 501, "Not Implemented" },
+  { 502, "Bad Gateway" },
+  { 503, "Service Unavailable" },
+  { 504, "Gateway Timeout" },
+} };
+
+} // namespace
+
+std::string_view
+ReasonPhrase(int aStatus)
+{
+  for (const auto& row : kReasons) {
+    if (row.mStatus == aStatus) {
+      return row.mReason;
+    }
+  }
+  return "Status";
+}
+
+CallerLink::CallerLink(HttpFrontend& aFrontend,
+                       bufferevent* aBuffer,
+                       std::string aPeer)
+  : mFrontend(aFrontend)
+  , mBuffer(aBuffer)
+  , mLastActivityMs(MonotonicMs())
+{
+  mRequest.mPeerAddress = std::move(aPeer);
+  bufferevent_setcb(
+    mBuffer,
+    [](bufferevent*, void* aSelf) {
+      auto self = static_cast<CallerLink*>(aSelf)->shared_from_this();
+      self->mLastActivityMs = MonotonicMs();
+      self->Read();
+    },
+    [](bufferevent*, void* aSelf) {
+      auto self = static_cast<CallerLink*>(aSelf)->shared_from_this();
+      self->mLastActivityMs = MonotonicMs();
+      self->Drained();
+    },
+    [](bufferevent*, short, void* aSelf) {
+      static_cast<CallerLink*>(aSelf)->shared_from_this()->Close();
+    },
+    this);
+  bufferevent_setwatermark(mBuffer, EV_READ, 0, kMaxPipelinedBytes);
+  bufferevent_enable(mBuffer, EV_READ | EV_WRITE);
+  NewReader();
+}
+
+CallerLink::~CallerLink()
+{
+  if (mBuffer) {
+    bufferevent_free(mBuffer);
+  }
+}
+
+void
+CallerLink::NewReader()
+{
+  const FrontendLimits& limits = mFrontend.mLimits;
+  mReader = std::make_unique<HttpReader>(
+    HttpReader::Kind::Request,
+    HttpReaderLimits{ limits.mMaxHeaderBytes, limits.mMaxBodyBytes });
+  mHeadSeen = false;
+  mReader->mOnHead = [this](const HttpHead& aHead) {
+    mRequest.mHead = aHead;
+    mHeadSeen = true;
+    const std::string* expect = FindHeader(aHead.mHeaders, "Expect");
+    if (expect && SameHeader(*expect, "100-continue")) {
+      static constexpr std::string_view kContinue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+      bufferevent_write(mBuffer, kContinue.data(), kContinue.size());
+    }
+  };
+  mReader->mOnBody = [this](std::string_view aBytes) {
+    mRequest.mBody += aBytes;
+  };
+}
+
+void
+CallerLink::Read()
+{
+  if (mBusy || mReading || !mBuffer) {
+    return;
+  }
+  evbuffer* input = bufferevent_get_input(mBuffer);
+  if (evbuffer_get_length(input) == 0) {
+    return;
+  }
+  if (!mReader->IsStarted()) {
+    mRequestStartMs = MonotonicMs();
+  }
+  mReading = true;
+  auto fed = mReader->Feed(input);
+  mReading = false;
+  if (!fed) {
+    switch (fed.error()) {
+      case HttpReadError::HeaderTooLong:
+        Reject(431);
+        return;
+      case HttpReadError::BodyTooLong:
+        Reject(413);
+        return;
+      default:
+        Reject(400);
+        return;
+    }
+  }
+  if (mReader->IsComplete()) {
+    Dispatch();
+  }
+}
+
+void
+CallerLink::Dispatch()
+{
+  mBusy = true;
+  mAnswerStarted = false;
+  mAnswerHasNoBody = mRequest.mHead.mMethod == "HEAD";
+  if (!mRequest.mHead.mKeepAlive) {
+    mCloseAfter = true;
+  }
+  IncomingRequest request = std::move(mRequest);
+  mRequest = {};
+  mRequest.mPeerAddress = request.mPeerAddress;
+  mFrontend.mHandler(std::move(request), shared_from_this());
+}
+
+// Answers a request that could not be read, and ends the connection, since it
+// is unknown where the next request would begin.
+void
+CallerLink::Reject(int aStatus)
+{
+  mBusy = true;
+  mAnswerStarted = false;
+  mCloseAfter = true;
+  Respond(aStatus, {}, {});
+}
+
+void
+CallerLink::SendHead(int aStatus,
+                     const Headers& aHeaders,
+                     std::optional<std::uint64_t> aLength)
+{
+  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + ' ';
+  text += ReasonPhrase(aStatus);
+  text += "\r\n";
+  for (const auto& [name, value] : aHeaders) {
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+  }
+  if (mCloseAfter || mFrontend.mDraining) {
+    mCloseAfter = true;
+    text += "Connection: close\r\n";
+  }
+  mAnswerChunked = !aLength;
+  if (aLength) {
+    text += "Content-Length: " + std::to_string(*aLength) + "\r\n";
+  } else {
+    text += "Transfer-Encoding: chunked\r\n";
+  }
+  text += "\r\n";
+  mAnswerStarted = true;
+  bufferevent_write(mBuffer, text.data(), text.size());
+}
+
+void
+CallerLink::Respond(int aStatus,
+                    const Headers& aHeaders,
+                    std::string_view aBody)
+{
+  if (!mBuffer || !mBusy || mAnswerStarted) {
+    return;
+  }
+  SendHead(aStatus, aHeaders, aBody.size());
+  if (!mAnswerHasNoBody && !aBody.empty()) {
+    bufferevent_write(mBuffer, aBody.data(), aBody.size());
+  }
+  EndAnswer();
+}
+
+void
+CallerLink::Start(int aStatus,
+                  const Headers& aHeaders,
+                  std::optional<std::uint64_t> aLength)
+{
+  if (mBuffer && mBusy && !mAnswerStarted) {
+    SendHead(aStatus, aHeaders, aLength);
+  }
+}
+
+void
+CallerLink::Write(std::string_view aBytes)
+{
+  if (!mBuffer || !mAnswerStarted || mAnswerHasNoBody || aBytes.empty()) {
+    return;
+  }
+  evbuffer* output = bufferevent_get_output(mBuffer);
+  if (mAnswerChunked) {
+    evbuffer_add_printf(output, "%zx\r\n", aBytes.size());
+    evbuffer_add(output, aBytes.data(), aBytes.size());
+    evbuffer_add(output, "\r\n", 2);
+  } else {
+    evbuffer_add(output, aBytes.data(), aBytes.size());
+  }
+}
+
+void
+CallerLink::Finish()
+{
+  if (!mBuffer || !mAnswerStarted) {
+    return;
+  }
+  if (mAnswerChunked && !mAnswerHasNoBody) {
+    static constexpr std::string_view kLastChunk = "0\r\n\r\n";
+    bufferevent_write(mBuffer, kLastChunk.data(), kLastChunk.size());
+  }
+  EndAnswer();
+}
+
+void
+CallerLink::EndAnswer()
+{
+  mBusy = false;
+  mOnClosed = {};
+  mOnDrained = {};
+  if (mCloseAfter) {
+    mCloseWhenDrained = true;
+    if (UnsentBytes() == 0) {
+      Close();
+    }
+    return;
+  }
+  NewReader();
+  // The handler may have answered from within Read, so the next request is
+  // taken in a later turn.
+  auto self = shared_from_this();
+  if (evbuffer_get_length(bufferevent_get_input(mBuffer)) > 0) {
+    Defer(mFrontend.mLoop, [self] { self->Read(); });
+  }
+}
+
+void
+CallerLink::Abort()
+{
+  mOnClosed = {};
+  Close();
+}
+
+void
+CallerLink::Drained()
+{
+  if (mCloseWhenDrained && !mBusy) {
+    Close();
+    return;
+  }
+  auto drained = mOnDrained;
+  if (drained) {
+    drained();
+  }
+}
+
+std::size_t
+CallerLink::UnsentBytes() const
+{
+  return mBuffer ? evbuffer_get_length(bufferevent_get_output(mBuffer)) : 0;
+}
+
+void
+CallerLink::Close()
+{
+  if (!mBuffer) {
+    return;
+  }
+  auto self = shared_from_this();
+  bufferevent_free(std::exchange(mBuffer, nullptr));
+  auto closed = std::exchange(mOnClosed, {});
+  mOnDrained = {};
+  mBusy = false;
+  mFrontend.mLinks.erase(self);
+  if (closed) {
+    closed();
+  }
+}
+
+// Ends connections that are idle or send their request too slowly. Returns
+// whether the connection stays.
+bool
+CallerLink::Sweep(TimeMs aNowMs)
+{
+  if (mBusy) {
+    return true;
+  }
+  const FrontendLimits& limits = mFrontend.mLimits;
+  if (mCloseWhenDrained) {
+    return aNowMs - mLastActivityMs < kMaxLingerMs;
+  }
+  if (mReader->IsStarted()) {
+    if (!mHeadSeen && aNowMs - mRequestStartMs > limits.mHeaderTimeoutMs) {
+      Reject(408);
+      return true;
+    }
+    return aNowMs - mLastActivityMs < limits.mIdleTimeoutMs;
+  }
+  return aNowMs - mLastActivityMs < limits.mIdleTimeoutMs;
+}
+
+HttpFrontend::HttpFrontend(EventLoop& aLoop, RequestHandler aHandler)
+  : mLoop(aLoop)
+  , mHandler(std::move(aHandler))
+  , mSweep(Timer::Every(aLoop, kSweepPeriodMs, [this] { Sweep(); }))
+{
+}
+
+HttpFrontend::~HttpFrontend()
+{
+  if (mListener) {
+    evconnlistener_free(mListener);
+  }
+  auto links = std::move(mLinks);
+  mLinks.clear();
+  for (const auto& link : links) {
+    link->mOnClosed = {};
+    link->Close();
+  }
+}
+
+int
+HttpFrontend::Listen(const std::string& aAddress, int aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr);
+  mListener = evconnlistener_new_bind(
+    mLoop.Base(),
+    [](evconnlistener*,
+       evutil_socket_t aSocket,
+       sockaddr* aPeer,
+       int,
+       void* aSelf) {
+      char text[INET_ADDRSTRLEN] = "";
+      inet_ntop(AF_INET,
+                &reinterpret_cast<sockaddr_in*>(aPeer)->sin_addr,
+                text,
+                sizeof text);
+      static_cast<HttpFrontend*>(aSelf)->Accept(aSocket, text);
+    },
+    this,
+    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+    SOMAXCONN,
+    reinterpret_cast<sockaddr*>(&address),
+    sizeof address);
+  if (!mListener) {
+    return 0;
+  }
+  socklen_t size = sizeof address;
+  getsockname(evconnlistener_get_fd(mListener),
+              reinterpret_cast<sockaddr*>(&address),
+              &size);
+  return ntohs(address.sin_port);
+}
+
+void
+HttpFrontend::Accept(int aSocket, std::string aPeer)
+{
+  evutil_make_socket_nonblocking(aSocket);
+  int on = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  bufferevent* buffer =
+    bufferevent_socket_new(mLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+  if (!buffer) {
+    evutil_closesocket(aSocket);
+    return;
+  }
+  mLinks.insert(std::make_shared<CallerLink>(*this, buffer, std::move(aPeer)));
+}
+
+void
+HttpFrontend::Sweep()
+{
+  TimeMs now = MonotonicMs();
+  auto links = mLinks;
+  for (const auto& link : links) {
+    if (!link->Sweep(now)) {
+      link->Close();
+    }
+  }
+}
+
+void
+HttpFrontend::CloseIdle()
+{
+  auto links = mLinks;
+  for (const auto& link : links) {
+    if (!link->mBusy && !link->mReader->IsStarted() &&
+        !link->mCloseWhenDrained) {
+      link->Close();
+    }
+  }
+}
+
+std::size_t
+HttpFrontend::BusyCount() const
+{
+  std::size_t busy = 0;
+  for (const auto& link : mLinks) {
+    busy += link->mBusy || link->mReader->IsStarted() ||
+            link->mCloseWhenDrained;
+  }
+  return busy;
+}
+
+} // namespace savory
--- /dev/null
+++ b/net/src/http_reader.cpp
@@ -0,0 +1,233 @@
+#include "savory/net/http_reader.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <event2/buffer.h>
+#include <strings.h>
+
+namespace savory {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+std::string
+ToText(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+HttpReadError
+ToReadError(const boost::system::error_code& aError)
+{
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    return HttpReadError::HeaderTooLong;
+  }
+  if (aError == http::error::body_limit) {
+    return HttpReadError::BodyTooLong;
+  }
+  if (aError == http::error::partial_message ||
+      aError == http::error::end_of_stream) {
+    return HttpReadError::Incomplete;
+  }
+  return HttpReadError::Malformed;
+}
+
+} // namespace
+
+const std::string*
+FindHeader(const Headers& aHeaders, std::string_view aName)
+{
+  for (const auto& [name, value] : aHeaders) {
+    if (SameHeader(name, aName)) {
+      return &value;
+    }
+  }
+  return nullptr;
+}
+
+bool
+SameHeader(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+struct HttpReader::Parser
+{
+  virtual ~Parser() = default;
+  virtual tl::expected<void, HttpReadError> Feed(evbuffer* aInput) = 0;
+  virtual tl::expected<void, HttpReadError> FeedEnd() = 0;
+  virtual bool IsStarted() const = 0;
+  virtual bool IsComplete() const = 0;
+  virtual bool EndsWithConnection() const = 0;
+};
+
+// The library's parser with its events turned into slots of the reader.
+template<bool IsRequest>
+struct HttpReader::BeastParser final
+  : HttpReader::Parser
+  , http::basic_parser<IsRequest>
+{
+  using Base = http::basic_parser<IsRequest>;
+  using Error = boost::system::error_code;
+  using Text = boost::beast::string_view;
+
+  BeastParser(HttpReader& aReader, const HttpReaderLimits& aLimits)
+    : mReader(aReader)
+  {
+    Base::eager(true);
+    Base::header_limit(aLimits.mMaxHeaderBytes);
+    Base::body_limit(aLimits.mMaxBodyBytes);
+  }
+
+  tl::expected<void, HttpReadError> Feed(evbuffer* aInput) override
+  {
+    while (!Base::is_done()) {
+      std::size_t size = evbuffer_get_length(aInput);
+      if (size == 0) {
+        return {};
+      }
+      const unsigned char* bytes = evbuffer_pullup(aInput, -1);
+      Error error;
+      std::size_t used = Base::put(boost::asio::buffer(bytes, size), error);
+      evbuffer_drain(aInput, used);
+      if (error == http::error::need_more) {
+        return {};
+      }
+      if (error) {
+        return tl::unexpected(ToReadError(error));
+      }
+      if (used == 0) {
+        return {};
+      }
+    }
+    return {};
+  }
+
+  tl::expected<void, HttpReadError> FeedEnd() override
+  {
+    Error error;
+    Base::put_eof(error);
+    if (error) {
+      return tl::unexpected(ToReadError(error));
+    }
+    return {};
+  }
+
+  bool IsStarted() const override { return Base::got_some(); }
+  bool IsComplete() const override { return Base::is_done(); }
+  bool EndsWithConnection() const override
+  {
+    return Base::is_header_done() && Base::need_eof();
+  }
+
+  void on_request_impl(http::verb,
+                       Text aMethod,
+                       Text aTarget,
+                       int,
+                       Error&) override
+  {
+    mHead.mMethod = ToText(aMethod);
+    mHead.mTarget = ToText(aTarget);
+  }
+
+  void on_response_impl(int aStatus, Text, int, Error&) override
+  {
+    mHead.mStatus = aStatus;
+  }
+
+  // Trailers are dropped: the head has been handed on by then.
+  void on_field_impl(http::field, Text aName, Text aValue, Error&) override
+  {
+    if (!Base::is_header_done()) {
+      mHead.mHeaders.emplace_back(ToText(aName), ToText(aValue));
+    }
+  }
+
+  void on_header_impl(Error&) override
+  {
+    mHead.mKeepAlive = Base::keep_alive();
+    mHead.mChunked = Base::chunked();
+    if (auto length = Base::content_length()) {
+      mHead.mLength = *length;
+    }
+    if (mReader.mOnHead) {
+      mReader.mOnHead(mHead);
+    }
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>&, Error&) override
+  {
+  }
+
+  std::size_t on_body_impl(Text aBody, Error&) override
+  {
+    return TakeBody(aBody);
+  }
+
+  void on_chunk_header_impl(std::uint64_t, Text, Error&) override {}
+
+  std::size_t on_chunk_body_impl(std::uint64_t, Text aBody, Error&) override
+  {
+    return TakeBody(aBody);
+  }
+
+  void on_finish_impl(Error&) override {}
+
+  std::size_t TakeBody(Text aBody)
+  {
+    if (mReader.mOnBody) {
+      mReader.mOnBody({ aBody.data(), aBody.size() });
+    }
+    return aBody.size();
+  }
+
+  HttpReader& mReader;
+  HttpHead mHead;
+};
+
+HttpReader::HttpReader(Kind aKind, HttpReaderLimits aLimits)
+{
+  if (aKind == Kind::Request) {
+    mParser = std::make_unique<BeastParser<true>>(*this, aLimits);
+  } else {
+    mParser = std::make_unique<BeastParser<false>>(*this, aLimits);
+  }
+}
+
+HttpReader::~HttpReader() = default;
+
+tl::expected<void, HttpReadError>
+HttpReader::Feed(evbuffer* aInput)
+{
+  return mParser->Feed(aInput);
+}
+
+tl::expected<void, HttpReadError>
+HttpReader::FeedEnd()
+{
+  return mParser->FeedEnd();
+}
+
+bool
+HttpReader::IsStarted() const
+{
+  return mParser->IsStarted();
+}
+
+bool
+HttpReader::IsComplete() const
+{
+  return mParser->IsComplete();
+}
+
+bool
+HttpReader::EndsWithConnection() const
+{
+  return mParser->EndsWithConnection();
+}
+
+} // namespace savory
--- a/net/src/log.cpp
+++ b/net/src/log.cpp
@@ -1,7 +1,12 @@
 #include "savory/net/log.h"
 
+#include "savory/net/loop.h"
+
+#include <algorithm>
 #include <glog/logging.h>
+#include <poll.h>
 #include <sstream>
+#include <unistd.h>
 
 namespace savory {
 
@@ -24,8 +29,102 @@
   return text + "\"";
 }
 
+// Lines wait for the output up to this many bytes; about ten seconds of a busy
+// host.
+constexpr std::size_t kMaxBufferedBytes = 512 * 1024;
+
+// How often the buffer is written; lines are joined into one system call.
+constexpr TimeMs kFlushPeriodMs = 200;
+
+// Takes the lines of the library and writes them to standard output when it
+// has room.
+class StdoutSink : public google::LogSink
+{
+public:
+  explicit StdoutSink(EventLoop& aLoop)
+    : mFlush(Timer::Every(aLoop, kFlushPeriodMs, [this] { Flush(); }))
+  {
+  }
+
+  void send(google::LogSeverity aSeverity,
+            const char*,
+            const char*,
+            int,
+            const struct tm*,
+            const char* aMessage,
+            std::size_t aSize) override
+  {
+    if (mBuffer.size() + aSize > kMaxBufferedBytes) {
+      ++mDropped;
+      return;
+    }
+    std::int64_t now = WallClockMs();
+    mBuffer += std::to_string(now / 1000) + '.';
+    mBuffer += std::to_string(1000 + now % 1000).substr(1);
+    mBuffer += ' ';
+    mBuffer += google::GetLogSeverityName(aSeverity)[0];
+    mBuffer += ' ';
+    mBuffer.append(aMessage, aSize);
+    mBuffer += '\n';
+  }
+
+  // Writes only when the output has room: its blocking mode is shared with
+  // whoever gave it to this process, so it is left as it is.
+  void Flush()
+  {
+    while (!mBuffer.empty()) {
+      pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+      if (poll(&output, 1, 0) <= 0 || !(output.revents & POLLOUT)) {
+        return;
+      }
+      // A pipe that is ready takes at least this much without blocking.
+      std::size_t size = std::min<std::size_t>(mBuffer.size(), kPipeBytes);
+      ssize_t written = write(STDOUT_FILENO, mBuffer.data(), size);
+      if (written <= 0) {
+        return;
+      }
+      mBuffer.erase(0, static_cast<std::size_t>(written));
+    }
+    if (mDropped > 0) {
+      std::size_t dropped = std::exchange(mDropped, 0);
+      LogEvent(Event::LogLinesDropped,
+               { { "lines", std::to_string(dropped) } });
+    }
+  }
+
+private:
+  static constexpr std::size_t kPipeBytes = 4096;
+
+  std::string mBuffer;
+  std::size_t mDropped = 0;
+  Timer mFlush;
+};
+
+StdoutSink* gStdoutSink = nullptr;
+
 } // namespace
 
+void
+StartStdoutLog(EventLoop& aLoop, const std::string& aProgram)
+{
+  static std::string program = aProgram;
+  for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity) {
+    google::SetLogDestination(severity, "");
+  }
+  FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+  google::InitGoogleLogging(program.c_str());
+  gStdoutSink = new StdoutSink(aLoop);
+  google::AddLogSink(gStdoutSink);
+}
+
+void
+FlushStdoutLog()
+{
+  if (gStdoutSink) {
+    gStdoutSink->Flush();
+  }
+}
+
 void
 StartLog(const std::string& aProgram)
 {
--- /dev/null
+++ b/router/gateway/beliefs.cpp
@@ -0,0 +1,221 @@
+#include "beliefs.h"
+
+#include "savory/net/log.h"
+#include "savory/platform/fleet_documents.h"
+
+#include <nlohmann/json.hpp>
+
+namespace savory {
+
+namespace {
+
+void
+LogBadDocument(const StoreEntry& aEntry, const std::string& aReason)
+{
+  LogEvent(Event::DocumentIgnored,
+           { { "key", aEntry.mKey },
+             { "revision", std::to_string(aEntry.mModRevision) },
+             { "reason", aReason } });
+}
+
+BeliefChange
+ApplyTable(Beliefs& aBeliefs, const StoreEntry& aEntry)
+{
+  auto table = ParseRouteTable(aEntry.mValue);
+  if (!table) {
+    LogEvent(Event::ConfigRefused, { { "reason", table.error() } });
+    return BeliefChange::None;
+  }
+  if (!IsNewer(aBeliefs.mTable.get(), *table)) {
+    return BeliefChange::None;
+  }
+  LogEvent(Event::ConfigAdopted,
+           { { "version", std::to_string(table->mVersion) },
+             { "revision", std::to_string(aEntry.mModRevision) },
+             { "services", std::to_string(table->mServices.size()) },
+             { "keys", std::to_string(table->mKeys.size()) } });
+  aBeliefs.mTable = std::make_shared<const RouteTable>(std::move(*table));
+  return BeliefChange::Table;
+}
+
+BeliefChange
+ApplyRunner(Beliefs& aBeliefs,
+            const std::string& aId,
+            const StoreEntry& aEntry,
+            TimeMs aNowMs)
+{
+  auto entry = ParseRegistration(aId, aEntry.mValue);
+  if (entry && !ParseEndpoint(entry->mAddress)) {
+    entry = tl::unexpected("address '" + entry->mAddress + "'");
+  }
+  if (!entry) {
+    LogBadDocument(aEntry, entry.error());
+    return BeliefChange::None;
+  }
+  if (!ApplyRegistration(
+        aBeliefs.mRunners, *entry, aEntry.mModRevision, aNowMs)) {
+    return BeliefChange::None;
+  }
+  LogEvent(Event::RunnerChanged,
+           { { "runner", aId },
+             { "service", entry->mService },
+             { "address", entry->mAddress },
+             { "zone", entry->mZone },
+             { "version", entry->mVersion },
+             { "state", entry->mDraining ? "draining" : "ready" },
+             { "cold_ms", std::to_string(entry->mColdRemainingMs) },
+             { "revision", std::to_string(aEntry.mModRevision) } });
+  return BeliefChange::Runners;
+}
+
+BeliefChange
+ApplyRolloutOrder(Beliefs& aBeliefs, const StoreEntry& aEntry, TimeMs aNowMs)
+{
+  auto order = ParseShiftOrder(aEntry.mValue, aEntry.mModRevision);
+  if (!order) {
+    LogBadDocument(aEntry, order.error());
+    return BeliefChange::None;
+  }
+  ApplyOrder(aBeliefs.mShifts, *order, aNowMs);
+  LogEvent(Event::RolloutChanged,
+           { { "service", order->mService },
+             { "target", order->mTarget },
+             { "state", "ordered" },
+             { "duration_ms", std::to_string(order->mDurationMs) },
+             { "revision", std::to_string(aEntry.mModRevision) } });
+  return BeliefChange::Shift;
+}
+
+BeliefChange
+ApplyRolloutProgress(Beliefs& aBeliefs,
+                     const std::string& aService,
+                     const StoreEntry& aEntry,
+                     TimeMs aNowMs)
+{
+  auto progress = ParseShiftProgress(aEntry.mValue);
+  if (!progress) {
+    LogBadDocument(aEntry, progress.error());
+    return BeliefChange::None;
+  }
+  ApplyProgress(
+    aBeliefs.mShifts, aService, *progress, aEntry.mModRevision, aNowMs);
+  LogEvent(
+    Event::RolloutChanged,
+    { { "service", aService },
+      { "target", progress->mTarget },
+      { "state", std::string(NameOf(kShiftStateNames, progress->mState)) },
+      { "share", std::to_string(progress->mShare) },
+      { "revision", std::to_string(aEntry.mModRevision) } });
+  return BeliefChange::Shift;
+}
+
+} // namespace
+
+BeliefChange
+ApplyItem(Beliefs& aBeliefs, const StoreEntry& aEntry, TimeMs aNowMs)
+{
+  FleetKey key = ParseFleetKey(aEntry.mKey);
+  switch (key.mKind) {
+    case FleetKeyKind::Configuration:
+      return ApplyTable(aBeliefs, aEntry);
+    case FleetKeyKind::Registration:
+      return ApplyRunner(aBeliefs, key.mName, aEntry, aNowMs);
+    case FleetKeyKind::RolloutOrder:
+      return ApplyRolloutOrder(aBeliefs, aEntry, aNowMs);
+    case FleetKeyKind::RolloutProgress:
+      return ApplyRolloutProgress(aBeliefs, key.mName, aEntry, aNowMs);
+    case FleetKeyKind::Evacuation:
+      LogEvent(Event::ZoneEvacuated,
+               { { "zone", key.mName },
+                 { "revision", std::to_string(aEntry.mModRevision) } });
+      aBeliefs.mRunners.mEvacuatedZones.insert(key.mName);
+      return BeliefChange::Runners;
+    case FleetKeyKind::RolloutStatus:
+    case FleetKeyKind::Other:
+      return BeliefChange::None;
+  }
+  return BeliefChange::None;
+}
+
+BeliefChange
+ApplyDeletion(Beliefs& aBeliefs,
+              const std::string& aKey,
+              std::optional<TimeMs> aLapsedUntilMs)
+{
+  FleetKey key = ParseFleetKey(aKey);
+  if (key.mKind == FleetKeyKind::Evacuation) {
+    LogEvent(Event::ZoneReturned, { { "zone", key.mName } });
+    aBeliefs.mRunners.mEvacuatedZones.erase(key.mName);
+    return BeliefChange::Runners;
+  }
+  if (key.mKind == FleetKeyKind::Registration &&
+      RemoveRegistration(aBeliefs.mRunners, key.mName, aLapsedUntilMs)) {
+    LogEvent(Event::RunnerGone,
+             { { "runner", key.mName },
+               { "lapsed", aLapsedUntilMs ? "true" : "false" } });
+    return BeliefChange::Runners;
+  }
+  return BeliefChange::None;
+}
+
+void
+EstablishVersions(Beliefs& aBeliefs)
+{
+  for (const auto& [id, runner] : aBeliefs.mRunners.mRunners) {
+    const Registration& entry = runner.mRegistration;
+    auto shift = aBeliefs.mShifts.mShifts.find(entry.mService);
+    if (shift == aBeliefs.mShifts.mShifts.end() ||
+        shift->second.mOrder.mTarget != entry.mVersion) {
+      aBeliefs.mShifts.mEstablished[entry.mService].insert(entry.mVersion);
+    }
+  }
+}
+
+std::string
+DumpBeliefs(const Beliefs& aBeliefs, TimeMs aNowMs)
+{
+  using Json = nlohmann::json;
+  Json runners = Json::object();
+  for (const auto& [id, runner] : aBeliefs.mRunners.mRunners) {
+    const Registration& entry = runner.mRegistration;
+    runners[id] = { { "service", entry.mService },
+                    { "address", entry.mAddress },
+                    { "zone", entry.mZone },
+                    { "version", entry.mVersion },
+                    { "draining", entry.mDraining },
+                    { "gone", runner.mGone },
+                    { "in_flight", runner.mInFlight },
+                    { "pending_ms", runner.mPendingMs },
+                    { "error_share", ErrorShare(runner, aNowMs) },
+                    { "slowness", runner.mSlowness },
+                    { "blocked_ms",
+                      std::max<TimeMs>(0, runner.mBlockedUntilMs - aNowMs) },
+                    { "cold_ms",
+                      std::max<TimeMs>(0, runner.mColdUntilMs - aNowMs) } };
+  }
+  Json shifts = Json::object();
+  for (const auto& [service, shift] : aBeliefs.mShifts.mShifts) {
+    shifts[service] = { { "target", shift.mOrder.mTarget },
+                        { "share",
+                          shift.mProgress ? shift.mProgress->mShare : 0 },
+                        { "evidence", shift.mEvidence },
+                        { "condemned", shift.mCondemned } };
+  }
+  Json speeds = Json::array();
+  for (const auto& [key, speed] : aBeliefs.mSpeeds) {
+    speeds.push_back({ { "service", key.first },
+                       { "model", key.second },
+                       { "ms_per_token", speed.mMsPerToken },
+                       { "fixed_ms", speed.mFixedMs } });
+  }
+  return Json{ { "config_version",
+                 aBeliefs.mTable ? aBeliefs.mTable->mVersion : 0 },
+               { "entry_hosts", aBeliefs.mRunners.mEntryHosts },
+               { "evacuated_zones", aBeliefs.mRunners.mEvacuatedZones },
+               { "runners", runners },
+               { "shifts", shifts },
+               { "speeds", speeds } }
+    .dump(1);
+}
+
+} // namespace savory
--- /dev/null
+++ b/router/gateway/gateway_metrics.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "savory/core/metrics.h"
+
+namespace savory {
+
+// The counters and histograms of a gateway.
+struct GatewayMetrics
+{
+  Metrics mRegistry;
+
+  // Requests by how they ended.
+  void CountEnd(const std::string& aEnd)
+  {
+    mRegistry.Add(mRegistry.Counter("savory_gateway_requests_total",
+                                    "Requests by how they ended.",
+                                    { { "end", aEnd } }));
+  }
+  // Attempts by what came of them.
+  void CountAttempt(const std::string& aOutcome)
+  {
+    mRegistry.Add(mRegistry.Counter("savory_gateway_attempts_total",
+                                    "Requests sent to runners, by outcome.",
+                                    { { "outcome", aOutcome } }));
+  }
+  void ObserveFirst(const std::string& aRoute, double aSeconds)
+  {
+    mRegistry.Observe(
+      mRegistry.Histogram("savory_gateway_first_byte_seconds",
+                          "Time to the first byte of the answer.",
+                          { { "route", aRoute } }),
+      aSeconds);
+  }
+};
+
+} // namespace savory
--- /dev/null
+++ b/router/gateway/peers.cpp
@@ -0,0 +1,401 @@
+#include "peers.h"
+
+#include "savory/net/log.h"
+#include "savory/platform/base64.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace savory {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// How often a host tells the others; a roll-back has seconds, and each
+// datagram between zones is priced.
+constexpr TimeMs kBeaconPeriodMs = 300;
+
+// A host that was not heard for this long is taken to be down.
+constexpr TimeMs kLiveMs = 2500;
+
+// A host that was never heard or is long gone is told less often.
+constexpr TimeMs kForgetMs = 20000;
+
+// A pull that takes longer is given up.
+constexpr TimeMs kPullTimeoutMs = 1500;
+
+// The largest datagram; it fits an unfragmented UDP packet of the loopback
+// and of most networks with some room.
+constexpr std::size_t kMaxDatagram = 16 * 1024;
+
+// A host that knows this many changes less than this one is not trusted to
+// drive: the store may turn it away.
+constexpr std::int64_t kMaxDriverLag = 60;
+
+// Suspects told at once.
+constexpr std::size_t kMaxSuspectsTold = 32;
+
+sockaddr_in
+ToSocketAddress(const std::string& aAddress, int aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr);
+  return address;
+}
+
+Json
+ToJson(const SuspectRow& aRow)
+{
+  Json crashes = Json::array();
+  for (const Crash& crash : aRow.mCrashes) {
+    crashes.push_back({ crash.mId, crash.mIsolated, crash.mCleared });
+  }
+  return { aRow.mFingerprint, aRow.mAgeMs, crashes };
+}
+
+SuspectRow
+ToSuspect(const Json& aJson)
+{
+  SuspectRow row;
+  row.mFingerprint = aJson.at(0).get<std::uint64_t>();
+  row.mAgeMs = aJson.at(1).get<TimeMs>();
+  for (const Json& crash : aJson.at(2)) {
+    row.mCrashes.push_back({ crash.at(0).get<std::uint64_t>(),
+                             crash.at(1).get<bool>(),
+                             crash.at(2).get<bool>() });
+  }
+  return row;
+}
+
+} // namespace
+
+std::string
+EncodeBeacon(const PeerBeacon& aBeacon)
+{
+  Json shifts = Json::array();
+  for (const auto& [service, row] : aBeacon.mShifts) {
+    shifts.push_back({ service,
+                       row.first,
+                       row.second.mGood,
+                       row.second.mBad,
+                       row.second.mOldInFlight });
+  }
+  Json suspects = Json::array();
+  for (const SuspectRow& row : aBeacon.mSuspects) {
+    suspects.push_back(ToJson(row));
+  }
+  Json document{ { "h", aBeacon.mHost }, { "a", aBeacon.mAddress },
+                 { "r", aBeacon.mAt },   { "l", aBeacon.mLeaving },
+                 { "s", shifts },        { "q", suspects },
+                 { "k", aBeacon.mKnown } };
+  std::vector<std::uint8_t> bytes = Json::to_cbor(document);
+  return { bytes.begin(), bytes.end() };
+}
+
+std::optional<PeerBeacon>
+DecodeBeacon(std::string_view aBytes)
+{
+  Json document = Json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+  if (!document.is_object()) {
+    return std::nullopt;
+  }
+  // The library reports missing fields and wrong types by exceptions.
+  try {
+    PeerBeacon beacon;
+    beacon.mHost = document.at("h").get<std::string>();
+    beacon.mAddress = document.at("a").get<std::string>();
+    beacon.mAt = document.at("r").get<std::int64_t>();
+    beacon.mLeaving = document.at("l").get<bool>();
+    for (const Json& row : document.at("s")) {
+      ShiftCounts counts{ row.at(2).get<std::int64_t>(),
+                          row.at(3).get<std::int64_t>(),
+                          row.at(4).get<int>() };
+      beacon.mShifts[row.at(0).get<std::string>()] = {
+        row.at(1).get<std::int64_t>(), counts
+      };
+    }
+    for (const Json& row : document.at("q")) {
+      beacon.mSuspects.push_back(ToSuspect(row));
+    }
+    beacon.mKnown = document.at("k").get<std::vector<std::string>>();
+    return beacon;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string
+EncodePeerItems(const StoreFollower& aFollower)
+{
+  Json entries = Json::array();
+  for (const auto& [key, entry] : aFollower.Items()) {
+    entries.push_back({ { "key", key },
+                        { "value", EncodeBase64(entry.mValue) },
+                        { "revision", entry.mModRevision } });
+  }
+  return Json{ { "at", aFollower.At() }, { "entries", entries } }.dump();
+}
+
+Peers::Peers(GatewayShared& aShared, StoreFollower& aFollower)
+  : mShared(aShared)
+  , mFollower(aFollower)
+  , mFrontend(
+      aShared.mLoop,
+      [this](IncomingRequest aRequest, std::shared_ptr<CallerLink> aCaller) {
+        Serve(aRequest, aCaller);
+      })
+{
+  for (const Endpoint& seed : mShared.mSettings.mSeeds) {
+    if (seed.mAddress != mShared.mSettings.mAddress) {
+      mPeers[seed.mAddress];
+    }
+  }
+}
+
+Peers::~Peers()
+{
+  if (mEvent) {
+    event_free(mEvent);
+  }
+  if (mSocket >= 0) {
+    close(mSocket);
+  }
+}
+
+bool
+Peers::Start()
+{
+  const FleetSettings& settings = mShared.mSettings;
+  if (settings.mPeers.mPort == 0 || settings.mPeerDatagramPort == 0) {
+    return true;
+  }
+  if (mFrontend.Listen(settings.mPeers.mAddress, settings.mPeers.mPort) == 0) {
+    return false;
+  }
+  mSocket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in own =
+    ToSocketAddress(settings.mAddress, settings.mPeerDatagramPort);
+  if (mSocket < 0 ||
+      bind(mSocket, reinterpret_cast<sockaddr*>(&own), sizeof own) != 0) {
+    return false;
+  }
+  mEvent = event_new(
+    mShared.mLoop.Base(),
+    mSocket,
+    EV_READ | EV_PERSIST,
+    [](evutil_socket_t, short, void* aSelf) {
+      static_cast<Peers*>(aSelf)->Receive();
+    },
+    this);
+  event_add(mEvent, nullptr);
+  mTimer = Timer::Every(mShared.mLoop, kBeaconPeriodMs, [this] { Send(); });
+  Send();
+  return true;
+}
+
+int
+Peers::LiveCount(TimeMs aNowMs) const
+{
+  int live = 0;
+  for (const auto& [address, peer] : mPeers) {
+    live += aNowMs - peer.mHeardMs < kLiveMs;
+  }
+  return live;
+}
+
+bool
+Peers::IsDriver(TimeMs aNowMs) const
+{
+  if (!mFollower.IsReachable() || mLeaving) {
+    return false;
+  }
+  for (const auto& [address, peer] : mPeers) {
+    if (aNowMs - peer.mHeardMs < kLiveMs && !peer.mLeaving &&
+        peer.mAt >= mFollower.At() - kMaxDriverLag &&
+        peer.mHost < mShared.mSettings.mHost) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+Peers::Send()
+{
+  TimeMs now = mShared.mLoop.NowMs();
+  Beliefs& beliefs = mShared.mBeliefs;
+  beliefs.mRunners.mEntryHosts =
+    std::max(1 + LiveCount(now),
+             static_cast<int>(mShared.mSettings.mSeeds.size()));
+  PeerBeacon beacon;
+  beacon.mHost = mShared.mSettings.mHost;
+  beacon.mAddress = mShared.mSettings.mAddress;
+  beacon.mAt = mFollower.At();
+  beacon.mLeaving = mLeaving;
+  for (auto& [service, shift] : beliefs.mShifts.mShifts) {
+    if (shift.mOrder.mTarget.empty() ||
+        (shift.mProgress &&
+         shift.mProgress->mState != ShiftState::InProgress)) {
+      continue;
+    }
+    shift.mOwn.mOldInFlight = 0;
+    for (const auto& exchange : mShared.mExchanges) {
+      shift.mOwn.mOldInFlight +=
+        exchange->IsWithOther(service, shift.mOrder.mTarget);
+    }
+    beacon.mShifts[service] = { shift.mOrder.mRevision, shift.mOwn };
+  }
+  beacon.mSuspects = SuspectRows(beliefs.mQuarantine, now);
+  if (beacon.mSuspects.size() > kMaxSuspectsTold) {
+    beacon.mSuspects.resize(kMaxSuspectsTold);
+  }
+  for (const auto& [address, peer] : mPeers) {
+    if (now - peer.mHeardMs < kLiveMs) {
+      beacon.mKnown.push_back(address);
+    }
+  }
+  std::string bytes = EncodeBeacon(beacon);
+  for (const auto& [address, peer] : mPeers) {
+    sockaddr_in target =
+      ToSocketAddress(address, mShared.mSettings.mPeerDatagramPort);
+    // A datagram that cannot be sent is replaced by the next one.
+    (void)sendto(mSocket,
+                 bytes.data(),
+                 bytes.size(),
+                 0,
+                 reinterpret_cast<sockaddr*>(&target),
+                 sizeof target);
+  }
+  std::erase_if(mPeers, [&](const auto& aRow) {
+    return aRow.second.mHeardMs > 0 && now - aRow.second.mHeardMs > kForgetMs;
+  });
+  PullIfBehind();
+}
+
+void
+Peers::Receive()
+{
+  std::string bytes(kMaxDatagram, '\0');
+  for (;;) {
+    ssize_t size = recv(mSocket, bytes.data(), bytes.size(), 0);
+    if (size < 0) {
+      return;
+    }
+    auto beacon =
+      DecodeBeacon({ bytes.data(), static_cast<std::size_t>(size) });
+    if (beacon && beacon->mAddress != mShared.mSettings.mAddress) {
+      TakeBeacon(*beacon);
+    }
+  }
+}
+
+void
+Peers::TakeBeacon(const PeerBeacon& aBeacon)
+{
+  TimeMs now = mShared.mLoop.NowMs();
+  Peer& peer = mPeers[aBeacon.mAddress];
+  if (now - peer.mHeardMs >= kLiveMs) {
+    LogEvent(Event::PeerHeard,
+             { { "peer", aBeacon.mHost },
+               { "revision", std::to_string(aBeacon.mAt) } });
+  }
+  peer.mHost = aBeacon.mHost;
+  peer.mHeardMs = now;
+  peer.mAt = aBeacon.mAt;
+  peer.mLeaving = aBeacon.mLeaving;
+  for (const std::string& address : aBeacon.mKnown) {
+    if (address != mShared.mSettings.mAddress) {
+      mPeers.try_emplace(address);
+    }
+  }
+  Beliefs& beliefs = mShared.mBeliefs;
+  for (const auto& [service, row] : aBeacon.mShifts) {
+    auto found = beliefs.mShifts.mShifts.find(service);
+    if (found != beliefs.mShifts.mShifts.end() &&
+        found->second.mOrder.mRevision == row.first) {
+      NotePeerCounts(found->second, aBeacon.mHost, row.second);
+    }
+  }
+  if (!aBeacon.mSuspects.empty()) {
+    MergeSuspects(beliefs.mQuarantine,
+                  beliefs.mQuarantineOptions,
+                  aBeacon.mSuspects,
+                  now);
+  }
+}
+
+// Asks a peer that knows more for the store's items while the store turns this
+// host away.
+void
+Peers::PullIfBehind()
+{
+  if (mFollower.IsReachable() || (mPull && mPull->IsBusy())) {
+    return;
+  }
+  TimeMs now = mShared.mLoop.NowMs();
+  const std::string* best = nullptr;
+  std::int64_t at = mFollower.At();
+  for (const auto& [address, peer] : mPeers) {
+    if (now - peer.mHeardMs < kLiveMs && peer.mAt > at) {
+      at = peer.mAt;
+      best = &address;
+    }
+  }
+  if (!best) {
+    return;
+  }
+  if (*best != mPullAddress || !mPull) {
+    mPullAddress = *best;
+    mPull = std::make_unique<FleetStoreLane>(
+      mShared.mLoop, Endpoint{ *best, mShared.mSettings.mPeers.mPort });
+  }
+  mPull->Call(
+    "GET",
+    "/items",
+    {},
+    kPullTimeoutMs,
+    [this](tl::expected<HttpResponse, StoreError> aResult) {
+      if (!aResult || aResult->mStatus != 200) {
+        LogEvent(Event::PeerPullFailed,
+                 { { "peer", mPullAddress },
+                   { "reason",
+                     aResult ? "status " + std::to_string(aResult->mStatus)
+                             : aResult.error().mReason } });
+        return;
+      }
+      auto items = ParseFleetItems(aResult->mBody);
+      if (!items) {
+        LogEvent(Event::PeerPullFailed,
+                 { { "peer", mPullAddress },
+                   { "reason", items.error().mReason } });
+        return;
+      }
+      LogEvent(Event::PeerPulled,
+               { { "peer", mPullAddress },
+                 { "revision", std::to_string(items->mAt) } });
+      mFollower.TakePeerItems(*items);
+    });
+}
+
+void
+Peers::Serve(const IncomingRequest& aRequest,
+             const std::shared_ptr<CallerLink>& aCaller)
+{
+  if (aRequest.mHead.mTarget != "/items" || !mFollower.HasState()) {
+    aCaller->Respond(404, {}, {});
+    return;
+  }
+  aCaller->Respond(200,
+                   { { "Content-Type", "application/json" } },
+                   EncodePeerItems(mFollower));
+}
+
+} // namespace savory
--- /dev/null
+++ b/router/gateway/peers.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "exchange.h"
+#include "savory/platform/fleet_store.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+struct event;
+
+namespace savory {
+
+// What an entry host tells the others several times a second, by datagram. A
+// lost one is replaced by the next; nothing in it must arrive.
+struct PeerBeacon
+{
+  std::string mHost;
+  std::string mAddress;
+  // The store's revision that the sender knows.
+  std::int64_t mAt = 0;
+  bool mLeaving = false;
+  // By service; each with the revision of the order that it belongs to.
+  std::map<std::string, std::pair<std::int64_t, ShiftCounts>> mShifts;
+  std::vector<SuspectRow> mSuspects;
+  // Addresses of the hosts that the sender heard lately.
+  std::vector<std::string> mKnown;
+};
+
+std::string
+EncodeBeacon(const PeerBeacon& aBeacon);
+std::optional<PeerBeacon>
+DecodeBeacon(std::string_view aBytes);
+
+// The store's items for a peer that the store turns away.
+std::string
+EncodePeerItems(const StoreFollower& aFollower);
+
+// The other entry hosts: found by the seeds and by hearsay, heard by
+// datagrams, and asked for the store's items when the store is out of reach.
+class Peers
+{
+public:
+  Peers(GatewayShared& aShared, StoreFollower& aFollower);
+  ~Peers();
+  Peers(const Peers&) = delete;
+  Peers& operator=(const Peers&) = delete;
+
+  // Opens the sockets. False when an address cannot be used.
+  bool Start();
+  void StartDrain() { mLeaving = true; }
+  int LiveCount(TimeMs aNowMs) const;
+  // Whether this host drives what only one should: the live host with the
+  // lowest name.
+  bool IsDriver(TimeMs aNowMs) const;
+
+private:
+  struct Peer
+  {
+    std::string mHost;
+    TimeMs mHeardMs = -1'000'000;
+    std::int64_t mAt = 0;
+    bool mLeaving = false;
+  };
+
+  void Send();
+  void Receive();
+  void TakeBeacon(const PeerBeacon& aBeacon);
+  void PullIfBehind();
+  void Serve(const IncomingRequest& aRequest,
+             const std::shared_ptr<CallerLink>& aCaller);
+
+  GatewayShared& mShared;
+  StoreFollower& mFollower;
+  HttpFrontend mFrontend;
+  int mSocket = -1;
+  event* mEvent = nullptr;
+  // By address.
+  std::map<std::string, Peer> mPeers;
+  std::string mPullAddress;
+  std::unique_ptr<FleetStoreLane> mPull;
+  bool mLeaving = false;
+  Timer mTimer;
+};
+
+} // namespace savory
--- a/router/src/main.cpp
+++ b/router/src/main.cpp
@@ -1,5 +1,6 @@
 #include "agent.h"
 #include "entry.h"
+#include "gateway.h"
 #include "node.h"
 #include "savory/net/log.h"
 #include "settings.h"
@@ -60,7 +61,11 @@
 int
 main(int aCount, char** aArguments)
 {
-  auto settings = ParseSettings({ aArguments, aArguments + aCount });
+  std::vector<std::string> arguments(aArguments, aArguments + aCount);
+  if (arguments.size() > 1 && arguments[1] == "gateway") {
+    return RunGateway(arguments);
+  }
+  auto settings = ParseSettings(arguments);
   if (!settings) {
     std::fputs(settings.error().mText.c_str(),
                settings.error().mCode == kExitOk ? stdout : stderr);
