--- a/core/include/savory/core/model_choice.h
+++ b/core/include/savory/core/model_choice.h
@@ -17,8 +17,16 @@
 {
   double mMsPerToken = 0.03;
   double mFixedMs = 20;
+  // Answers learned from; the first ones weigh more.
+  int mAnswers = 0;
 };
 
+// A first guess from the price of 1,000 generated tokens: larger models cost
+// more and read more slowly.
+ReadSpeed
+GuessReadSpeed(double aPerThousand);
+
+
 // Learns from one answer: what was expected and what was observed.
 void
 LearnReadSpeed(ReadSpeed& aSpeed, double aExpectedMs, double aObservedMs);
--- a/core/include/savory/core/version_shift.h
+++ b/core/include/savory/core/version_shift.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace savory {
 
@@ -81,6 +82,28 @@
   bool mCondemned = false;
 };
 
+// The version that a session used last, and when its last request ended.
+struct SessionUse
+{
+  std::string mVersion;
+  TimeMs mLastMs = 0;
+};
+
+// Sessions of this host that may go on, by service and session.
+struct SessionMemory
+{
+  std::map<std::pair<std::string, std::string>, SessionUse> mUses;
+  TimeMs mSweptMs = 0;
+};
+
+void
+NoteSession(SessionMemory& aMemory,
+            const std::string& aService,
+            const std::string& aSession,
+            const std::string& aVersion,
+            TimeMs aKeepMs,
+            TimeMs aNowMs);
+
 // Shifts by service, and the versions that may be used at all.
 struct VersionShifts
 {
@@ -125,6 +148,17 @@
 bool
 UsesTarget(const VersionShift& aShift, double aPoint);
 
+// The version that a session must go on with, or nothing. A session stays with
+// a target until that is rolled back, and with the old version through the
+// first half of a shift.
+std::optional<std::string>
+PinnedVersion(const VersionShifts& aShifts,
+              const SessionMemory& aMemory,
+              const std::string& aService,
+              const std::string& aSession,
+              TimeMs aKeepMs,
+              TimeMs aNowMs);
+
 // Whether a runner may get a request with this point. With aFallback, the old
 // version may step in for the new one, and a new one that is not condemned for
 // the old one.
--- a/core/src/model_choice.cpp
+++ b/core/src/model_choice.cpp
@@ -12,8 +12,27 @@
 constexpr double kSpeedWeight = 0.08;
 constexpr double kMaxSpeedRatio = 4;
 
+// Weight of the first answer, which falls with their number.
+constexpr double kFirstWeight = 0.5;
+
+// Milliseconds to read a token, for each unit of price of 1,000 tokens: what
+// engines with published prices take, within a factor of two.
+constexpr double kMsPerTokenOfPrice = 0.45;
+constexpr double kGuessedFixedMs = 20;
+
 } // namespace
 
+ReadSpeed
+GuessReadSpeed(double aPerThousand)
+{
+  ReadSpeed speed;
+  if (aPerThousand > 0) {
+    speed.mMsPerToken = kMsPerTokenOfPrice * aPerThousand;
+  }
+  speed.mFixedMs = kGuessedFixedMs;
+  return speed;
+}
+
 void
 LearnReadSpeed(ReadSpeed& aSpeed, double aExpectedMs, double aObservedMs)
 {
@@ -22,7 +41,9 @@
   }
   double ratio = std::clamp(
     aObservedMs / aExpectedMs, 1 / kMaxSpeedRatio, kMaxSpeedRatio);
-  double factor = std::pow(ratio, kSpeedWeight);
+  ++aSpeed.mAnswers;
+  double weight = std::max(kSpeedWeight, kFirstWeight / aSpeed.mAnswers);
+  double factor = std::pow(ratio, weight);
   aSpeed.mMsPerToken *= factor;
   aSpeed.mFixedMs *= factor;
 }
--- a/core/src/version_shift.cpp
+++ b/core/src/version_shift.cpp
@@ -48,6 +48,10 @@
 // time ordered: versions may fail only after a while or under load.
 constexpr double kLeastLastStage = 0.12;
 
+// Sessions stay with the old version through the first half of the time
+// ordered, and a little longer, as hosts see the order late.
+constexpr double kPinnedPart = 0.52;
+
 // A version that no order names is used only after this time, since its order
 // may arrive after its backend servers.
 constexpr TimeMs kUnknownVersionMs = 3000;
@@ -227,6 +231,50 @@
          aPoint < aShift.mProgress->mShare;
 }
 
+void
+NoteSession(SessionMemory& aMemory,
+            const std::string& aService,
+            const std::string& aSession,
+            const std::string& aVersion,
+            TimeMs aKeepMs,
+            TimeMs aNowMs)
+{
+  aMemory.mUses[{ aService, aSession }] = { aVersion, aNowMs };
+  if (aNowMs - aMemory.mSweptMs >= aKeepMs) {
+    aMemory.mSweptMs = aNowMs;
+    std::erase_if(aMemory.mUses, [&](const auto& aRow) {
+      return aNowMs - aRow.second.mLastMs > aKeepMs;
+    });
+  }
+}
+
+std::optional<std::string>
+PinnedVersion(const VersionShifts& aShifts,
+              const SessionMemory& aMemory,
+              const std::string& aService,
+              const std::string& aSession,
+              TimeMs aKeepMs,
+              TimeMs aNowMs)
+{
+  auto shift = aShifts.mShifts.find(aService);
+  auto use = aMemory.mUses.find({ aService, aSession });
+  if (shift == aShifts.mShifts.end() || use == aMemory.mUses.end() ||
+      aNowMs - use->second.mLastMs > aKeepMs) {
+    return std::nullopt;
+  }
+  const VersionShift& state = shift->second;
+  bool isTarget = use->second.mVersion == state.mOrder.mTarget;
+  bool rolledBack =
+    state.mCondemned || (state.mProgress && state.mProgress->mState ==
+                                              ShiftState::RolledBack);
+  bool firstHalf = static_cast<double>(aNowMs - state.mOrderSeenMs) <
+                   kPinnedPart * static_cast<double>(state.mOrder.mDurationMs);
+  if (isTarget ? !rolledBack : firstHalf) {
+    return use->second.mVersion;
+  }
+  return std::nullopt;
+}
+
 bool
 AllowsVersion(const VersionShifts& aShifts,
               const RunnerState& aRunner,
--- a/net/src/http_reader.cpp
+++ b/net/src/http_reader.cpp
@@ -109,6 +109,9 @@
 
   tl::expected<void, HttpReadError> FeedEnd() override
   {
+    if (!Base::got_some()) {
+      return tl::unexpected(HttpReadError::Incomplete);
+    }
     Error error;
     Base::put_eof(error);
     if (error) {
--- a/router/gateway/beliefs.h
+++ b/router/gateway/beliefs.h
@@ -29,6 +29,7 @@
   std::shared_ptr<const RouteTable> mTable;
   RunnerSet mRunners;
   VersionShifts mShifts;
+  SessionMemory mSessions;
   Quarantine mQuarantine;
   QuarantineOptions mQuarantineOptions;
   AttemptBudget mBudget;
--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -156,7 +156,15 @@
   auto [found, isNew] =
     mShared.mBeliefs.mSpeeds.try_emplace({ mService, aModel });
   if (isNew && aModel.empty()) {
-    found->second = { 0, kCallFixedMs };
+    found->second = { 0, kCallFixedMs, 0 };
+  } else if (isNew) {
+    const ServiceInfo* service = FindService(*mTable, mService);
+    for (const ModelPrice& model :
+         service ? service->mModels : std::vector<ModelPrice>()) {
+      if (model.mName == aModel) {
+        found->second = GuessReadSpeed(model.mPerThousand);
+      }
+    }
   }
   return found->second;
 }
@@ -182,9 +190,22 @@
   const ReadSpeed& speed = Speed(place.mModel);
   place.mMsPerToken = speed.mMsPerToken;
   place.mFixedMs = speed.mFixedMs;
-  place.mAllows = [this, aFallback](const RunnerState& aRunner) {
-    return AllowsVersion(
-      mShared.mBeliefs.mShifts, aRunner, mPoint, aFallback, Now());
+  std::optional<std::string> pinned;
+  if (!aFallback && !mFacts.mSession.empty()) {
+    pinned = PinnedVersion(mShared.mBeliefs.mShifts,
+                           mShared.mBeliefs.mSessions,
+                           mService,
+                           mFacts.mSession,
+                           mShared.mSettings.mSessionMs,
+                           Now());
+  }
+  place.mAllows = [this, aFallback, pinned](const RunnerState& aRunner) {
+    return pinned ? aRunner.mRegistration.mVersion == *pinned
+                  : AllowsVersion(mShared.mBeliefs.mShifts,
+                                  aRunner,
+                                  mPoint,
+                                  aFallback,
+                                  Now());
   };
   return place;
 }
@@ -199,7 +220,9 @@
   aPlace = DescribePlacement(aModel, false);
   auto placement =
     PlaceRequest(beliefs.mRunners, *beliefs.mTable, aPlace, Now());
-  if (!placement) {
+  // Runners that are only held back for a moment are waited for.
+  if (!placement && (placement.error() == PlacementFailure::NoRunner ||
+                     placement.error() == PlacementFailure::AllTried)) {
     PlacementRequest fallback = DescribePlacement(aModel, true);
     auto second =
       PlaceRequest(beliefs.mRunners, *beliefs.mTable, fallback, Now());
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -412,6 +412,14 @@
   if (attempt->mLink) {
     attempt->mLink->Close();
   }
+  if (!mFacts.mSession.empty()) {
+    NoteSession(mShared.mBeliefs.mSessions,
+                mService,
+                mFacts.mSession,
+                attempt->mVersion,
+                mShared.mSettings.mSessionMs,
+                Now());
+  }
 }
 
 // Goes on at another runner when nothing forbids it.
