--- a/core/src/version_shift.cpp
+++ b/core/src/version_shift.cpp
@@ -18,20 +18,24 @@
 // stage must show that the version holds under the whole load.
 constexpr std::array<Stage, 3> kStages{ {
   { 0.1, 20 },
-  { 0.4, 60 },
-  { 1.0, 120 },
+  { 0.4, 30 },
+  { 1.0, 80 },
 } };
 
+// Sessions must not change their version in the first half of the time, so
+// the first stage lasts that long.
+constexpr double kFirstStagePart = 0.51;
+
 // Part of the time ordered after which a stage ends although few answers came,
 // for each stage in turn.
-constexpr std::array<double, 3> kStageEnds{ 0.3, 0.45, 0.7 };
+constexpr std::array<double, 3> kStageEnds{ 0.55, 0.66, 0.8 };
 
 // Share of failures of a sound version, and of the least bad one that must be
-// found; evidence for a roll-back is ln(1/0.002), so that about one good
-// version in 500 is rolled back.
+// found; evidence for a roll-back is about ln(1/0.0003), so that a good version
+// is rolled back once in some thousand times.
 constexpr double kGoodFailures = 0.02;
 constexpr double kBadFailures = 0.25;
-constexpr double kStopEvidence = 6.2;
+constexpr double kStopEvidence = 8;
 
 // A version may fail this much more often than the old one before it counts as
 // worse, and no version is expected to fail more often than this.
@@ -152,6 +156,8 @@
   }
   if (aProgress.mState == ShiftState::Completed) {
     aShifts.mEstablished[aService] = { aProgress.mTarget };
+    // The old version is gone; doubts of this host alone no longer count.
+    shift.mCondemned = false;
   } else if (aProgress.mState == ShiftState::RolledBack) {
     shift.mCondemned = true;
   }
@@ -206,7 +212,8 @@
   bool clean = aShift.mEvidence < kStopEvidence / 2;
   bool enough = answers >= kStages[index].mAnswers ||
                 elapsed >= kStageEnds[index] * duration;
-  if (!clean || !enough) {
+  if (!clean || !enough ||
+      (index == 0 && elapsed < kFirstStagePart * duration)) {
     return std::nullopt;
   }
   if (index + 1 < kStages.size()) {
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -29,8 +29,8 @@
 
 // An answer this many times later than expected, and by this much, counts
 // against its version.
-constexpr double kSlowFactor = 4;
-constexpr double kSlowMs = 400;
+constexpr double kSlowFactor = 3;
+constexpr double kSlowMs = 600;
 
 // When refused callers may come back: spread, so that they do not return
 // together.
@@ -107,7 +107,12 @@
       runner, mAttempt->mPlace, mAttempt->mPlacement.mReadMs, now);
     mAttempt->mPromptRead = true;
   }
-  NoteVersion(observed <= kSlowFactor * expected + kSlowMs);
+  // The caches of a new version's runners are empty, so the comparison allows
+  // for reading the whole prompt.
+  double whole = static_cast<double>(mFacts.mPromptTokens) *
+                 Speed(model).mMsPerToken;
+  double longest = expected - mAttempt->mPlacement.mReadMs + whole;
+  NoteVersion(observed <= kSlowFactor * longest + kSlowMs);
 }
 
 // Drops the answer of a smaller model that doubts itself and asks the largest.
