--- a/net/src/http_frontend.cpp
+++ b/net/src/http_frontend.cpp
@@ -442,8 +442,13 @@
 {
   auto links = mLinks;
   for (const auto& link : links) {
-    if (!link->mBusy && !link->mReader->IsStarted() &&
-        !link->mCloseWhenDrained) {
+    if (link->mBusy || link->mReader->IsStarted()) {
+      continue;
+    }
+    // The end of an answer may still wait for the socket.
+    if (link->UnsentBytes() > 0) {
+      link->mCloseWhenDrained = true;
+    } else {
       link->Close();
     }
   }
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -21,8 +21,9 @@
 constexpr TimeMs kStillRoutedMs = 2600;
 
 // Requests that arrive later in a shutdown than this are refused: a stream
-// might not end before the process is killed.
-constexpr TimeMs kLastAcceptMs = 4500;
+// might not end before the process is killed. Idle connections are closed then,
+// so that callers look for another host.
+constexpr TimeMs kLastAcceptMs = 2800;
 
 // The process ends this long before it would be killed.
 constexpr TimeMs kKillMarginMs = 300;
@@ -183,9 +184,9 @@
   TimeMs now = mLoop.NowMs();
   TimeMs grace = mShared.mSettings.mRegistrationReturnMs + kReturnSlackMs;
   std::optional<TimeMs> lapsed;
-  if (!mFollower.IsReachable()) {
+  if (!mOutageIsOwn && !mFollower.IsReachable()) {
     lapsed = now + kPeerLapseMs;
-  } else if (now - mFollower.ReachableSinceMs() < grace) {
+  } else if (!mOutageIsOwn && now - mFollower.ReachableSinceMs() < grace) {
     lapsed = mFollower.ReachableSinceMs() + grace;
   }
   ApplyDeletion(mShared.mBeliefs, aKey, lapsed);
@@ -270,6 +271,11 @@
   for (const std::string& id : PruneRunners(mShared.mBeliefs.mRunners, now)) {
     LogEvent(Event::RunnerGone, { { "runner", id }, { "lapsed", "over" } });
   }
+  // An outage counts as this host's own until the store has served it again
+  // for as long as entries might lapse.
+  if (!mFollower.IsReachable()) {
+    mOutageIsOwn = mPeers.IsStoreServingPeers(now);
+  }
   DriveShifts();
   if (mDraining) {
     CheckDrain();
@@ -367,6 +373,7 @@
   if (elapsed < kStillRoutedMs) {
     return;
   }
+  mCallers.CloseIdle();
   bool late = elapsed >= mShared.mSettings.mGraceMs - kKillMarginMs;
   if (late) {
     LogEvent(Event::AbandonedAtStop,
--- a/router/gateway/gateway.h
+++ b/router/gateway/gateway.h
@@ -62,6 +62,8 @@
   HttpFrontend mReady;
   std::map<std::string, BrokenRunner> mBroken;
   bool mHasState = false;
+  // The last outage of the store was this host's own: peers reached it.
+  bool mOutageIsOwn = false;
   bool mDraining = false;
   TimeMs mDrainSinceMs = 0;
   TimeMs mBootLagMs = 0;
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -94,6 +94,7 @@
   }
   Json document{ { "h", aBeacon.mHost }, { "a", aBeacon.mAddress },
                  { "r", aBeacon.mAt },   { "l", aBeacon.mLeaving },
+                 { "u", aBeacon.mReachesStore },
                  { "s", shifts },        { "q", suspects },
                  { "k", aBeacon.mKnown } };
   std::vector<std::uint8_t> bytes = Json::to_cbor(document);
@@ -114,6 +115,7 @@
     beacon.mAddress = document.at("a").get<std::string>();
     beacon.mAt = document.at("r").get<std::int64_t>();
     beacon.mLeaving = document.at("l").get<bool>();
+    beacon.mReachesStore = document.at("u").get<bool>();
     for (const Json& row : document.at("s")) {
       ShiftCounts counts{ row.at(2).get<std::int64_t>(),
                           row.at(3).get<std::int64_t>(),
@@ -211,6 +213,17 @@
   return live;
 }
 
+bool
+Peers::IsStoreServingPeers(TimeMs aNowMs) const
+{
+  for (const auto& [address, peer] : mPeers) {
+    if (aNowMs - peer.mHeardMs < kLiveMs && peer.mReachesStore) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool
 Peers::IsDriver(TimeMs aNowMs) const
 {
@@ -240,6 +253,7 @@
   beacon.mAddress = mShared.mSettings.mAddress;
   beacon.mAt = mFollower.At();
   beacon.mLeaving = mLeaving;
+  beacon.mReachesStore = mFollower.IsReachable();
   for (auto& [service, shift] : beliefs.mShifts.mShifts) {
     if (shift.mOrder.mTarget.empty() ||
         (shift.mProgress &&
@@ -311,6 +325,7 @@
   peer.mHeardMs = now;
   peer.mAt = aBeacon.mAt;
   peer.mLeaving = aBeacon.mLeaving;
+  peer.mReachesStore = aBeacon.mReachesStore;
   for (const std::string& address : aBeacon.mKnown) {
     if (address != mShared.mSettings.mAddress) {
       mPeers.try_emplace(address);
--- a/router/gateway/peers.h
+++ b/router/gateway/peers.h
@@ -20,6 +20,8 @@
   // The store's revision that the sender knows.
   std::int64_t mAt = 0;
   bool mLeaving = false;
+  // The sender reaches the store.
+  bool mReachesStore = false;
   // By service; each with the revision of the order that it belongs to.
   std::map<std::string, std::pair<std::int64_t, ShiftCounts>> mShifts;
   std::vector<SuspectRow> mSuspects;
@@ -50,6 +52,9 @@
   bool Start();
   void StartDrain() { mLeaving = true; }
   int LiveCount(TimeMs aNowMs) const;
+  // Whether a live peer reaches the store: then an outage that this host sees
+  // is its own, and entries that go are gone.
+  bool IsStoreServingPeers(TimeMs aNowMs) const;
   // Whether this host drives what only one should: the live host with the
   // lowest name.
   bool IsDriver(TimeMs aNowMs) const;
@@ -61,6 +66,7 @@
     TimeMs mHeardMs = -1'000'000;
     std::int64_t mAt = 0;
     bool mLeaving = false;
+    bool mReachesStore = false;
   };
 
   void Send();
