--- a/core/src/version_shift.cpp
+++ b/core/src/version_shift.cpp
@@ -72,9 +72,20 @@
   return total;
 }
 
+bool
+IsActive(const VersionShift& aShift)
+{
+  return !aShift.mProgress ||
+         aShift.mProgress->mState == ShiftState::InProgress;
+}
+
 void
 Judge(VersionShift& aShift)
 {
+  // A version that took over is the only one there is.
+  if (!IsActive(aShift)) {
+    return;
+  }
   ShiftCounts total = TotalCounts(aShift);
   // A peer that restarted counts from zero again.
   auto good = std::max<std::int64_t>(0, total.mGood - aShift.mJudged.mGood);
@@ -103,13 +114,6 @@
   return kStages.size() - 1;
 }
 
-bool
-IsActive(const VersionShift& aShift)
-{
-  return !aShift.mProgress ||
-         aShift.mProgress->mState == ShiftState::InProgress;
-}
-
 } // namespace
 
 void
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -149,6 +149,8 @@
   bool mDone = false;
   std::optional<std::int64_t> mLastEventId;
   bool mAnswerStarted = false;
+  // Time from the arrival to the first byte of the answer; 0 before it.
+  TimeMs mFirstMs = 0;
   // The runner's own failure, passed on when nothing better comes.
   std::optional<std::pair<HttpHead, std::string>> mFailure;
   std::unique_ptr<Attempt> mAttempt;
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -182,6 +182,7 @@
     return;
   }
   mAnswerStarted = true;
+  mFirstMs = Now() - mArrivedMs;
   mCaller->Start(
     mAttempt->mHead.mStatus, MakeCallerHeaders(mAttempt->mHead), std::nullopt);
   mShared.mMetrics.ObserveFirst(
@@ -512,6 +513,7 @@
            { { "id", mFacts.mId },
              { "end", end },
              { "status", std::to_string(aStatus) },
+             { "first_ms", std::to_string(mFirstMs) },
              { "ms", std::to_string(Now() - mArrivedMs) },
              { "attempts", std::to_string(mAttempts) },
              { "route", mRoute ? mRoute->mName : "" },
