Share backlogs of prompts between hosts and read short prompts first

Change: hosts tell each other how much reading they sent to each runner, as totals in the beacons; engines get short prompts at a higher priority.

--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "savory/core/backlog.h"
 #include "savory/core/routes.h"
 #include "savory/core/types.h"
 
@@ -52,9 +53,13 @@
   TimeMs mFirstSeenMs = 0;
 
   int mInFlight = 0;
-  // Estimated milliseconds of prompts that this host sent and that are still
-  // being read.
-  double mPendingMs = 0;
+  // Prompts that wait to be read here.
+  Backlog mBacklog;
+  // Milliseconds of reading that this host has sent here in all; peers are
+  // told of it and take the growth for new work.
+  double mSentReadMs = 0;
+  // The same of each peer, as last heard.
+  std::map<std::string, double> mPeerReadMs;
   // What the runner last reported, and when.
   int mReportedRunning = 0;
   int mReportedWaiting = 0;
@@ -198,16 +203,32 @@
 
 // Books a placement: the request is sent now.
 void
-NoteSent(RunnerState& aRunner, const PlacementRequest& aRequest, double aReadMs,
+NoteSent(RunnerState& aRunner,
+         double aReadMs,
+         std::uint64_t aOwn,
          TimeMs aNowMs);
 
-// The prompt has been read: the estimate is released and the caches noted.
+// The prompt has been read: the backlog is released and the caches noted.
 void
 NotePromptRead(RunnerState& aRunner,
                const PlacementRequest& aRequest,
-               double aReadMs,
+               std::uint64_t aOwn,
                TimeMs aNowMs);
 
+// A peer has sent a runner this much reading in all.
+void
+NotePeerRead(RunnerState& aRunner,
+             const std::string& aPeer,
+             double aTotalMs,
+             TimeMs aNowMs);
+
+// The order in which an engine should admit a prompt, 0 first: short ones
+// first, as a long one delays them more than they delay it. The load it
+// answers: prompts whose reading times differ by a hundred times, at engines
+// that read one after another.
+int
+ReadPriority(double aReadMs);
+
 // The key under which a part of a prompt counts as cached for a model.
 std::uint64_t
 CacheKey(std::string_view aModel, std::uint64_t aPart);
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -44,6 +44,10 @@
 constexpr double kUnknownSecond = 0.7;
 constexpr double kUnknownElsewhere = 1.0;
 
+// Upper limits of the reading time, in milliseconds, for each priority from 0
+// on.
+constexpr std::array<double, 5> kReadPriorities{ 40, 120, 300, 700, 1500 };
+
 // Bounds the memory of what is believed to be cached at one runner.
 constexpr std::size_t kMaxCachedParts = 4096;
 
@@ -289,7 +293,7 @@
       waiting += running - entry.mSlots + 1;
     }
     double expected =
-      (aRequest.mFixedMs + readMs + runner->mPendingMs +
+      (aRequest.mFixedMs + readMs + BacklogMs(runner->mBacklog, aNowMs) +
        kRunningCostMs * running + aRequest.mFixedMs * waiting) *
       runner->mSlowness;
     double score = expected + kFailureCostMs * ErrorShare(*runner, aNowMs);
@@ -310,11 +314,15 @@
 }
 
 void
-NoteSent(RunnerState& aRunner, const PlacementRequest&, double aReadMs,
+NoteSent(RunnerState& aRunner,
+         double aReadMs,
+         std::uint64_t aOwn,
          TimeMs aNowMs)
 {
   ++aRunner.mInFlight;
-  aRunner.mPendingMs += aReadMs;
+  PruneBacklog(aRunner.mBacklog, aNowMs);
+  AddWork(aRunner.mBacklog, { aNowMs, aReadMs, aOwn });
+  aRunner.mSentReadMs += aReadMs;
   if (aNowMs < aRunner.mColdUntilMs) {
     aRunner.mLastColdSendMs = aNowMs;
   }
@@ -323,10 +331,10 @@
 void
 NotePromptRead(RunnerState& aRunner,
                const PlacementRequest& aRequest,
-               double aReadMs,
+               std::uint64_t aOwn,
                TimeMs aNowMs)
 {
-  aRunner.mPendingMs = std::max(0.0, aRunner.mPendingMs - aReadMs);
+  ConfirmRead(aRunner.mBacklog, aOwn);
   if (aRunner.mCached.size() > kMaxCachedParts) {
     std::erase_if(aRunner.mCached, [aNowMs](const auto& aRow) {
       return aNowMs - aRow.second >= kCacheBeliefMs;
@@ -337,4 +345,30 @@
   }
 }
 
+void
+NotePeerRead(RunnerState& aRunner,
+             const std::string& aPeer,
+             double aTotalMs,
+             TimeMs aNowMs)
+{
+  auto [found, isNew] = aRunner.mPeerReadMs.try_emplace(aPeer, aTotalMs);
+  double grown = aTotalMs - found->second;
+  found->second = aTotalMs;
+  // A peer that is new here has sent most of its total long ago.
+  if (!isNew && grown > 0) {
+    PruneBacklog(aRunner.mBacklog, aNowMs);
+    AddWork(aRunner.mBacklog, { aNowMs, grown, 0 });
+  }
+}
+
+int
+ReadPriority(double aReadMs)
+{
+  const auto* row = std::find_if(
+    kReadPriorities.begin(), kReadPriorities.end(), [aReadMs](double aLimit) {
+      return aReadMs < aLimit;
+    });
+  return static_cast<int>(row - kReadPriorities.begin());
+}
+
 } // namespace savory
--- a/router/gateway/beliefs.cpp
+++ b/router/gateway/beliefs.cpp
@@ -185,7 +185,7 @@
                     { "draining", entry.mDraining },
                     { "gone", runner.mGone },
                     { "in_flight", runner.mInFlight },
-                    { "pending_ms", runner.mPendingMs },
+                    { "backlog_ms", BacklogMs(runner.mBacklog, aNowMs) },
                     { "error_share", ErrorShare(runner, aNowMs) },
                     { "slowness", runner.mSlowness },
                     { "blocked_ms",
--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -29,8 +29,8 @@
 constexpr TimeMs kStreamSilenceMs = 1500;
 constexpr TimeMs kCallSilenceMs = 350;
 
-// The platform's least urgent request priority.
-constexpr int kMaxPriority = 9;
+// Peers hear at once of prompts that take this long to read.
+constexpr double kLargeReadMs = 80;
 
 // First guesses of how long requests take, before answers teach better.
 constexpr double kCallFixedMs = 60;
@@ -283,7 +283,11 @@
   mAttempt->mVersion = runner.mRegistration.mVersion;
   mAttempt->mPlacement = aPlacement;
   mAttempt->mSentMs = now;
-  NoteSent(runner, aPlace, aPlacement.mReadMs, now);
+  mAttempt->mWork = ++mShared.mAttempts;
+  NoteSent(runner, aPlacement.mReadMs, mAttempt->mWork, now);
+  if (aPlacement.mReadMs >= kLargeReadMs) {
+    mShared.mOnLargeRead();
+  }
   mAttempt->mPlace = std::move(aPlace);
   mTried.insert(aPlacement.mRunner);
   ++mAttempts;
@@ -293,10 +297,8 @@
   details.mDeadlineMs = std::max<TimeMs>(1, LeftMs());
   details.mModel = mModel;
   details.mCustomer = mCustomer ? mCustomer->mName : "";
-  int priority = mCustomer && mCustomer->mPriority ? *mCustomer->mPriority
-                                                   : mRoute->mPriority;
   if (IsStream()) {
-    details.mPriority = std::clamp(priority, 0, kMaxPriority);
+    details.mPriority = ReadPriority(aPlacement.mReadMs);
     details.mLastEventId = mLastEventId;
   }
   bool once = !IsRepeatable();
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -24,6 +24,10 @@
   RunnerLinks mLinks;
   GatewayMetrics mMetrics;
   std::set<std::shared_ptr<Exchange>> mExchanges;
+  // Attempts so far; names each.
+  std::uint64_t mAttempts = 0;
+  // A prompt was sent that peers should hear of soon.
+  sigc::slot<void()> mOnLargeRead = [] {};
   // A connection to a runner broke while a request was on it; the gateway
   // finds out whether the runner crashed.
   sigc::slot<void(const std::string&, std::uint64_t)> mOnBroken;
@@ -63,8 +67,8 @@
   std::shared_ptr<ClientLink> mLink;
   TimeMs mSentMs = 0;
   bool mHeadSeen = false;
-  // The estimate of the prompt has been released.
-  bool mPromptRead = false;
+  // Names the attempt in the runner's backlog.
+  std::uint64_t mWork = 0;
   HttpHead mHead;
   AnswerFacts mFacts;
   std::string mBody;
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -104,8 +104,7 @@
       1 / kMaxSlowness,
       kMaxSlowness);
     NotePromptRead(
-      runner, mAttempt->mPlace, mAttempt->mPlacement.mReadMs, now);
-    mAttempt->mPromptRead = true;
+      runner, mAttempt->mPlace, mAttempt->mWork, now);
   }
   // The caches of a new version's runners are empty, so the comparison allows
   // for reading the whole prompt.
@@ -410,10 +409,7 @@
   if (found != runners.end()) {
     RunnerState& runner = found->second;
     runner.mInFlight = std::max(0, runner.mInFlight - 1);
-    if (!attempt->mPromptRead) {
-      runner.mPendingMs =
-        std::max(0.0, runner.mPendingMs - attempt->mPlacement.mReadMs);
-    }
+    RemoveWork(runner.mBacklog, attempt->mWork);
   }
   if (attempt->mLink) {
     attempt->mLink->Close();
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -4,6 +4,7 @@
 #include "savory/platform/base64.h"
 
 #include <arpa/inet.h>
+#include <cmath>
 #include <event2/event.h>
 #include <event2/util.h>
 #include <netinet/in.h>
@@ -21,6 +22,9 @@
 // datagram between zones is priced.
 constexpr TimeMs kBeaconPeriodMs = 300;
 
+// How long work sent to runners waits for more before the others hear of it.
+constexpr TimeMs kSoonMs = 20;
+
 // A host that was not heard for this long is taken to be down.
 constexpr TimeMs kLiveMs = 2500;
 
@@ -96,6 +100,7 @@
                  { "r", aBeacon.mAt },   { "l", aBeacon.mLeaving },
                  { "u", aBeacon.mReachesStore },
                  { "s", shifts },        { "q", suspects },
+                 { "w", aBeacon.mReads },
                  { "k", aBeacon.mKnown } };
   std::vector<std::uint8_t> bytes = Json::to_cbor(document);
   return { bytes.begin(), bytes.end() };
@@ -127,6 +132,8 @@
     for (const Json& row : document.at("q")) {
       beacon.mSuspects.push_back(ToSuspect(row));
     }
+    beacon.mReads =
+      document.at("w").get<std::map<std::string, double>>();
     beacon.mKnown = document.at("k").get<std::vector<std::string>>();
     return beacon;
   } catch (const Json::exception&) {
@@ -198,6 +205,7 @@
     },
     this);
   event_add(mEvent, nullptr);
+  mShared.mOnLargeRead = [this] { SendSoon(); };
   mTimer = Timer::Every(mShared.mLoop, kBeaconPeriodMs, [this] { Send(); });
   Send();
   return true;
@@ -240,6 +248,15 @@
   return true;
 }
 
+// Tells the peers within a few milliseconds; sends that follow are joined.
+void
+Peers::SendSoon()
+{
+  if (!mSoon.IsSet()) {
+    mSoon = Timer::After(mShared.mLoop, kSoonMs, [this] { Send(); });
+  }
+}
+
 void
 Peers::Send()
 {
@@ -267,6 +284,16 @@
     }
     beacon.mShifts[service] = { shift.mOrder.mRevision, shift.mOwn };
   }
+  // Totals are told, so that a lost datagram is made up for by the next one that
+  // names the runner.
+  for (const auto& [id, runner] : beliefs.mRunners.mRunners) {
+    double total = std::round(runner.mSentReadMs);
+    double& told = mToldReads[id];
+    if (total != told) {
+      beacon.mReads[id] = total;
+    }
+    told = total;
+  }
   beacon.mSuspects = SuspectRows(beliefs.mQuarantine, now);
   if (beacon.mSuspects.size() > kMaxSuspectsTold) {
     beacon.mSuspects.resize(kMaxSuspectsTold);
@@ -332,6 +359,12 @@
     }
   }
   Beliefs& beliefs = mShared.mBeliefs;
+  for (const auto& [id, total] : aBeacon.mReads) {
+    auto found = beliefs.mRunners.mRunners.find(id);
+    if (found != beliefs.mRunners.mRunners.end()) {
+      NotePeerRead(found->second, aBeacon.mHost, total, now);
+    }
+  }
   for (const auto& [service, row] : aBeacon.mShifts) {
     auto found = beliefs.mShifts.mShifts.find(service);
     if (found != beliefs.mShifts.mShifts.end() &&
--- a/router/gateway/peers.h
+++ b/router/gateway/peers.h
@@ -24,6 +24,9 @@
   bool mReachesStore = false;
   // By service; each with the revision of the order that it belongs to.
   std::map<std::string, std::pair<std::int64_t, ShiftCounts>> mShifts;
+  // Milliseconds of reading sent to each runner in all, of those that were
+  // sent work lately.
+  std::map<std::string, double> mReads;
   std::vector<SuspectRow> mSuspects;
   // Addresses of the hosts that the sender heard lately.
   std::vector<std::string> mKnown;
@@ -70,6 +73,7 @@
   };
 
   void Send();
+  void SendSoon();
   void Receive();
   void TakeBeacon(const PeerBeacon& aBeacon);
   void PullIfBehind();
@@ -86,6 +90,9 @@
   std::string mPullAddress;
   std::unique_ptr<FleetStoreLane> mPull;
   bool mLeaving = false;
+  // What the last beacon told of each runner.
+  std::map<std::string, double> mToldReads;
+  Timer mSoon;
   Timer mTimer;
 };
 
