--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -139,6 +139,7 @@
              { "model", mModel },
              { "confidence",
                std::to_string(static_cast<int>(outlook.mConfidence)) },
+             { "tokens", std::to_string(mFacts.mPromptTokens) },
              { "larger_ms",
                std::to_string(static_cast<int>(outlook.mLargerMs)) },
              { "wait_ms",
