Test the links and the adapter; an answer that ends its connection is not kept

Cause: the tests of links found that an answer without a length was called reusable after the connection had ended. Change: the flag is cleared at the end of the connection; handlers take requests by reference, as sigc passes them on that way.

--- a/net/include/savory/net/http_link.h
+++ b/net/include/savory/net/http_link.h
@@ -99,7 +99,7 @@
 };
 
 using RequestHandler =
-  sigc::slot<void(IncomingRequest, std::shared_ptr<CallerLink>)>;
+  sigc::slot<void(const IncomingRequest&, const std::shared_ptr<CallerLink>&)>;
 
 // Accepts callers on one address.
 class HttpFrontend
--- a/net/src/client_link.cpp
+++ b/net/src/client_link.cpp
@@ -218,6 +218,7 @@
     return;
   }
   if (mBusy && !mSkip && mReader->FeedEnd() && mReader->IsComplete()) {
+    mServerKeepsOpen = false;
     Complete();
     Close();
     return;
--- a/net/src/http_frontend.cpp
+++ b/net/src/http_frontend.cpp
@@ -170,7 +170,7 @@
   IncomingRequest request = std::move(mRequest);
   mRequest = {};
   mRequest.mPeerAddress = request.mPeerAddress;
-  mFrontend.mHandler(std::move(request), shared_from_this());
+  mFrontend.mHandler(request, shared_from_this());
 }
 
 // Answers a request that could not be read, and ends the connection, since it
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -40,10 +40,6 @@
 // the store, may have lapsed.
 constexpr TimeMs kPeerLapseMs = 1200;
 
-// What a probe waits before it connects, so that a runner that crashed has
-// closed its port.
-constexpr TimeMs kProbeDelayMs = 20;
-
 TimeMs
 ClockMs(clockid_t aClock)
 {
@@ -116,8 +112,8 @@
 }
 
 void
-Gateway::OnRequest(IncomingRequest aRequest,
-                   std::shared_ptr<CallerLink> aCaller)
+Gateway::OnRequest(const IncomingRequest& aRequest,
+                   const std::shared_ptr<CallerLink>& aCaller)
 {
   if (mDraining && mLoop.NowMs() - mDrainSinceMs > kLastAcceptMs) {
     RequestFacts facts = ReadRequestFacts(aRequest.mHead);
@@ -126,8 +122,7 @@
     aCaller->Respond(503, MakeOwnHeaders(facts.mId, 0), {});
     return;
   }
-  std::make_shared<Exchange>(mShared, std::move(aRequest), std::move(aCaller))
-    ->Start();
+  std::make_shared<Exchange>(mShared, aRequest, aCaller)->Start();
 }
 
 bool
--- a/router/gateway/gateway.h
+++ b/router/gateway/gateway.h
@@ -29,7 +29,8 @@
   void Reload(const std::string& aPath);
 
 private:
-  void OnRequest(IncomingRequest aRequest, std::shared_ptr<CallerLink> aCaller);
+  void OnRequest(const IncomingRequest& aRequest,
+                 const std::shared_ptr<CallerLink>& aCaller);
   void OnOwnCall(const IncomingRequest& aRequest,
                  const std::shared_ptr<CallerLink>& aCaller);
   void OnItem(const StoreEntry& aEntry);
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -158,11 +158,11 @@
 Peers::Peers(GatewayShared& aShared, StoreFollower& aFollower)
   : mShared(aShared)
   , mFollower(aFollower)
-  , mFrontend(
-      aShared.mLoop,
-      [this](IncomingRequest aRequest, std::shared_ptr<CallerLink> aCaller) {
-        Serve(aRequest, aCaller);
-      })
+  , mFrontend(aShared.mLoop,
+              [this](const IncomingRequest& aRequest,
+                     const std::shared_ptr<CallerLink>& aCaller) {
+                Serve(aRequest, aCaller);
+              })
 {
   for (const Endpoint& seed : mShared.mSettings.mSeeds) {
     if (seed.mAddress != mShared.mSettings.mAddress) {
--- a/tests/core/test_event_stream.cpp
+++ b/tests/core/test_event_stream.cpp
@@ -10,7 +10,8 @@
 // and all bytes of them.
 BOOST_AUTO_TEST_CASE(any_cut_gives_the_same_events)
 {
-  const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n";
+  const std::string text =
+    "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n";
   for (std::size_t cut = 0; cut <= text.size(); ++cut) {
     EventStream stream;
     std::vector<StreamEvent> events = TakeEvents(stream, text.substr(0, cut));
--- /dev/null
+++ b/tests/platform/test_fleet.cpp
@@ -0,0 +1,279 @@
+#include "savory/platform/fleet_documents.h"
+#include "savory/platform/fleet_headers.h"
+#include "savory/platform/fleet_settings.h"
+#include "savory/platform/fleet_store.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace savory;
+
+namespace {
+
+const std::string kRunner =
+  R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+  R"("slots":64,"state":"ready","coldRemainingMs":0,"born":1780000000000})";
+
+const std::string kConfiguration =
+  R"({"version":7,"routeTable":[{"name":"r","host":"h","prefix":"/a/",)"
+  R"("kind":"streaming","timeoutMs":15000,"targetLatencyMs":3000,)"
+  R"("priority":1,"sizes":["small","large"],"trafficSplit":[)"
+  R"({"service":"s","weight":90},{"service":"t","weight":10}],)"
+  R"("maxAttempts":3,"anonymous":false,"resumable":true}],)"
+  R"("services":[{"name":"s","maxConnections":370,"coldStartS":3.0,)"
+  R"("coldPerS":6.9,"engine":{"slots":64,"kvCapacityTokens":1000,)"
+  R"("models":[{"name":"small","cost":0.01}]}}],)"
+  R"("limits":{"maxHeaderBytes":16384,"idleTimeoutMs":9000},)"
+  R"("tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":2}]})";
+
+HttpHead
+HeadWith(Headers aHeaders)
+{
+  HttpHead head;
+  head.mMethod = "POST";
+  head.mTarget = "/a/b?c=d";
+  head.mHeaders = std::move(aHeaders);
+  return head;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fleet)
+
+// Guards against a configuration that is read in part.
+BOOST_AUTO_TEST_CASE(configuration_is_read)
+{
+  auto table = ParseRouteTable(kConfiguration);
+  BOOST_REQUIRE(table);
+  const Route* route = FindRoute(*table, "h", "/a/x");
+  BOOST_REQUIRE(route);
+  BOOST_TEST((route->mKind == RouteKind::Stream));
+  BOOST_TEST(route->mTimeoutMs == 15000);
+  BOOST_TEST(route->mLatencyGoalMs == 3000);
+  BOOST_TEST(route->mMaxAttempts == 3);
+  BOOST_TEST(route->mResumable);
+  BOOST_TEST(route->mModels.back() == "large");
+  BOOST_TEST(route->mTargets.size() == 2U);
+  const ServiceInfo* service = FindService(*table, "s");
+  BOOST_REQUIRE(service);
+  BOOST_TEST(service->mColdPerSecond == 6.9);
+  BOOST_TEST(service->mColdStartMs == 3000);
+  BOOST_TEST(service->mModels.at(0).mPerThousand == 0.01);
+  BOOST_TEST(table->mLimits.mIdleTimeoutMs == 9000);
+  BOOST_TEST(table->mKeys.at("k2")->mName == "t1");
+  BOOST_TEST(table->mKeys.at("k2")->mPriority.value_or(0) == 2);
+}
+
+// Guards against a broken document that is taken for an empty configuration.
+BOOST_AUTO_TEST_CASE(broken_configurations_are_refused)
+{
+  for (const char* text :
+       { "",
+         "[]",
+         "{}",
+         R"({"version":"7","routeTable":[]})",
+         R"({"version":7})",
+         R"({"version":7,"routeTable":[1]})",
+         R"({"version":7,"routeTable":[{"prefix":"/a/","kind":"odd"}]})" }) {
+    BOOST_TEST(!ParseRouteTable(text), text);
+  }
+}
+
+// Guards against entries of other writers: they name no runner.
+BOOST_AUTO_TEST_CASE(broken_registrations_name_no_runner)
+{
+  BOOST_TEST(ParseRegistration("i", kRunner).has_value());
+  for (const char* text :
+       { "",
+         "\xff\xfe",
+         "null",
+         R"({"service":5,"address":"a","zone":"z","slots":1,"state":"ready"})",
+         R"({"service":"s","address":"a","zone":"z","slots":1,"state":"odd"})",
+         R"({"service":"s","address":"a","zone":"z","state":"ready"})",
+         R"({"service":"s","address":"a","slots":1,"state":"ready"})",
+         R"({"service":"s","address":"a","zone":"z","slots":1,)"
+         R"("state":"ready","born":1.5})",
+         R"({"service":"s","address":"a","zone":"z","slots":1,)"
+         R"("state":"ready","coldRemainingMs":"long"})" }) {
+    BOOST_TEST(!ParseRegistration("i", text), text);
+  }
+}
+
+// Guards against any bytes in the store that end the process.
+BOOST_AUTO_TEST_CASE(any_bytes_are_refused_or_read)
+{
+  BOOST_TEST(rc::check("bytes", [](const std::string& aBytes) {
+    (void)ParseRouteTable(aBytes);
+    (void)ParseRegistration("i", aBytes);
+    (void)ParseShiftOrder(aBytes, 1);
+    (void)ParseShiftProgress(aBytes);
+    (void)ParseFleetItems(aBytes);
+    (void)ParseFleetSettings(aBytes);
+  }));
+  // Documents with one byte changed come closer to the parsers' insides.
+  BOOST_TEST(
+    rc::check("changed documents", [](std::uint32_t aPlace, char aByte) {
+      for (std::string text : { kConfiguration, kRunner }) {
+        text[aPlace % text.size()] = aByte;
+        (void)ParseRouteTable(text);
+        (void)ParseRegistration("i", text);
+      }
+    }));
+}
+
+// Guards against a roll-out whose progress another host cannot go on with.
+BOOST_AUTO_TEST_CASE(progress_survives_the_store)
+{
+  ShiftProgress progress{ "v2", ShiftState::RolledBack, 0.4, 17 };
+  auto read = ParseShiftProgress(FormatShiftProgress(progress));
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read->mTarget == "v2");
+  BOOST_TEST((read->mState == ShiftState::RolledBack));
+  BOOST_TEST(read->mShare == 0.4);
+  BOOST_TEST(read->mOrderRevision == 17);
+  BOOST_TEST(FormatRolloutStatus(progress) ==
+             R"({"state":"rolled_back","target":"v2"})");
+}
+
+BOOST_AUTO_TEST_CASE(keys_are_told_apart)
+{
+  BOOST_TEST((ParseFleetKey("op/config").mKind == FleetKeyKind::Configuration));
+  BOOST_TEST(ParseFleetKey("servers/i-1").mName == "i-1");
+  BOOST_TEST(
+    (ParseFleetKey("op/evacuate/z").mKind == FleetKeyKind::Evacuation));
+  BOOST_TEST((ParseFleetKey(RolloutProgressKey("s")).mKind ==
+              FleetKeyKind::RolloutProgress));
+  BOOST_TEST((ParseFleetKey("other").mKind == FleetKeyKind::Other));
+}
+
+// Guards against a caller that sets what only the router may set, and against
+// a key that reaches a runner.
+BOOST_AUTO_TEST_CASE(forged_headers_are_dropped)
+{
+  HttpHead caller = HeadWith({ { "Host", "h" },
+                               { "Attempt-Id", "a1" },
+                               { "Deadline-Ms", "9000" },
+                               { "Api-Key", "secret" },
+                               { "tenant", "forged" },
+                               { "Expect-Runner", "forged" },
+                               { "Kv-From", "forged" },
+                               { "KV-RETENTION", "forged" },
+                               { "Kv-Pin-Ms", "1" },
+                               { "Kv-Backup", "forged" },
+                               { "Request-Priority", "0" },
+                               { "Connection", "close, X-Hop" },
+                               { "X-Hop", "1" },
+                               { "X-Other", "stays" },
+                               { "Model", "*" },
+                               { "Token-Usage", "10,20" } });
+  RunnerAttempt attempt;
+  attempt.mRunner = "i-1";
+  attempt.mCustomer = "t1";
+  attempt.mDeadlineMs = 500;
+  attempt.mModel = "small";
+  HttpHead head = MakeRunnerHead(caller, attempt);
+  auto value = [&head](std::string_view aName) {
+    const std::string* found = FindHeader(head.mHeaders, aName);
+    return found ? *found : std::string("-");
+  };
+  BOOST_TEST(head.mTarget == "/a/b?c=d");
+  BOOST_TEST(value("Attempt-Id") == "a1");
+  BOOST_TEST(value("Deadline-Ms") == "500");
+  BOOST_TEST(value("Tenant") == "t1");
+  BOOST_TEST(value("Expect-Runner") == "i-1");
+  BOOST_TEST(value("Model") == "small");
+  BOOST_TEST(value("Token-Usage") == "10,20");
+  BOOST_TEST(value("X-Other") == "stays");
+  for (const char* name : { "Api-Key",
+                            "Kv-From",
+                            "Kv-Retention",
+                            "Kv-Pin-Ms",
+                            "Kv-Backup",
+                            "Request-Priority",
+                            "Connection",
+                            "X-Hop" }) {
+    BOOST_TEST(value(name) == "-", name);
+  }
+  for (const auto& [name, text] : head.mHeaders) {
+    BOOST_TEST(text != "forged", name);
+  }
+}
+
+// Guards against a refusal that is taken for a run, or the reverse.
+BOOST_AUTO_TEST_CASE(answers_say_whether_they_ran)
+{
+  HttpHead head = HeadWith({ { "Attempt-Id", "a1" },
+                             { "Runner-Load", "3,1,8" },
+                             { "Confidence", "37" },
+                             { "Runner-Signature", "x" } });
+  head.mStatus = 503;
+  AnswerFacts facts = ReadAnswerFacts(head);
+  BOOST_TEST(!facts.mNotRun);
+  BOOST_TEST(facts.mSigned);
+  BOOST_TEST(facts.mLoad->mRunning == 3);
+  BOOST_TEST(facts.mLoad->mWaiting == 1);
+  BOOST_TEST(facts.mConfidence.value_or(0) == 37);
+  head.mHeaders.emplace_back("Not-Executed", "1");
+  BOOST_TEST(ReadAnswerFacts(head).mNotRun);
+  head = HeadWith({});
+  head.mStatus = 421;
+  BOOST_TEST(ReadAnswerFacts(head).mNotRun);
+}
+
+// Guards against prompt parts that are read wrongly: broken items end the list.
+BOOST_AUTO_TEST_CASE(prompt_parts_are_read)
+{
+  RequestFacts facts = ReadRequestFacts(
+    HeadWith({ { "Prefix-Hash", "5c1e07a2:800, 91bd3f06:410,oops,1:2" },
+               { "Token-Usage", "1460,80" },
+               { "Deadline-Ms", "-5" } }));
+  BOOST_REQUIRE_EQUAL(facts.mParts.size(), 2U);
+  BOOST_TEST(facts.mParts[0].mId == 0x5c1e07a2U);
+  BOOST_TEST(facts.mParts[1].mTokens == 410);
+  BOOST_TEST(facts.mPromptTokens == 1460);
+  BOOST_TEST(facts.mMaxOutputTokens == 80);
+  BOOST_TEST(facts.mDeadlineMs == 0);
+}
+
+// Guards against settings whose faults are found one by one, or not at all.
+BOOST_AUTO_TEST_CASE(settings_name_all_faults)
+{
+  auto settings = ParseFleetSettings(
+    R"({"nodeName":"n","zone":"z","ip":"10.0.0.1","listen":)"
+    R"({"frontend":"10.0.0.1:1","readyAddress":"10.0.0.1:2",)"
+    R"("controlPlane":"10.0.0.1:3"},"portRange":[7,9],)"
+    R"("seeds":["10.0.0.2:3"],"platform":{"address":"10.0.0.9:4"},)"
+    R"("bounds":{"graceS":8,"sessionS":6.5,"retrySlack":56}})");
+  BOOST_REQUIRE(settings);
+  BOOST_TEST(settings->mSessionMs == 6500);
+  BOOST_TEST(settings->mGraceMs == 8000);
+  BOOST_TEST(settings->mPeerDatagramPort == 7);
+  BOOST_TEST(settings->mSeeds.at(0).mAddress == "10.0.0.2");
+  auto faults = ParseFleetSettings(
+    R"({"nodeName":5,"listen":{"frontend":"nowhere"},"platform":{}})");
+  BOOST_REQUIRE(!faults);
+  BOOST_TEST(faults.error().size() >= 5U);
+}
+
+// Guards against a page of the store that is read in part, and against values
+// that are no base64.
+BOOST_AUTO_TEST_CASE(store_items_are_read)
+{
+  auto items = ParseFleetItems(
+    R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,)"
+    R"("created":412,"lease":0},{"key":"b","revision":413,)"
+    R"("tombstone":true}],"at":413})");
+  BOOST_REQUIRE(items);
+  BOOST_TEST(items->mAt == 413);
+  BOOST_TEST(items->mEntries.at(0).mValue == "node-1");
+  BOOST_TEST(items->mEntries.at(1).mDeleted);
+  for (const char* text : { R"({"entries":[]})",
+                            R"({"at":1,"entries":5})",
+                            R"({"at":1,"entries":[{"key":"a"}]})",
+                            R"({"at":1,"entries":[{"key":"a","revision":1,)"
+                            R"("value":"%%"}]})" }) {
+    BOOST_TEST(!ParseFleetItems(text), text);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/test_http_link.cpp
@@ -0,0 +1,383 @@
+#include "fixture.h"
+#include "savory/net/http_link.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace savory;
+
+namespace {
+
+// A server of one connection that answers with given bytes, however broken.
+struct ByteServer
+{
+  int mListener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  int mSocket = -1;
+  Endpoint mAddress;
+
+  ByteServer()
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    bind(mListener, reinterpret_cast<sockaddr*>(&address), size);
+    listen(mListener, 4);
+    getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &size);
+    mAddress = { "127.0.0.1", ntohs(address.sin_port) };
+  }
+  ~ByteServer()
+  {
+    close(mListener);
+    End();
+  }
+  ByteServer(const ByteServer&) = delete;
+  ByteServer& operator=(const ByteServer&) = delete;
+
+  bool Accept()
+  {
+    if (mSocket < 0) {
+      mSocket = accept(mListener, nullptr, nullptr);
+    }
+    return mSocket >= 0;
+  }
+  void Write(std::string_view aBytes) const
+  {
+    BOOST_REQUIRE(write(mSocket, aBytes.data(), aBytes.size()) ==
+                  static_cast<ssize_t>(aBytes.size()));
+  }
+  void End()
+  {
+    if (mSocket >= 0) {
+      close(std::exchange(mSocket, -1));
+    }
+  }
+  void Reset()
+  {
+    linger now{ 1, 0 };
+    setsockopt(mSocket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    End();
+  }
+};
+
+struct LinkFixture : LoopFixture
+{
+  ByteServer mServer;
+  std::shared_ptr<ClientLink> mLink;
+  std::string mBody;
+  int mStatus = 0;
+  std::optional<bool> mReusable;
+  std::optional<LinkFailure> mFailure;
+
+  // Sends a request and lets the server take the connection.
+  void Send()
+  {
+    if (!mLink) {
+      mLink = ClientLink::Connect(mLoop, mServer.mAddress, {});
+    }
+    mBody.clear();
+    mReusable.reset();
+    mLink->mAccepts = [](const HttpHead& aHead) {
+      const std::string* id = FindHeader(aHead.mHeaders, "id");
+      return !id || *id == "mine";
+    };
+    mLink->mOnHead = [this](const HttpHead& aHead) { mStatus = aHead.mStatus; };
+    mLink->mOnBody = [this](std::string_view aBytes) { mBody += aBytes; };
+    mLink->mOnEnd = [this](bool aReusable) { mReusable = aReusable; };
+    mLink->mOnFailed = [this](LinkFailure aFailure) { mFailure = aFailure; };
+    HttpHead head;
+    head.mMethod = "GET";
+    head.mTarget = "/";
+    mLink->Send(head, {});
+    BOOST_REQUIRE(RunUntil([&] { return mServer.Accept(); }));
+  }
+  bool Ended()
+  {
+    return RunUntil([&] { return mReusable || mFailure; });
+  }
+};
+
+// A front end whose requests wait for the test, and a raw caller.
+struct FrontFixture : LoopFixture
+{
+  std::vector<std::pair<IncomingRequest, std::shared_ptr<CallerLink>>>
+    mRequests;
+  HttpFrontend mFrontend{ mLoop,
+                          [this](const IncomingRequest& aRequest,
+                                 const std::shared_ptr<CallerLink>& aCaller) {
+                            mRequests.emplace_back(aRequest, aCaller);
+                          } };
+  int mCaller = -1;
+
+  void Connect()
+  {
+    int port = mFrontend.Listen("127.0.0.1", 0);
+    BOOST_REQUIRE(port != 0);
+    mCaller = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    BOOST_REQUIRE(connect(mCaller,
+                          reinterpret_cast<sockaddr*>(&address),
+                          sizeof address) == 0);
+  }
+  ~FrontFixture()
+  {
+    if (mCaller >= 0) {
+      close(mCaller);
+    }
+  }
+  void Say(std::string_view aBytes) const
+  {
+    BOOST_REQUIRE(write(mCaller, aBytes.data(), aBytes.size()) ==
+                  static_cast<ssize_t>(aBytes.size()));
+  }
+  bool HasRequests(std::size_t aCount)
+  {
+    return RunUntil([&] { return mRequests.size() >= aCount; });
+  }
+  // What the caller has received so far.
+  std::string Heard()
+  {
+    RunFor(30);
+    std::string text(65536, '\0');
+    ssize_t size = recv(mCaller, text.data(), text.size(), MSG_DONTWAIT);
+    text.resize(static_cast<std::size_t>(std::max<ssize_t>(0, size)));
+    return text;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(client_link, LinkFixture)
+
+// Guards against an answer to an earlier request that reaches a caller.
+BOOST_AUTO_TEST_CASE(late_answer_to_another_request_is_skipped)
+{
+  Send();
+  mServer.Write("HTTP/1.1 200 OK\r\nid: other\r\nContent-Length: 3\r\n\r\nbad"
+                "HTTP/1.1 200 OK\r\nid: mine\r\nContent-Length: 4\r\n\r\ngood");
+  BOOST_REQUIRE(Ended());
+  BOOST_TEST(mBody == "good");
+  BOOST_TEST(mReusable.value_or(false));
+}
+
+// Guards against bytes after a complete answer that the next request would
+// take for its own.
+BOOST_AUTO_TEST_CASE(connection_with_extra_bytes_is_not_used_again)
+{
+  Send();
+  mServer.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokextra");
+  BOOST_REQUIRE(Ended());
+  BOOST_TEST(mBody == "ok");
+  BOOST_TEST(!mReusable.value_or(true));
+}
+
+// Guards against an answer that broke off and passes for complete.
+BOOST_AUTO_TEST_CASE(answers_that_break_off_fail)
+{
+  struct Row
+  {
+    const char* mName;
+    const char* mBytes;
+    bool mReset;
+  };
+  for (const Row& row : {
+         Row{ "length",
+              "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+              false },
+         Row{ "chunks",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "4\r\npart\r\n",
+              false },
+         Row{ "no length, reset", "HTTP/1.1 200 OK\r\n\r\npart", true },
+         Row{ "no answer", "", false },
+         Row{ "no HTTP", "nonsense\r\n\r\n", false },
+       }) {
+    BOOST_TEST_CONTEXT(row.mName)
+    {
+      mLink = nullptr;
+      mFailure.reset();
+      Send();
+      RunFor(5);
+      mServer.Write(row.mBytes);
+      RunFor(5);
+      row.mReset ? mServer.Reset() : mServer.End();
+      BOOST_REQUIRE(Ended());
+      BOOST_TEST(mFailure.has_value());
+      BOOST_TEST(!mReusable.has_value());
+    }
+  }
+}
+
+// Guards against a complete answer without a length that is taken for broken.
+BOOST_AUTO_TEST_CASE(answer_may_end_with_its_connection)
+{
+  Send();
+  mServer.Write("HTTP/1.1 200 OK\r\n\r\nwhole");
+  RunFor(5);
+  mServer.End();
+  BOOST_REQUIRE(Ended());
+  BOOST_TEST(mBody == "whole");
+  BOOST_TEST(!mReusable.value_or(true));
+}
+
+// Guards against a link that is closed from within its own answer.
+BOOST_AUTO_TEST_CASE(link_may_be_closed_by_its_head)
+{
+  Send();
+  mLink->mOnHead = [this](const HttpHead&) { mLink->Close(); };
+  mServer.Write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  RunFor(30);
+  BOOST_TEST(!mLink->IsOpen());
+  BOOST_TEST(mBody.empty());
+  BOOST_TEST(!mReusable.has_value());
+}
+
+// Found on a played day: a connection that ended before its answer began ended
+// the process, as the parser asserts that it has seen a byte.
+BOOST_AUTO_TEST_CASE(end_before_the_answer_is_a_failure)
+{
+  Send();
+  mServer.End();
+  BOOST_REQUIRE(Ended());
+  BOOST_TEST((mFailure == LinkFailure::Broken));
+}
+
+// Guards against a request that counts as sent although nobody listens.
+BOOST_AUTO_TEST_CASE(refused_connection_was_never_made)
+{
+  close(mServer.mListener);
+  mLink = ClientLink::Connect(mLoop, mServer.mAddress, {});
+  mLink->mOnFailed = [this](LinkFailure aFailure) { mFailure = aFailure; };
+  BOOST_REQUIRE(Ended());
+  BOOST_TEST((mFailure == LinkFailure::NotConnected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(http_frontend, FrontFixture)
+
+// Guards against a request smuggled inside another, and against other framing
+// that two readers could understand differently.
+BOOST_AUTO_TEST_CASE(ambiguous_requests_are_rejected)
+{
+  for (const char* text : {
+         "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: "
+         "4\r\n\r\nabcd",
+         "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+         "GET / HTTP/1.1\r\nBad Name: 1\r\n\r\n",
+         "nonsense\r\n\r\n",
+       }) {
+    FrontFixture front;
+    front.Connect();
+    front.Say(text);
+    std::string heard = front.Heard();
+    BOOST_TEST(heard.starts_with("HTTP/1.1 400"), text);
+    BOOST_TEST(front.mRequests.empty());
+  }
+}
+
+// Guards against memory that a caller's headers or body fill.
+BOOST_AUTO_TEST_CASE(limits_are_enforced)
+{
+  FrontendLimits limits;
+  limits.mMaxHeaderBytes = 1000;
+  limits.mMaxBodyBytes = 10;
+  mFrontend.SetLimits(limits);
+  Connect();
+  Say("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+  BOOST_TEST(Heard().starts_with("HTTP/1.1 413"));
+  FrontFixture other;
+  other.mFrontend.SetLimits(limits);
+  other.Connect();
+  other.Say("GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n");
+  BOOST_TEST(other.Heard().starts_with("HTTP/1.1 431"));
+}
+
+// Guards against work that goes on after its caller left.
+BOOST_AUTO_TEST_CASE(caller_that_leaves_is_noticed)
+{
+  Connect();
+  Say("GET / HTTP/1.1\r\n\r\n");
+  BOOST_REQUIRE(HasRequests(1));
+  bool closed = false;
+  mRequests[0].second->mOnClosed = [&] { closed = true; };
+  close(std::exchange(mCaller, -1));
+  BOOST_TEST(RunUntil([&] { return closed; }));
+}
+
+// Guards against an answer cut short that looks complete.
+BOOST_AUTO_TEST_CASE(aborted_answer_has_no_last_chunk)
+{
+  Connect();
+  Say("GET / HTTP/1.1\r\n\r\n");
+  BOOST_REQUIRE(HasRequests(1));
+  auto& caller = mRequests[0].second;
+  caller->Start(200, {}, std::nullopt);
+  caller->Write("part");
+  RunFor(10);
+  caller->Abort();
+  std::string heard = Heard();
+  BOOST_TEST(heard.find("part") != std::string::npos);
+  BOOST_TEST(heard.find("\r\n0\r\n") == std::string::npos);
+}
+
+// Guards against two requests on one connection whose answers mix.
+BOOST_AUTO_TEST_CASE(pipelined_requests_are_answered_in_turn)
+{
+  Connect();
+  Say("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  BOOST_REQUIRE(HasRequests(1));
+  RunFor(20);
+  BOOST_TEST(mRequests.size() == 1U);
+  mRequests[0].second->Respond(200, {}, "one");
+  BOOST_REQUIRE(HasRequests(2));
+  BOOST_TEST(mRequests[1].first.mHead.mTarget == "/2");
+  mRequests[1].second->Respond(200, {}, "two");
+  std::string heard = Heard();
+  BOOST_TEST(heard.find("one") < heard.find("two"));
+}
+
+// Found on a hunted day: an answer ended, and its connection was closed as idle
+// in the same turn, before its last chunk was with the socket.
+BOOST_AUTO_TEST_CASE(closing_idle_connections_keeps_answers_whole)
+{
+  Connect();
+  Say("GET / HTTP/1.1\r\n\r\n");
+  BOOST_REQUIRE(HasRequests(1));
+  auto& caller = mRequests[0].second;
+  caller->Start(200, {}, std::nullopt);
+  RunFor(10);
+  mFrontend.StartDrain();
+  caller->Write("whole");
+  caller->Finish();
+  mFrontend.CloseIdle();
+  BOOST_TEST(Heard().ends_with("whole\r\n0\r\n\r\n"));
+  BOOST_TEST(RunUntil([&] { return mFrontend.LinkCount() == 0; }));
+}
+
+// Guards against callers that send a request byte by byte, or keep idle
+// connections for ever.
+BOOST_AUTO_TEST_CASE(slow_and_idle_callers_are_ended)
+{
+  FrontendLimits limits;
+  limits.mHeaderTimeoutMs = 100;
+  limits.mIdleTimeoutMs = 200;
+  mFrontend.SetLimits(limits);
+  Connect();
+  Say("GET / HT");
+  RunFor(1200);
+  BOOST_TEST(Heard().starts_with("HTTP/1.1 408"));
+  FrontFixture idle;
+  idle.mFrontend.SetLimits(limits);
+  idle.Connect();
+  BOOST_TEST(idle.RunUntil([&] { return idle.mFrontend.LinkCount() == 1; }));
+  BOOST_TEST(idle.RunUntil([&] { return idle.mFrontend.LinkCount() == 0; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
