Prove the gateway between stand-ins of the platform

Change: a store and runners of our own that refuse, fail, lose answers, tear streams and answer late, and 13 checks of the shipped binary. They found: a refused compare-and-swap was repeated for ever, as the revision of a commit was taken for the key's; a safe call went twice to a runner that had closed a kept connection.

--- a/net/src/client_link.cpp
+++ b/net/src/client_link.cpp
@@ -218,7 +218,6 @@
     return;
   }
   if (mBusy && !mSkip && mReader->FeedEnd() && mReader->IsComplete()) {
-    mServerKeepsOpen = false;
     Complete();
     Close();
     return;
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -300,11 +300,8 @@
     return;
   }
   mMayHaveRun = true;
-  bool stale = !mAttempt->mLink->IsFresh() && !mAttempt->mHeadSeen;
-  if (stale) {
-    // A kept connection that the runner closed says nothing of the runner.
-    mTried.erase(mAttempt->mRunner);
-  } else {
+  // A kept connection that the runner closed says nothing of the runner.
+  if (mAttempt->mLink->IsFresh() || mAttempt->mHeadSeen) {
     NoteResult(RunnerOutcome::Broken);
   }
   mShared.mOnBroken(mAttempt->mRunner, mFingerprint);
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -16,6 +16,10 @@
 // How often expired beliefs, roll-outs and the shutdown are looked at.
 constexpr TimeMs kTickMs = 100;
 
+// The pause after a write of a roll-out's progress, in which the store's own
+// account of it arrives.
+constexpr TimeMs kDrivePauseMs = 400;
+
 // During a shutdown the platform needs two missed questions, a second apart,
 // to send no new connections; until then they are served.
 constexpr TimeMs kStillRoutedMs = 2600;
@@ -63,16 +67,16 @@
   , mStore(aLoop, mShared.mSettings.mStore)
   , mFollower(aLoop, mStore)
   , mPeers(mShared, mFollower)
-  , mCallers(
-      aLoop,
-      [this](IncomingRequest aRequest, std::shared_ptr<CallerLink> aCaller) {
-        OnRequest(std::move(aRequest), std::move(aCaller));
-      })
-  , mReady(
-      aLoop,
-      [this](IncomingRequest aRequest, std::shared_ptr<CallerLink> aCaller) {
-        OnOwnCall(aRequest, aCaller);
-      })
+  , mCallers(aLoop,
+             [this](const IncomingRequest& aRequest,
+                    const std::shared_ptr<CallerLink>& aCaller) {
+               OnRequest(aRequest, aCaller);
+             })
+  , mReady(aLoop,
+           [this](const IncomingRequest& aRequest,
+                  const std::shared_ptr<CallerLink>& aCaller) {
+             OnOwnCall(aRequest, aCaller);
+           })
   , mBootLagMs(BootLagMs())
 {
   mFollower.mOnItem = [this](const StoreEntry& aEntry) { OnItem(aEntry); };
@@ -299,7 +303,7 @@
     if (!shift.mCondemned && !mPeers.IsDriver(now)) {
       continue;
     }
-    if (mStore.IsCommitting()) {
+    if (mStore.IsCommitting() || now < mNextDriveMs) {
       return;
     }
     if (auto next = DecideShift(shift, now)) {
@@ -323,8 +327,11 @@
     transaction,
     [this, aService, aNext](tl::expected<StoreCommit, StoreError> aResult) {
       std::string outcome = "conflict";
+      mNextDriveMs = mLoop.NowMs() + kDrivePauseMs;
       if (!aResult) {
         outcome = aResult.error().mReason;
+      } else if (!aResult->mSucceeded) {
+        TakeStoredProgress(aService);
       } else if (aResult->mSucceeded) {
         outcome = "committed";
         ApplyProgress(mShared.mBeliefs.mShifts,
@@ -343,6 +350,20 @@
     });
 }
 
+// Takes the progress that the store holds, after a write of another host won.
+void
+Gateway::TakeStoredProgress(const std::string& aService)
+{
+  auto stored = mFollower.Items().find(RolloutProgressKey(aService));
+  VersionShift& shift = mShared.mBeliefs.mShifts.mShifts[aService];
+  if (stored == mFollower.Items().end()) {
+    shift.mProgressRevision = 0;
+  } else if (stored->second.mModRevision != shift.mProgressRevision) {
+    shift.mProgressRevision = 0;
+    OnItem(stored->second);
+  }
+}
+
 void
 Gateway::Drain()
 {
--- a/router/gateway/gateway.h
+++ b/router/gateway/gateway.h
@@ -41,6 +41,7 @@
   void OnProbed(const std::string& aRunner, bool aAlive);
   void Tick();
   void DriveShifts();
+  void TakeStoredProgress(const std::string& aService);
   void CommitShift(const std::string& aService, const ShiftProgress& aNext);
   void CheckDrain();
   void CheckSuspension(TimeMs aNowMs);
@@ -65,6 +66,7 @@
   bool mHasState = false;
   // The last outage of the store was this host's own: peers reached it.
   bool mOutageIsOwn = false;
+  TimeMs mNextDriveMs = 0;
   bool mDraining = false;
   TimeMs mDrainSinceMs = 0;
   TimeMs mBootLagMs = 0;
--- a/tests/platform/test_http_link.cpp
+++ b/tests/platform/test_http_link.cpp
@@ -47,9 +47,13 @@
     BOOST_REQUIRE(write(mSocket, aBytes.data(), aBytes.size()) ==
                   static_cast<ssize_t>(aBytes.size()));
   }
+  // Closes in good order: bytes that were not read would reset the connection.
   void End()
   {
     if (mSocket >= 0) {
+      char request[4096];
+      while (recv(mSocket, request, sizeof request, MSG_DONTWAIT) > 0) {
+      }
       close(std::exchange(mSocket, -1));
     }
   }
--- /dev/null
+++ b/tests/process/fleet_platform.py
@@ -0,0 +1,251 @@
+"""Stand-ins for the fleet platform: its store and its runners, as servers on
+loopback that tests steer from outside."""
+
+import asyncio
+import base64
+import json
+import socket
+import threading
+import time
+import urllib.parse
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def read_request(reader):
+    """The method, target, headers (lower case) and body of one request."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return method, target, headers, body
+
+
+class Server:
+    """A server with a loop of its own, so that tests may block."""
+
+    def __init__(self):
+        self.port = free_port()
+        self.address = "127.0.0.1:%d" % self.port
+        self.loop = asyncio.new_event_loop()
+        self.writers = set()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.start()
+
+    def start(self):
+        async def listen():
+            return await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = asyncio.run_coroutine_threadsafe(listen(), self.loop).result()
+
+    def crash(self):
+        """Ends the listener and resets all connections."""
+        async def end():
+            self.server.close()
+            for writer in list(self.writers):
+                writer.transport.abort()
+        asyncio.run_coroutine_threadsafe(end(), self.loop).result()
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while await self.handle(writer, *await read_request(reader)):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+def answer(writer, status, body=b"", headers=()):
+    lines = ["HTTP/1.1 %d X" % status, "Content-Length: %d" % len(body)]
+    lines += ["%s: %s" % row for row in headers]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+
+class Store(Server):
+    """The key-value store. `refused` holds a function of the peer's port that
+    says whether its calls are answered with 503."""
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.history = []
+        self.down = False
+        self.refuses = lambda port: False
+        self.calls = 0
+        super().__init__()
+
+    def put(self, key, value):
+        self._change(key, json.dumps(value).encode()
+                     if not isinstance(value, bytes) else value)
+
+    def delete(self, key):
+        self._change(key, None)
+
+    def value(self, key):
+        item = self.items.get(key)
+        return json.loads(base64.b64decode(item["value"])) if item else None
+
+    def _change(self, key, value, counts=True):
+        self.revision += counts
+        if value is None:
+            self.items.pop(key, None)
+            row = {"key": key, "revision": self.revision, "tombstone": True}
+        else:
+            row = {"key": key, "revision": self.revision, "lease": 0,
+                   "created": self.revision,
+                   "value": base64.b64encode(value).decode()}
+            self.items[key] = row
+        self.history.append(row)
+
+    async def handle(self, writer, method, target, headers, body):
+        self.calls += 1
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        if self.down or self.refuses(writer.get_extra_info("peername")[1]):
+            answer(writer, 503)
+            return False
+        if url.path == "/kv-range":
+            entries = [row for key, row in sorted(self.items.items())
+                       if key.startswith(query["prefix"]) and
+                       key > query.get("after", "")]
+            self._json(writer, {"entries": entries[:3],
+                                "hasMore": len(entries) > 3,
+                                "at": self.revision})
+        elif url.path == "/kv-watch":
+            end = time.monotonic() + int(query["waitMs"]) / 1000
+            while True:
+                events = [row for row in self.history
+                          if row["revision"] > int(query["after"])]
+                if events or time.monotonic() > end or self.down:
+                    break
+                await asyncio.sleep(0.01)
+            self._json(writer, {"events": events, "at": self.revision})
+        elif url.path == "/kv-txn":
+            call = json.loads(body)
+            held = all(self.items.get(row["key"], {"revision": 0})["revision"]
+                       == row["revision"] for row in call["expectedRevision"])
+            if held:
+                # All writes of a transaction have one revision.
+                for number, row in enumerate(call["puts"]):
+                    self._change(row["key"], base64.b64decode(row["value"]),
+                                 number == 0)
+                self._json(writer, {"revision": self.revision})
+            else:
+                answer(writer, 412, b'{"entries":[]}')
+        else:
+            answer(writer, 404)
+        return True
+
+    @staticmethod
+    def _json(writer, value):
+        answer(writer, 200, json.dumps(value).encode())
+
+
+class Runner(Server):
+    """A runner. `mode` steers what it does with the next requests: serve,
+    refuse (not run), fail (500), lose (runs, resets), tear (breaks off inside
+    an event), stray (a late answer to another request comes first)."""
+
+    def __init__(self, store, name, service, zone="z1", version="v1", born=1):
+        self.store = store
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.version = version
+        self.born = born
+        self.mode = "serve"
+        self.confidence = 100
+        self.events = 5
+        self.pause = 0.0
+        self.runs = []
+        super().__init__()
+
+    def register(self, state="ready"):
+        self.store.put("servers/" + self.name, {
+            "service": self.service, "address": self.address,
+            "zone": self.zone, "version": self.version, "slots": 8,
+            "state": state, "coldRemainingMs": 0, "sequence": 1,
+            "born": self.born})
+
+    async def handle(self, writer, method, target, headers, body):
+        identity = [("Attempt-Id", headers.get("attempt-id", "")),
+                    ("Runner-Id", self.name)]
+        if headers.get("expect-runner") != self.name:
+            answer(writer, 421, b"", identity)
+            return True
+        if self.mode == "refuse":
+            answer(writer, 503, b"", identity + [("Not-Executed", "1")])
+            return True
+        self.runs.append((headers, method, target, body))
+        identity.append(("Runner-Signature", "sig-" + self.name))
+        if self.mode == "lose":
+            writer.transport.abort()
+            return False
+        if self.mode == "fail":
+            answer(writer, 500, b"failed", identity)
+            return True
+        if self.mode == "stray":
+            answer(writer, 200, b"stray", [("Attempt-Id", "other"),
+                                           ("Runner-Signature", "sig")])
+        if "model" in headers:
+            return await self._stream(writer, headers, identity)
+        answer(writer, 200, b"ran at " + self.name.encode(), identity)
+        return True
+
+    async def _stream(self, writer, headers, identity):
+        confidence = self.confidence if headers["model"] == "small" else 100
+        identity += [("Confidence", str(confidence)),
+                     ("Transfer-Encoding", "chunked")]
+        head = ["HTTP/1.1 200 OK"] + ["%s: %s" % row for row in identity]
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        first = int(headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(self.pause)
+            event = b"id: %d\ndata: %d %s\n\n" % (
+                number, number, headers["model"].encode())
+            if self.mode == "tear" and number == 3:
+                event = event[:7]
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            if self.mode == "tear" and number == 3:
+                writer.transport.abort()
+                return False
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+CONFIGURATION = {
+    "version": 1,
+    "routeTable": [
+        {"name": "stream", "host": "h.example", "prefix": "/s/",
+         "kind": "streaming", "timeoutMs": 8000, "targetLatencyMs": 2000,
+         "priority": 1, "service": "llm", "maxAttempts": 3, "resumable": True,
+         "sizes": ["small", "large"], "anonymous": False},
+        {"name": "once", "host": "h.example", "prefix": "/u/",
+         "kind": "unsafe", "timeoutMs": 2000, "targetLatencyMs": 300,
+         "priority": 2, "service": "desk", "maxAttempts": 1,
+         "anonymous": False},
+        {"name": "safe", "host": "h.example", "prefix": "/g/", "kind": "safe",
+         "timeoutMs": 2000, "targetLatencyMs": 300, "priority": 2,
+         "service": "desk", "maxAttempts": 2, "anonymous": False}],
+    "services": [
+        {"name": "llm", "healthPath": "/healthz", "maxConnections": 50,
+         "coldStartS": 1, "coldPerS": 50,
+         "engine": {"slots": 8, "kvCapacityTokens": 100000, "models": [
+             {"name": "small", "cost": 0.01}, {"name": "large", "cost": 0.1}]}},
+        {"name": "desk", "healthPath": "/healthz", "maxConnections": 50,
+         "coldStartS": 0, "coldPerS": 0}],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000,
+               "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    "tenants": [{"name": "t1", "apiKeys": ["k1", "k2"]}]}
--- /dev/null
+++ b/tests/process/test_gateway.py
@@ -0,0 +1,364 @@
+"""The gateway as a process of its own, between stand-ins of the platform.
+
+Guards against what callers and runners must never see: a request that runs
+twice, a torn stream, a key that works after it was taken away, a good version
+that is not completed, a stop that loses requests, a log that stops the loop."""
+
+import copy
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+from fleet_platform import CONFIGURATION, Runner, Store, free_port
+
+BINARY = os.path.join(sys.argv[1], "savorystream")
+FOLDER = tempfile.mkdtemp(prefix="savory-gateway-")
+
+
+def wait_until(condition, seconds=8, what="condition"):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError("not in time: " + what)
+
+
+class Gateway:
+    def __init__(self, name, store, address="127.0.0.1", seeds=(), peers=0,
+                 datagrams=0, reads_log=True):
+        self.front = free_port()
+        self.ready = free_port()
+        self.path = os.path.join(FOLDER, name + ".json")
+        settings = {
+            "nodeName": name, "zone": "z1", "ip": address, "futureField": 1,
+            "listen": {"frontend": "%s:%d" % (address, self.front),
+                       "readyAddress": "%s:%d" % (address, self.ready),
+                       "controlPlane": "%s:%d" % (address, peers)},
+            "portRange": [datagrams, datagrams + 9], "seeds": list(seeds),
+            "platform": {"address": store.address},
+            "bounds": {"graceS": 4, "sessionS": 5}}
+        with open(self.path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        self.address = address
+        self.log = open(os.path.join(FOLDER, name + ".log"), "wb")
+        environment = dict(os.environ, SAVORYSTREAM_CONFIG=self.path)
+        self.process = subprocess.Popen(
+            [BINARY, "gateway"], env=environment,
+            stdout=self.log if reads_log else subprocess.PIPE)
+
+    def is_ready(self):
+        try:
+            return self.own("/readyz")[0] == 200
+        except OSError:
+            return False
+
+    def own(self, path):
+        connection = http.client.HTTPConnection(self.address, self.ready, 2)
+        connection.request("GET", path)
+        reply = connection.getresponse()
+        return reply.status, reply.read().decode()
+
+    def call(self, method, path, key="k1", attempt="a1", body=b"", **headers):
+        connection = http.client.HTTPConnection(self.address, self.front, 8)
+        sent = {"Host": "h.example", "Attempt-Id": attempt, "Api-Key": key,
+                "Deadline-Ms": "6000"}
+        sent.update({name.replace("_", "-"): value
+                     for name, value in headers.items()})
+        connection.request(method, path, body, sent)
+        reply = connection.getresponse()
+        return reply.status, reply.read(), dict(reply.getheaders())
+
+    def stream(self, attempt="a1", key="k1", **headers):
+        return self.call("POST", "/s/x", key, attempt, b"prompt", Model="*",
+                         Token_Usage="100,20", Prefix_Hash="a1:50,b2:50",
+                         **headers)
+
+    def lines(self):
+        self.log.flush()
+        with open(self.log.name, encoding="utf-8") as file:
+            return file.read()
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+
+class World:
+    def __init__(self):
+        self.store = Store()
+        self.llm = [Runner(self.store, "llm-%d" % i, "llm") for i in range(2)]
+        self.desk = [Runner(self.store, "desk-%d" % i, "desk")
+                     for i in range(2)]
+        self.store.put("op/config", CONFIGURATION)
+        # Entries of another writer name no runner.
+        self.store.put("servers/garbage", b"\xff\x00 not JSON")
+        self.store.put("servers/odd", {"service": "llm", "state": "odd"})
+        for runner in self.llm + self.desk:
+            runner.register()
+        self.gateways = []
+
+    def gateway(self, name, **options):
+        gateway = Gateway(name, self.store, **options)
+        self.gateways.append(gateway)
+        wait_until(gateway.is_ready, what=name + " ready")
+        return gateway
+
+    def runs(self, runners):
+        return [run for runner in runners for run in runner.runs]
+
+    def close(self):
+        for gateway in self.gateways:
+            gateway.stop()
+
+
+def events(body):
+    return [int(part.split(b"id: ")[1].split(b"\n")[0])
+            for part in body.split(b"\n\n") if part]
+
+
+def serves_and_rejects(world):
+    gateway = world.gateway("serves")
+    status, body, headers = gateway.stream(Tenant="forged", Kv_From="forged")
+    assert status == 200 and events(body) == [1, 2, 3, 4, 5], (status, body)
+    assert headers["Runner-Signature"].startswith("sig-llm"), headers
+    sent = world.runs(world.llm)[0][0]
+    assert sent["tenant"] == "t1" and "api-key" not in sent, sent
+    assert "kv-from" not in sent and sent["model"] == "small", sent
+    assert gateway.call("GET", "/g/x", key="none")[0] == 401
+    assert gateway.call("GET", "/none")[0] == 404
+    assert gateway.call("GET", "/g/x")[0] == 200
+    wait_until(lambda: "request-ended id=a1" in gateway.lines(),
+               what="the log line")
+    assert "savory_gateway_requests_total" in gateway.own("/metrics")[1]
+    assert "llm-0" in gateway.own("/state")[1]
+
+
+def asks_the_larger_model(world):
+    gateway = world.gateway("larger")
+    for runner in world.llm:
+        runner.confidence = 5
+    status, body, _ = gateway.stream()
+    assert status == 200 and b"large" in body and b"small" not in body, body
+
+
+def resumes_a_torn_stream(world):
+    gateway = world.gateway("torn")
+    for runner in world.llm:
+        runner.mode = "tear"
+
+    result = []
+    thread = threading.Thread(target=lambda: result.append(gateway.stream()))
+    for runner in world.llm:
+        runner.pause = 0.1
+    thread.start()
+    wait_until(lambda: world.runs(world.llm), what="a run")
+    other = world.llm[0] if world.llm[1].runs else world.llm[1]
+    other.mode = "serve"
+    thread.join()
+    status, body, _ = result[0]
+    assert status == 200 and events(body) == [1, 2, 3, 4, 5], body
+    assert other.runs[0][0]["last-event-id"] == "2", other.runs[0][0]
+
+
+def never_runs_twice(world):
+    gateway = world.gateway("once")
+    for runner in world.desk:
+        runner.mode = "lose"
+    status, _, _ = gateway.call("POST", "/u/x", body=b"book")
+    assert status == 502, status
+    assert len(world.runs(world.desk)) == 1
+    for runner in world.desk:
+        runner.mode = "refuse"
+    status, _, headers = gateway.call("POST", "/u/x", body=b"book")
+    assert status == 503 and float(headers["Retry-After"]) > 0, headers
+    assert len(world.runs(world.desk)) == 1
+
+
+def goes_elsewhere_when_it_may(world):
+    gateway = world.gateway("elsewhere")
+    for mode in ("lose", "refuse", "fail"):
+        for bad in world.desk:
+            for runner in world.desk:
+                runner.mode = "serve"
+            bad.mode = mode
+            status, body, _ = gateway.call("GET", "/g/" + mode)
+            assert status == 200 and body.startswith(b"ran"), (mode, status)
+    for runner in world.desk:
+        runner.mode = "stray"
+    status, body, _ = gateway.call("GET", "/g/stray")
+    assert status == 200 and body.startswith(b"ran"), body
+
+
+def leaves_what_leaves(world):
+    gateway = world.gateway("leaves")
+    world.desk[0].register("draining")
+    time.sleep(1.0)
+    before = len(world.desk[0].runs)
+    for number in range(10):
+        assert gateway.call("GET", "/g/%d" % number)[0] == 200
+    assert len(world.desk[0].runs) == before
+    world.store.put("op/evacuate/z1", {})
+    time.sleep(1.0)
+    status, _, headers = gateway.call("GET", "/g/x")
+    assert status == 503 and "Retry-After" in headers
+    world.store.delete("op/evacuate/z1")
+    wait_until(lambda: gateway.call("GET", "/g/x")[0] == 200, what="return")
+
+
+def keeps_serving_without_the_store(world):
+    gateway = world.gateway("outage")
+    world.store.down = True
+    time.sleep(2)
+    assert gateway.is_ready() and gateway.call("GET", "/g/x")[0] == 200
+    # Entries that lapsed in the outage are back shortly after it.
+    for runner in world.desk:
+        world.store.delete("servers/" + runner.name)
+    world.store.down = False
+    end = time.monotonic() + 1.5
+    while time.monotonic() < end:
+        assert gateway.call("GET", "/g/x")[0] == 200
+        time.sleep(0.05)
+    for runner in world.desk:
+        runner.register()
+    time.sleep(2)
+    assert gateway.call("GET", "/g/x")[0] == 200
+
+
+def learns_from_peers(world):
+    peers, datagrams = free_port(), free_port()
+    seeds = ["127.0.0.2:%d" % peers, "127.0.0.3:%d" % peers]
+    shut = world.gateway("shut-out", address="127.0.0.2", seeds=seeds,
+                         peers=peers, datagrams=datagrams)
+    world.gateway("in-touch", address="127.0.0.3", seeds=seeds, peers=peers,
+                  datagrams=datagrams)
+    # The store turns away the connections that the first gateway makes.
+    folder = "/proc/%d/fd/" % shut.process.pid
+
+    def belongs(port):
+        mine = {os.readlink(folder + entry) for entry in os.listdir(folder)}
+        with open("/proc/net/tcp", encoding="utf-8") as table:
+            rows = [line.split() for line in table]
+        return any(row[1].endswith(":%04X" % port) and
+                   "socket:[%s]" % row[9] in mine for row in rows)
+    world.store.refuses = belongs
+    time.sleep(3.2)
+    changed = copy.deepcopy(CONFIGURATION)
+    changed["version"] = 9
+    changed["tenants"][0]["apiKeys"] = ["k2"]
+    world.store.put("op/config", changed)
+    wait_until(lambda: shut.call("GET", "/g/x", key="k1")[0] == 401, 3,
+               "the key to be refused")
+    assert shut.call("GET", "/g/x", key="k2")[0] == 200
+
+
+def completes_a_good_version(world):
+    gateway = world.gateway("shift")
+    fresh = Runner(world.store, "llm-new", "llm", version="v2")
+    world.store.put("op/rollout/llm",
+                    {"service": "llm", "target": "v2", "durationS": 4})
+    fresh.register()
+    states = []
+
+    def done():
+        gateway.stream(attempt="a%d" % time.monotonic_ns())
+        status = world.store.value("status/rollout/llm")
+        if status and (not states or states[-1] != status["state"]):
+            states.append(status["state"])
+        return states and states[-1] == "completed"
+    wait_until(done, 4, "the version to be completed")
+    assert states == ["in_progress", "completed"], states
+    for runner in world.llm:
+        world.store.delete("servers/" + runner.name)
+        runner.crash()
+    time.sleep(0.6)
+    assert gateway.stream()[0] == 200
+
+
+def rolls_back_a_bad_version(world):
+    gateway = world.gateway("bad")
+    bad = Runner(world.store, "llm-bad", "llm", version="v2")
+    bad.mode = "fail"
+    world.store.put("op/rollout/llm",
+                    {"service": "llm", "target": "v2", "durationS": 4})
+    bad.register()
+
+    def rolled_back():
+        assert gateway.stream(attempt="b%d" % time.monotonic_ns())[0] == 200
+        status = world.store.value("status/rollout/llm")
+        return status and status["state"] == "rolled_back"
+    wait_until(rolled_back, 6, "the version to be rolled back")
+    exposed = len(bad.runs)
+    for number in range(30):
+        assert gateway.stream(attempt="c%d" % number)[0] == 200
+    assert len(bad.runs) == exposed
+
+
+def stops_gracefully(world):
+    gateway = world.gateway("stops")
+    for runner in world.llm:
+        runner.pause = 0.3
+    result = []
+    thread = threading.Thread(target=lambda: result.append(gateway.stream()))
+    thread.start()
+    wait_until(lambda: world.runs(world.llm), what="a run")
+    gateway.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not gateway.is_ready(), 1, "readiness to end")
+    # Callers that the platform still sends here are served.
+    assert gateway.call("GET", "/g/x")[0] == 200
+    thread.join()
+    assert events(result[0][1]) == [1, 2, 3, 4, 5], result
+    assert gateway.process.wait(5) == 0
+
+
+def log_never_blocks(world):
+    gateway = world.gateway("log", reads_log=False)
+    for number in range(1500):
+        assert gateway.call("GET", "/g/%d" % number)[0] == 200
+    assert gateway.is_ready()
+
+
+def check_names_faults(_world):
+    path = os.path.join(FOLDER, "bad.json")
+    with open(path, "w", encoding="utf-8") as file:
+        file.write('{"nodeName": 5, "listen": {}, "platform": {}}')
+    done = subprocess.run([BINARY, "gateway", "--check", path],
+                          capture_output=True, text=True, check=False)
+    assert done.returncode == 2 and "nodeName" in done.stderr, done
+    assert "frontend" in done.stderr and "zone" in done.stderr, done
+
+
+def main():
+    chosen = sys.argv[2:]
+    failed = 0
+    checks = [serves_and_rejects, asks_the_larger_model, resumes_a_torn_stream,
+              never_runs_twice, goes_elsewhere_when_it_may, leaves_what_leaves,
+              keeps_serving_without_the_store, learns_from_peers,
+              completes_a_good_version, rolls_back_a_bad_version,
+              stops_gracefully, log_never_blocks, check_names_faults]
+    for check in checks:
+        if chosen and check.__name__ not in chosen:
+            continue
+        world = World()
+        try:
+            check(world)
+            print("ok", check.__name__, flush=True)
+        except Exception as error:  # each check is reported
+            failed += 1
+            print("FAILED", check.__name__, repr(error), flush=True)
+            for gateway in world.gateways:
+                print(gateway.log.name)
+        finally:
+            world.close()
+    print("%d failed; logs in %s" % (failed, FOLDER))
+    sys.exit(1 if failed else 0)
+
+
+main()
