Keep the age of a roll-out's order, and spread first requests to cold runners

Change: the order's age is told in beacons and kept in the record; each host begins at a point of the gap of its own. Ruled out: a lease for the driver (the age would be lost all the same).

--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -66,6 +66,7 @@
   TimeMs mReportedMs = 0;
 
   TimeMs mColdUntilMs = 0;
+  TimeMs mColdSinceMs = 0;
   TimeMs mLastColdSendMs = -1'000'000;
 
   // No new work until then, after connections failed.
@@ -86,8 +87,10 @@
 {
   std::map<std::string, RunnerState> mRunners;
   std::set<std::string> mEvacuatedZones;
-  // Entry hosts that share the allowance of cold runners.
+  // Entry hosts that share the allowance of cold runners, and the name of this
+  // one, which spreads their first requests.
   int mEntryHosts = 1;
+  std::string mHost;
 };
 
 // Takes a registration. A new life of the same id starts with fresh beliefs.
--- a/core/include/savory/core/version_shift.h
+++ b/core/include/savory/core/version_shift.h
@@ -48,6 +48,9 @@
   double mShare = 0;
   // Revision of the order that it answers.
   std::int64_t mOrderRevision = 0;
+  // When the order was first seen, by the wall clock of the host that wrote
+  // the first progress; 0 when unknown. Only a host that starts later uses it.
+  std::int64_t mOrderedWallMs = 0;
 };
 
 // Answers of the new version that one entry host has seen since the order,
@@ -116,6 +119,11 @@
 void
 ApplyOrder(VersionShifts& aShifts, const ShiftOrder& aOrder, TimeMs aNowMs);
 
+// The order is at least this old, as a peer or the store's record tells: a host
+// that started later must not begin its time anew.
+void
+NoteOrderAge(VersionShift& aShift, TimeMs aAgeMs, TimeMs aNowMs);
+
 // Takes the progress from the store.
 void
 ApplyProgress(VersionShifts& aShifts,
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -68,6 +68,23 @@
   return 1000.0 * std::max(1, aSet.mEntryHosts) / aService->mColdPerSecond;
 }
 
+// Whether this host may send a request to a cold runner now. All hosts learn
+// of it at once, so each begins at a point of the gap of its own.
+bool
+MaySendCold(const RunnerSet& aSet,
+            const RunnerState& aRunner,
+            double aGapMs,
+            TimeMs aNowMs)
+{
+  constexpr double kScale = 18446744073709551616.0;
+  double phase = static_cast<double>(RendezvousRank(
+                   XXH3_64bits(aSet.mHost.data(), aSet.mHost.size()),
+                   aRunner.mRegistration.mId)) /
+                 kScale;
+  return static_cast<double>(aNowMs - aRunner.mLastColdSendMs) >= aGapMs &&
+         static_cast<double>(aNowMs - aRunner.mColdSinceMs) >= phase * aGapMs;
+}
+
 std::uint64_t
 HomeKey(const PlacementRequest& aRequest)
 {
@@ -124,6 +141,9 @@
   runner.mGone = false;
   runner.mLapsedUntilMs.reset();
   if (aRegistration.mColdRemainingMs > 0) {
+    if (aNowMs >= runner.mColdUntilMs) {
+      runner.mColdSinceMs = aNowMs;
+    }
     runner.mColdUntilMs = aNowMs + aRegistration.mColdRemainingMs;
   } else if (aNowMs >= runner.mColdUntilMs) {
     runner.mColdUntilMs = 0;
@@ -208,6 +228,9 @@
 NoteRestart(RunnerState& aRunner, TimeMs aColdStartMs, TimeMs aNowMs)
 {
   aRunner.mCached.clear();
+  if (aNowMs >= aRunner.mColdUntilMs) {
+    aRunner.mColdSinceMs = aNowMs;
+  }
   aRunner.mColdUntilMs = std::max(aRunner.mColdUntilMs, aNowMs + aColdStartMs);
 }
 
@@ -243,7 +266,7 @@
       continue;
     }
     if (aNowMs < runner.mColdUntilMs &&
-        static_cast<double>(aNowMs - runner.mLastColdSendMs) < coldGap) {
+        !MaySendCold(aSet, runner, coldGap, aNowMs)) {
       hold(PlacementFailure::AllCold);
       continue;
     }
--- a/core/src/version_shift.cpp
+++ b/core/src/version_shift.cpp
@@ -137,6 +137,13 @@
   }
 }
 
+void
+NoteOrderAge(VersionShift& aShift, TimeMs aAgeMs, TimeMs aNowMs)
+{
+  TimeMs age = std::clamp<TimeMs>(aAgeMs, 0, aShift.mOrder.mDurationMs);
+  aShift.mOrderSeenMs = std::min(aShift.mOrderSeenMs, aNowMs - age);
+}
+
 void
 ApplyProgress(VersionShifts& aShifts,
               const std::string& aService,
@@ -200,6 +207,9 @@
   ShiftProgress next;
   next.mTarget = aShift.mOrder.mTarget;
   next.mOrderRevision = aShift.mOrder.mRevision;
+  if (aShift.mProgress) {
+    next.mOrderedWallMs = aShift.mProgress->mOrderedWallMs;
+  }
   if (aShift.mCondemned) {
     next.mState = ShiftState::RolledBack;
     return next;
--- a/router/gateway/beliefs.cpp
+++ b/router/gateway/beliefs.cpp
@@ -1,6 +1,7 @@
 #include "beliefs.h"
 
 #include "savory/net/log.h"
+#include "savory/net/loop.h"
 #include "savory/platform/fleet_documents.h"
 
 #include <nlohmann/json.hpp>
@@ -77,6 +78,13 @@
     return BeliefChange::None;
   }
   ApplyOrder(aBeliefs.mShifts, *order, aNowMs);
+  // Progress that was there before the order was seen: this host is new.
+  VersionShift& shift = aBeliefs.mShifts.mShifts.at(order->mService);
+  if (shift.mProgress && shift.mOrderSeenMs == aNowMs &&
+      shift.mProgress->mOrderedWallMs > 0) {
+    NoteOrderAge(
+      shift, WallClockMs() - shift.mProgress->mOrderedWallMs, aNowMs);
+  }
   LogEvent(Event::RolloutChanged,
            { { "service", order->mService },
              { "target", order->mTarget },
--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -60,6 +60,7 @@
   , mSettings(std::move(aSettings))
   , mLinks(aLoop)
 {
+  mBeliefs.mRunners.mHost = mSettings.mHost;
   mBeliefs.mRandom.seed(std::random_device{}());
   mBeliefs.mBudgetOptions.mRatio = mSettings.mRetryRatio;
   mBeliefs.mBudgetOptions.mSlack = mSettings.mRetrySlack;
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -307,6 +307,9 @@
       return;
     }
     if (auto next = DecideShift(shift, now)) {
+      if (next->mOrderedWallMs == 0) {
+        next->mOrderedWallMs = WallClockMs() - (now - shift.mOrderSeenMs);
+      }
       CommitShift(service, *next);
     }
   }
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -87,10 +87,11 @@
   Json shifts = Json::array();
   for (const auto& [service, row] : aBeacon.mShifts) {
     shifts.push_back({ service,
-                       row.first,
-                       row.second.mGood,
-                       row.second.mBad,
-                       row.second.mOldInFlight });
+                       row.mOrderRevision,
+                       row.mOrderAgeMs,
+                       row.mCounts.mGood,
+                       row.mCounts.mBad,
+                       row.mCounts.mOldInFlight });
   }
   Json suspects = Json::array();
   for (const SuspectRow& row : aBeacon.mSuspects) {
@@ -125,11 +126,12 @@
     beacon.mLeaving = document.at("l").get<bool>();
     beacon.mReachesStore = document.at("u").get<bool>();
     for (const Json& row : document.at("s")) {
-      ShiftCounts counts{ row.at(2).get<std::int64_t>(),
-                          row.at(3).get<std::int64_t>(),
-                          row.at(4).get<int>() };
       beacon.mShifts[row.at(0).get<std::string>()] = {
-        row.at(1).get<std::int64_t>(), counts
+        row.at(1).get<std::int64_t>(),
+        row.at(2).get<TimeMs>(),
+        { row.at(3).get<std::int64_t>(),
+          row.at(4).get<std::int64_t>(),
+          row.at(5).get<int>() }
       };
     }
     for (const Json& row : document.at("q")) {
@@ -283,7 +285,9 @@
       shift.mOwn.mOldInFlight +=
         exchange->IsWithOther(service, shift.mOrder.mTarget);
     }
-    beacon.mShifts[service] = { shift.mOrder.mRevision, shift.mOwn };
+    beacon.mShifts[service] = { shift.mOrder.mRevision,
+                                now - shift.mOrderSeenMs,
+                                shift.mOwn };
   }
   // Totals are told, so that a lost datagram is made up for by the next one
   // that names the runner.
@@ -369,8 +373,9 @@
   for (const auto& [service, row] : aBeacon.mShifts) {
     auto found = beliefs.mShifts.mShifts.find(service);
     if (found != beliefs.mShifts.mShifts.end() &&
-        found->second.mOrder.mRevision == row.first) {
-      NotePeerCounts(found->second, aBeacon.mHost, row.second);
+        found->second.mOrder.mRevision == row.mOrderRevision) {
+      NoteOrderAge(found->second, row.mOrderAgeMs, now);
+      NotePeerCounts(found->second, aBeacon.mHost, row.mCounts);
     }
   }
   if (!aBeacon.mSuspects.empty()) {
--- a/router/gateway/peers.h
+++ b/router/gateway/peers.h
@@ -22,8 +22,14 @@
   bool mLeaving = false;
   // The sender reaches the store.
   bool mReachesStore = false;
-  // By service; each with the revision of the order that it belongs to.
-  std::map<std::string, std::pair<std::int64_t, ShiftCounts>> mShifts;
+  struct Shift
+  {
+    std::int64_t mOrderRevision = 0;
+    TimeMs mOrderAgeMs = 0;
+    ShiftCounts mCounts;
+  };
+  // Shifts in progress, by service.
+  std::map<std::string, Shift> mShifts;
   // Milliseconds of reading sent to each runner in all, of those that were
   // sent work lately.
   std::map<std::string, double> mReads;
--- a/tests/core/test_runners.cpp
+++ b/tests/core/test_runners.cpp
@@ -1,5 +1,6 @@
 #include "savory/core/runners.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <set>
@@ -151,6 +152,35 @@
   }
 }
 
+// Found on a grown day: all hosts learn of a cold runner at once, and each sent
+// it a request in the same second.
+BOOST_AUTO_TEST_CASE(hosts_do_not_greet_a_cold_runner_together)
+{
+  std::vector<TimeMs> sends;
+  for (int host = 0; host < 30; ++host) {
+    Scene scene;
+    scene.mSet.mEntryHosts = 30;
+    scene.mSet.mHost = "host-" + std::to_string(host);
+    Registration entry = Entry("a");
+    entry.mColdRemainingMs = 20000;
+    RunnerState& runner = scene.Add(entry, 1000);
+    for (TimeMs now = 1000; now < 15000; now += 10) {
+      if (scene.Place(Prompt(1), now)) {
+        NoteSent(runner, 0, 1, now);
+        sends.push_back(now);
+      }
+    }
+  }
+  // At most one and a half times the allowance and five more, in any second.
+  for (TimeMs start : sends) {
+    auto count =
+      std::count_if(sends.begin(), sends.end(), [start](TimeMs aTime) {
+        return aTime >= start && aTime < start + 1000;
+      });
+    BOOST_TEST(count <= 12);
+  }
+}
+
 // Guards against beliefs about an earlier life of a runner, and against an
 // older entry that arrives late.
 BOOST_AUTO_TEST_CASE(new_life_starts_with_fresh_beliefs)
--- a/tests/core/test_version_shift.cpp
+++ b/tests/core/test_version_shift.cpp
@@ -154,7 +154,7 @@
 {
   Scene scene;
   ApplyProgress(
-    scene.mShifts, "llm", { "v2", ShiftState::Completed, 1, 10 }, 20, 20000);
+    scene.mShifts, "llm", { "v2", ShiftState::Completed, 1, 10, 0 }, 20, 20000);
   scene.Answers(50, false);
   BOOST_TEST(!scene.Shift().mCondemned);
   BOOST_TEST(AllowsVersion(scene.mShifts, RunnerOf("v2"), 0.9, false, 30000));
@@ -168,10 +168,32 @@
   ApplyOrder(scene.mShifts, { "llm", "v2", kDurationMs, 10 }, 500);
   BOOST_TEST(scene.Shift().mProgress.has_value());
   ApplyProgress(
-    scene.mShifts, "llm", { "v2", ShiftState::RolledBack, 0, 10 }, 5, 600);
+    scene.mShifts, "llm", { "v2", ShiftState::RolledBack, 0, 10, 0 }, 5, 600);
   BOOST_TEST((scene.Shift().mProgress->mState == ShiftState::InProgress));
 }
 
+// Found on a day of our own: the driving host was killed, and its successor
+// gave the roll-out its whole time once more.
+BOOST_AUTO_TEST_CASE(time_of_an_order_survives_its_driver)
+{
+  Scene first;
+  first.Drive(0);
+  Scene second;
+  ApplyProgress(second.mShifts, "llm", *first.Shift().mProgress, 11, 18000);
+  second.Shift().mOrderSeenMs = 18000;
+  NoteOrderAge(second.Shift(), 18000, 18000);
+  bool completed = false;
+  for (TimeMs now = 18000; now < kDurationMs && !completed; now += 100) {
+    second.Answers(1, true);
+    auto next = second.Drive(now);
+    completed = next && next->mState == ShiftState::Completed;
+  }
+  BOOST_TEST(completed);
+  // A peer cannot make an order older than its time.
+  NoteOrderAge(second.Shift(), 1000000, 24000);
+  BOOST_TEST(second.Shift().mOrderSeenMs >= 0);
+}
+
 // Guards against a session that changes its version while a shift begins.
 BOOST_AUTO_TEST_CASE(session_keeps_its_version)
 {
--- a/tests/platform/test_fleet.cpp
+++ b/tests/platform/test_fleet.cpp
@@ -124,13 +124,16 @@
 // Guards against a roll-out whose progress another host cannot go on with.
 BOOST_AUTO_TEST_CASE(progress_survives_the_store)
 {
-  ShiftProgress progress{ "v2", ShiftState::RolledBack, 0.4, 17 };
+  ShiftProgress progress{
+    "v2", ShiftState::RolledBack, 0.4, 17, 1780000000000
+  };
   auto read = ParseShiftProgress(FormatShiftProgress(progress));
   BOOST_REQUIRE(read);
   BOOST_TEST(read->mTarget == "v2");
   BOOST_TEST((read->mState == ShiftState::RolledBack));
   BOOST_TEST(read->mShare == 0.4);
   BOOST_TEST(read->mOrderRevision == 17);
+  BOOST_TEST(read->mOrderedWallMs == 1780000000000);
   BOOST_TEST(FormatRolloutStatus(progress) ==
              R"({"state":"rolled_back","target":"v2"})");
 }
