Move streams that would miss their deadline to another runner

Change: the pace of streams is learned by route and model; a stream that is four times slower and would miss its deadline is resumed elsewhere at the last moment at which that still helps.

--- a/router/gateway/beliefs.h
+++ b/router/gateway/beliefs.h
@@ -5,6 +5,7 @@
 #include "savory/core/quarantine.h"
 #include "savory/core/routes.h"
 #include "savory/core/runners.h"
+#include "savory/core/stream_pace.h"
 #include "savory/core/version_shift.h"
 #include "savory/platform/fleet_settings.h"
 #include "savory/platform/store.h"
@@ -37,6 +38,8 @@
   // By service and model; plain services have an empty model.
   std::map<std::pair<std::string, std::string>, ReadSpeed> mSpeeds;
   std::map<std::string, PoolWait> mWaits;
+  // By route and model.
+  std::map<std::pair<std::string, std::string>, StreamPace> mPaces;
   std::mt19937_64 mRandom;
 };
 
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -73,6 +73,9 @@
   AnswerFacts mFacts;
   std::string mBody;
   EventStream mStream;
+  StreamProgress mProgress;
+  // The runner was found to be slow by this stream.
+  bool mSlowNoted = false;
 };
 
 // The life of one request: accepted, placed, sent, answered. Exchange.cpp
@@ -115,6 +118,8 @@
   void LearnFromHead();
   void StartAnswer();
   void PassEvents(std::vector<StreamEvent> aEvents);
+  bool MoveIfSlow();
+  StreamPace& Pace() const;
   void PassFailure();
   void NoteResult(RunnerOutcome aOutcome);
   void NoteVersion(bool aGood);
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -213,12 +213,16 @@
   if (!bytes.empty()) {
     StartAnswer();
     mCaller->Write(bytes);
+    NoteEvents(mAttempt->mProgress, static_cast<int>(aEvents.size()), Now());
   }
   if (gap) {
     NoteResult(RunnerOutcome::Broken);
     TryAgain("an event is missing");
     return;
   }
+  if (IsRepeatable() && MoveIfSlow()) {
+    return;
+  }
   if (IsRepeatable()) {
     mSilence = Timer::After(mShared.mLoop, kMaxGapMs, [this] { OnSilence(); });
   }
@@ -233,6 +237,37 @@
   }
 }
 
+StreamPace&
+Exchange::Pace() const
+{
+  return mShared.mBeliefs.mPaces[{ mRoute->mName, mAttempt->mPlace.mModel }];
+}
+
+// Goes on at another runner when this one writes too slowly to end in time.
+// Returns whether it did.
+bool
+Exchange::MoveIfSlow()
+{
+  if (!ShouldMove(Pace(), mAttempt->mProgress, LeftMs())) {
+    return false;
+  }
+  if (!mAttempt->mSlowNoted) {
+    mAttempt->mSlowNoted = true;
+    NoteResult(RunnerOutcome::Silent);
+  }
+  if (!MaySendAgain()) {
+    return false;
+  }
+  LogEvent(Event::AttemptEnded,
+           { { "id", mFacts.mId },
+             { "runner", mAttempt->mRunner },
+             { "reason", "stream is too slow" } });
+  EndAttempt();
+  mPlaceSinceMs = Now();
+  Place();
+  return true;
+}
+
 void
 Exchange::OnEnd(bool aReusable)
 {
@@ -275,7 +310,10 @@
       return;
     }
     StartAnswer();
-    NoteResult(RunnerOutcome::Success);
+    if (!mAttempt->mSlowNoted) {
+      NoteResult(RunnerOutcome::Success);
+    }
+    LearnPace(Pace(), mAttempt->mProgress);
     mCaller->Finish();
     End(ExchangeEnd::Served, status, "");
     return;
