--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -23,7 +23,10 @@
 constexpr TimeMs kBeaconPeriodMs = 300;
 
 // How long work sent to runners waits for more before the others hear of it.
+// With more peers than kFanoutAtOnce it waits longer, so that what a host sends
+// does not grow with the square of the fleet.
 constexpr TimeMs kSoonMs = 20;
+constexpr int kFanoutAtOnce = 4;
 
 // A host that was not heard for this long is taken to be down.
 constexpr TimeMs kLiveMs = 2500;
@@ -252,12 +255,20 @@
   return true;
 }
 
+int
+Peers::Fanout() const
+{
+  return static_cast<int>(mPeers.size());
+}
+
 // Tells the peers within a few milliseconds; sends that follow are joined.
 void
 Peers::SendSoon()
 {
   if (!mSoon.IsSet()) {
-    mSoon = Timer::After(mShared.mLoop, kSoonMs, [this] { Send(); });
+    TimeMs delay =
+      std::clamp(kSoonMs * Fanout() / kFanoutAtOnce, kSoonMs, kBeaconPeriodMs);
+    mSoon = Timer::After(mShared.mLoop, delay, [this] { Send(); });
   }
 }
 
@@ -268,6 +279,7 @@
   Beliefs& beliefs = mShared.mBeliefs;
   beliefs.mRunners.mEntryHosts = std::max(
     1 + LiveCount(now), static_cast<int>(mShared.mSettings.mSeeds.size()));
+  mFollower.SetFollowers(beliefs.mRunners.mEntryHosts);
   PeerBeacon beacon;
   beacon.mHost = mShared.mSettings.mHost;
   beacon.mAddress = mShared.mSettings.mAddress;
--- a/router/gateway/peers.h
+++ b/router/gateway/peers.h
@@ -80,6 +80,7 @@
 
   void Send();
   void SendSoon();
+  int Fanout() const;
   void Receive();
   void TakeBeacon(const PeerBeacon& aBeacon);
   void PullIfBehind();
