--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -85,7 +85,6 @@
   if (!Admit()) {
     return;
   }
-  auto self = shared_from_this();
   mCaller->mOnClosed = [this] { OnCallerGone(); };
   TimeMs limit =
     mFacts.mDeadlineMs > 0 ? mFacts.mDeadlineMs : kDefaultDeadlineMs;
--- a/router/gateway/runner_links.cpp
+++ b/router/gateway/runner_links.cpp
@@ -50,7 +50,8 @@
         return link;
       }
       if (idle <= KeepMs(*link) && link->IsOpen()) {
-        // Fresher links lie behind it only when it is the newest, so none fits.
+        // The newest link is too old for this request, so the others are, too;
+        // they stay for requests that are less strict.
         links.push_back(std::move(link));
         break;
       }
