--- a/tests/process/test_pages.py
+++ b/tests/process/test_pages.py
@@ -101,9 +101,10 @@
     table = re.findall(r'\{ Event::(\w+), "([\w-]+)", Severity::(\w+) \}', source)
     assert table and len(table) == len(numbers), (table, numbers)
     used = set()
-    for folder in ("router", "net", "platform"):
-        for name in os.listdir(os.path.join(ROOT, folder, "src")):
-            used |= set(re.findall(r"Event::(\w+)", read(folder, "src", name)))
+    for folder in (("router", "src"), ("router", "gateway"), ("net", "src"),
+                   ("platform", "src")):
+        for name in os.listdir(os.path.join(ROOT, *folder)):
+            used |= set(re.findall(r"Event::(\w+)", read(*folder, name)))
     expected = [[numbers[event], name, severity.lower(),
                  "yes" if event in used else "no"]
                 for event, name, severity in table]
