Tell peers which prompts were read where, by way of one host a zone

A host expected 300 to 800 ms where the answer took 2 to 4 s, as it took a part for cached at its home before anyone had read it. Change: beacons name the shared parts that were sent to each runner; reading a shared token again counts 0.02 ms beside the reading itself; what is not known to be cached is expected to be read. A beacon crosses to one host of each other zone, which passes it on.

The same commit lets a roll-out send the target nothing in the first half of its time. Then the share grows by 0.1, 0.3, 0.6, 1, each for 0.03 of the time at least, and slow answers are judged apart from failures, with more allowance.

--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -77,8 +77,10 @@
   TimeMs mErrorMs = 0;
   // Observed against expected time to the first event; 1 is ordinary.
   double mSlowness = 1;
-  // When each (model, part) was last read here on behalf of this host.
+  // When each (model, part) was last sent here, by this host or a peer.
   std::unordered_map<std::uint64_t, TimeMs> mCached;
+  // Parts that this host sent here since peers were last told.
+  std::vector<std::uint64_t> mUntoldParts;
 };
 
 // All backend servers that this host knows, by id, with the operators' orders
@@ -204,25 +206,21 @@
              const PlacementRequest& aRequest,
              TimeMs aNowMs);
 
-// Books a placement: the request is sent now.
+// Books a placement: the request is sent now. Its shared parts count as cached
+// from here on, as what is sent next waits until they have been read.
 void
 NoteSent(RunnerState& aRunner,
+         const PlacementRequest& aRequest,
          double aReadMs,
          std::uint64_t aOwn,
          TimeMs aNowMs);
 
-// The prompt has been read: the backlog is released and the caches noted.
-void
-NotePromptRead(RunnerState& aRunner,
-               const PlacementRequest& aRequest,
-               std::uint64_t aOwn,
-               TimeMs aNowMs);
-
-// A peer has sent a runner this much reading in all.
+// A peer has sent a runner this much reading in all, and these parts lately.
 void
 NotePeerRead(RunnerState& aRunner,
              const std::string& aPeer,
              double aTotalMs,
+             const std::vector<std::uint64_t>& aParts,
              TimeMs aNowMs);
 
 // The order in which an engine should admit a prompt, 0 first: short ones
--- a/core/include/savory/core/version_shift.h
+++ b/core/include/savory/core/version_shift.h
@@ -53,12 +53,22 @@
   std::int64_t mOrderedWallMs = 0;
 };
 
+// How an answer speaks for or against the version that gave it.
+enum class VersionAnswer
+{
+  Good,
+  Failed,
+  // Much later than expected, or not at all in the time that was given.
+  Slow,
+};
+
 // Answers of the new version that one entry host has seen since the order,
 // and its requests that are still with the old version.
 struct ShiftCounts
 {
   std::int64_t mGood = 0;
-  std::int64_t mBad = 0;
+  std::int64_t mFailed = 0;
+  std::int64_t mSlow = 0;
   int mOldInFlight = 0;
 
   bool operator==(const ShiftCounts&) const = default;
@@ -74,13 +84,17 @@
   TimeMs mStageSeenMs = 0;
   ShiftCounts mOwn;
   std::map<std::string, ShiftCounts> mPeers;
-  // Cumulative sum of the log-likelihood ratio of bad against good, at least
-  // zero, and the counts that it has taken in.
-  double mEvidence = 0;
+  // Cumulative sums of the log-likelihood ratio of bad against good, at least
+  // zero, by failures and by slow answers, and the counts that they have taken
+  // in.
+  double mFailedEvidence = 0;
+  double mSlowEvidence = 0;
   ShiftCounts mJudged;
   ShiftCounts mStageStart;
-  // Decayed share of failures of the old version, as this host sees it.
-  double mOldFailures = 0;
+  // Decayed shares of failures and of slow answers of the old version, as this
+  // host sees it.
+  double mOldFailed = 0;
+  double mOldSlow = 0;
   // This host has seen enough to send the target nothing more.
   bool mCondemned = false;
 };
@@ -134,11 +148,11 @@
 
 // One answer of a backend server of the service's target version.
 void
-NoteTargetAnswer(VersionShift& aShift, bool aGood);
+NoteTargetAnswer(VersionShift& aShift, VersionAnswer aAnswer);
 
 // One answer of the old version, against which the target is judged.
 void
-NoteOldAnswer(VersionShift& aShift, bool aGood);
+NoteOldAnswer(VersionShift& aShift, VersionAnswer aAnswer);
 
 // Takes the counts of a peer.
 void
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -37,19 +37,30 @@
 // A running stream slows the others down by about this share of a step.
 constexpr double kRunningCostMs = 0.3;
 
-// The share of a prompt's shared tokens that is expected to be read anew at
-// the key's home, at its second choice and elsewhere, when this host does not
-// know that they are cached.
-constexpr double kUnknownHome = 0.4;
-constexpr double kUnknownSecond = 0.7;
+// The part of kRereadMsPerToken that counts for shared tokens not known to be
+// cached at the key's home, at its second choice and elsewhere: hosts that do
+// not know yet where a part was read send it to the same place.
+constexpr double kUnknownHome = 0.2;
+constexpr double kUnknownSecond = 0.6;
 constexpr double kUnknownElsewhere = 1.0;
 
 // Upper limits of the reading time, in milliseconds, for each priority from 0
 // on.
 constexpr std::array<double, 5> kReadPriorities{ 40, 120, 300, 700, 1500 };
 
-// Bounds the memory of what is believed to be cached at one runner.
+// What reading a shared token anew is worth in milliseconds of waiting, beside
+// the reading itself: it delays all streams of the engine, and it evicts what
+// others share there. Without it small models, which read fast, spread their
+// prompts over the fleet.
+constexpr double kRereadMsPerToken = 0.02;
+
+// Bounds the memory of what is believed to be cached at one runner, and what
+// peers are told of it at once.
 constexpr std::size_t kMaxCachedParts = 4096;
+constexpr std::size_t kMaxUntoldParts = 256;
+
+// Shorter parts are read in a few milliseconds; peers are not told of them.
+constexpr std::int64_t kLeastToldTokens = 512;
 
 bool
 IsLive(const RunnerState& aRunner)
@@ -85,6 +96,16 @@
          static_cast<double>(aNowMs - aRunner.mColdSinceMs) >= phase * aGapMs;
 }
 
+void
+ForgetOldParts(RunnerState& aRunner, TimeMs aNowMs)
+{
+  if (aRunner.mCached.size() > kMaxCachedParts) {
+    std::erase_if(aRunner.mCached, [aNowMs](const auto& aRow) {
+      return aNowMs - aRow.second >= kCacheBeliefMs;
+    });
+  }
+}
+
 std::uint64_t
 HomeKey(const PlacementRequest& aRequest)
 {
@@ -279,8 +300,10 @@
   // The home of the shared parts and its second choice.
   std::uint64_t first = 0;
   std::uint64_t second = 0;
+  std::vector<std::uint64_t> ranks;
   for (const RunnerState* runner : eligible) {
     std::uint64_t rank = RendezvousRank(homeKey, runner->mRegistration.mId);
+    ranks.push_back(rank);
     if (rank > first) {
       second = std::exchange(first, rank);
     } else if (rank > second) {
@@ -290,22 +313,23 @@
 
   Placement best;
   double bestScore = 0;
-  for (const RunnerState* runner : eligible) {
+  for (std::size_t index = 0; index < eligible.size(); ++index) {
+    const RunnerState* runner = eligible[index];
     const Registration& entry = runner->mRegistration;
     double unknown = kUnknownElsewhere;
-    std::uint64_t rank = RendezvousRank(homeKey, entry.mId);
-    if (rank == first) {
+    if (ranks[index] == first) {
       unknown = kUnknownHome;
-    } else if (rank == second) {
+    } else if (ranks[index] == second) {
       unknown = kUnknownSecond;
     }
-    double uncached = static_cast<double>(aRequest.mOwnTokens);
+    double again = 0;
     for (const PromptPart& part : aRequest.mShared) {
       auto cached = runner->mCached.find(CacheKey(aRequest.mModel, part.mId));
       bool known = cached != runner->mCached.end() &&
                    aNowMs - cached->second < kCacheBeliefMs;
-      uncached += known ? 0 : unknown * static_cast<double>(part.mTokens);
+      again += known ? 0 : static_cast<double>(part.mTokens);
     }
+    double uncached = static_cast<double>(aRequest.mOwnTokens) + again;
     double readMs = uncached * aRequest.mMsPerToken;
     bool reported = aNowMs - runner->mReportedMs < kReportAgeMs;
     int running =
@@ -319,6 +343,7 @@
        kRunningCostMs * running + aRequest.mFixedMs * waiting) *
       runner->mSlowness;
     double score = expected + kFailureCostMs * ErrorShare(*runner, aNowMs);
+    score += kRereadMsPerToken * unknown * again;
     if (entry.mZone != aRequest.mZone) {
       score += kCrossZoneMs + kCrossZoneMsPerKiB *
                                 static_cast<double>(aRequest.mBodyBytes) / 1024;
@@ -338,6 +363,7 @@
 
 void
 NoteSent(RunnerState& aRunner,
+         const PlacementRequest& aRequest,
          double aReadMs,
          std::uint64_t aOwn,
          TimeMs aNowMs)
@@ -349,22 +375,14 @@
   if (aNowMs < aRunner.mColdUntilMs) {
     aRunner.mLastColdSendMs = aNowMs;
   }
-}
-
-void
-NotePromptRead(RunnerState& aRunner,
-               const PlacementRequest& aRequest,
-               std::uint64_t aOwn,
-               TimeMs aNowMs)
-{
-  ConfirmRead(aRunner.mBacklog, aOwn);
-  if (aRunner.mCached.size() > kMaxCachedParts) {
-    std::erase_if(aRunner.mCached, [aNowMs](const auto& aRow) {
-      return aNowMs - aRow.second >= kCacheBeliefMs;
-    });
-  }
+  ForgetOldParts(aRunner, aNowMs);
   for (const PromptPart& part : aRequest.mShared) {
-    aRunner.mCached[CacheKey(aRequest.mModel, part.mId)] = aNowMs;
+    std::uint64_t key = CacheKey(aRequest.mModel, part.mId);
+    aRunner.mCached[key] = aNowMs;
+    if (part.mTokens >= kLeastToldTokens &&
+        aRunner.mUntoldParts.size() < kMaxUntoldParts) {
+      aRunner.mUntoldParts.push_back(key);
+    }
   }
 }
 
@@ -372,8 +390,13 @@
 NotePeerRead(RunnerState& aRunner,
              const std::string& aPeer,
              double aTotalMs,
+             const std::vector<std::uint64_t>& aParts,
              TimeMs aNowMs)
 {
+  ForgetOldParts(aRunner, aNowMs);
+  for (std::uint64_t key : aParts) {
+    aRunner.mCached[key] = aNowMs;
+  }
   auto [found, isNew] = aRunner.mPeerReadMs.try_emplace(aPeer, aTotalMs);
   double grown = aTotalMs - found->second;
   found->second = aTotalMs;
--- a/core/src/version_shift.cpp
+++ b/core/src/version_shift.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace savory {
 
@@ -12,36 +13,51 @@
   double mShare;
   // Good answers at this stage, over all hosts, before the next one.
   std::int64_t mAnswers;
+  // Part of the time ordered after which the stage ends although few answers
+  // came.
+  double mEnd;
 };
 
-// A small share first: few requests meet a version that fails at once, and few
-// sessions change their version when the shift begins. The last
-// stage must show that the version holds under the whole load.
-constexpr std::array<Stage, 3> kStages{ {
-  { 0.04, 10 },
-  { 0.4, 30 },
-  { 1.0, 80 },
+// Sessions must not change their version in the first half of the time, and
+// their requests arrive at any host, so no host knows which sessions are new:
+// the target gets nothing until then. The shares grow by steps, as the target's
+// caches are empty, and a version that fails should fail few. The last stage
+// must show that the version holds under the whole load.
+constexpr std::array<Stage, 5> kStages{ {
+  { 0.0, std::numeric_limits<std::int64_t>::max(), 0.51 },
+  { 0.1, 12, 0.57 },
+  { 0.3, 30, 0.62 },
+  { 0.6, 60, 0.67 },
+  { 1.0, 80, 0.8 },
 } };
 
-// Sessions must not change their version in the first half of the time, so
-// the first stage lasts that long.
-constexpr double kFirstStagePart = 0.51;
+// The least part of the time ordered that a stage lasts: that long the caches
+// of the target need for what the stage sends them.
+constexpr double kLeastStagePart = 0.03;
 
-// Part of the time ordered after which a stage ends although few answers came,
-// for each stage in turn.
-constexpr std::array<double, 3> kStageEnds{ 0.55, 0.66, 0.8 };
+// What speaks against a version: the share of such answers that a sound one may
+// give, by how many times it may exceed the old version's share, and by how
+// much the least bad version that must be found lies above.
+struct Fault
+{
+  double mSound;
+  double mMargin;
+  double mExcess;
+};
+
+constexpr Fault kFailures{ 0.02, 1.3, 0.23 };
 
-// Share of failures of a sound version, and of the least bad one that must be
-// found; evidence for a roll-back is about ln(1/0.0003), so that a good version
-// is rolled back once in some thousand times.
-constexpr double kGoodFailures = 0.02;
-constexpr double kBadFailures = 0.25;
+// A sound version's caches are empty when it takes over, and its runners'
+// queues are long for a moment: more slow answers are allowed for than
+// failures.
+constexpr Fault kSlowAnswers{ 0.12, 1.5, 0.25 };
+
+// Evidence for a roll-back is about ln(1/0.0003), so that a good version is
+// rolled back once in some thousand times.
 constexpr double kStopEvidence = 8;
 
-// A version may fail this much more often than the old one before it counts as
-// worse, and no version is expected to fail more often than this.
-constexpr double kFailureMargin = 1.3;
-constexpr double kMaxBadFailures = 0.9;
+// No version is expected to fail more often than this.
+constexpr double kMaxBadShare = 0.9;
 
 // Weight of one answer in the old version's share of failures.
 constexpr double kOldWeight = 0.02;
@@ -67,7 +83,8 @@
   ShiftCounts total = aShift.mOwn;
   for (const auto& [name, counts] : aShift.mPeers) {
     total.mGood += counts.mGood;
-    total.mBad += counts.mBad;
+    total.mFailed += counts.mFailed;
+    total.mSlow += counts.mSlow;
     total.mOldInFlight += counts.mOldInFlight;
   }
   return total;
@@ -80,6 +97,27 @@
          aShift.mProgress->mState == ShiftState::InProgress;
 }
 
+double
+Evidence(const VersionShift& aShift)
+{
+  return std::max(aShift.mFailedEvidence, aShift.mSlowEvidence);
+}
+
+void
+AddEvidence(double& aEvidence,
+            const Fault& aFault,
+            double aOldShare,
+            double aBad,
+            double aOther)
+{
+  double sound = std::min(std::max(aFault.mSound, aFault.mMargin * aOldShare),
+                          kMaxBadShare - aFault.mExcess);
+  double unsound = sound + aFault.mExcess;
+  aEvidence = std::max(0.0,
+                       aEvidence + aBad * std::log(unsound / sound) +
+                         aOther * std::log((1 - unsound) / (1 - sound)));
+}
+
 void
 Judge(VersionShift& aShift)
 {
@@ -89,18 +127,18 @@
   }
   ShiftCounts total = TotalCounts(aShift);
   // A peer that restarted counts from zero again.
-  auto good = std::max<std::int64_t>(0, total.mGood - aShift.mJudged.mGood);
-  auto bad = std::max<std::int64_t>(0, total.mBad - aShift.mJudged.mBad);
+  auto grown = [](std::int64_t aNow, std::int64_t aBefore) {
+    return static_cast<double>(std::max<std::int64_t>(0, aNow - aBefore));
+  };
+  double good = grown(total.mGood, aShift.mJudged.mGood);
+  double failed = grown(total.mFailed, aShift.mJudged.mFailed);
+  double slow = grown(total.mSlow, aShift.mJudged.mSlow);
   aShift.mJudged = total;
-  double goodRate =
-    std::max(kGoodFailures, kFailureMargin * aShift.mOldFailures);
-  double badRate =
-    std::min(kMaxBadFailures, goodRate + kBadFailures - kGoodFailures);
-  aShift.mEvidence +=
-    static_cast<double>(bad) * std::log(badRate / goodRate) +
-    static_cast<double>(good) * std::log((1 - badRate) / (1 - goodRate));
-  aShift.mEvidence = std::max(0.0, aShift.mEvidence);
-  if (aShift.mEvidence >= kStopEvidence) {
+  AddEvidence(
+    aShift.mFailedEvidence, kFailures, aShift.mOldFailed, failed, good + slow);
+  AddEvidence(
+    aShift.mSlowEvidence, kSlowAnswers, aShift.mOldSlow, slow, good + failed);
+  if (Evidence(aShift) >= kStopEvidence) {
     aShift.mCondemned = true;
   }
 }
@@ -177,16 +215,21 @@
 }
 
 void
-NoteTargetAnswer(VersionShift& aShift, bool aGood)
+NoteTargetAnswer(VersionShift& aShift, VersionAnswer aAnswer)
 {
-  ++(aGood ? aShift.mOwn.mGood : aShift.mOwn.mBad);
+  aShift.mOwn.mGood += aAnswer == VersionAnswer::Good;
+  aShift.mOwn.mFailed += aAnswer == VersionAnswer::Failed;
+  aShift.mOwn.mSlow += aAnswer == VersionAnswer::Slow;
   Judge(aShift);
 }
 
 void
-NoteOldAnswer(VersionShift& aShift, bool aGood)
+NoteOldAnswer(VersionShift& aShift, VersionAnswer aAnswer)
 {
-  aShift.mOldFailures += kOldWeight * ((aGood ? 0 : 1) - aShift.mOldFailures);
+  aShift.mOldFailed +=
+    kOldWeight * ((aAnswer == VersionAnswer::Failed) - aShift.mOldFailed);
+  aShift.mOldSlow +=
+    kOldWeight * ((aAnswer == VersionAnswer::Slow) - aShift.mOldSlow);
 }
 
 void
@@ -225,11 +268,10 @@
   std::size_t index = StageIndex(aShift.mProgress->mShare);
   std::int64_t answers = total.mGood - aShift.mStageStart.mGood;
   // Suspicion that falls short of a roll-back holds the stage.
-  bool clean = aShift.mEvidence < kStopEvidence / 2;
-  bool enough = answers >= kStages[index].mAnswers ||
-                elapsed >= kStageEnds[index] * duration;
-  if (!clean || !enough ||
-      (index == 0 && elapsed < kFirstStagePart * duration)) {
+  bool clean = Evidence(aShift) < kStopEvidence / 2;
+  bool enough =
+    answers >= kStages[index].mAnswers && atStage >= kLeastStagePart * duration;
+  if (!clean || (!enough && elapsed < kStages[index].mEnd * duration)) {
     return std::nullopt;
   }
   if (index + 1 < kStages.size()) {
--- a/router/gateway/beliefs.cpp
+++ b/router/gateway/beliefs.cpp
@@ -206,7 +206,8 @@
     shifts[service] = { { "target", shift.mOrder.mTarget },
                         { "share",
                           shift.mProgress ? shift.mProgress->mShare : 0 },
-                        { "evidence", shift.mEvidence },
+                        { "failed_evidence", shift.mFailedEvidence },
+                        { "slow_evidence", shift.mSlowEvidence },
                         { "condemned", shift.mCondemned } };
   }
   Json speeds = Json::array();
--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -283,7 +283,7 @@
   mAttempt->mPlacement = aPlacement;
   mAttempt->mSentMs = now;
   mAttempt->mWork = ++mShared.mAttempts;
-  NoteSent(runner, aPlacement.mReadMs, mAttempt->mWork, now);
+  NoteSent(runner, aPlace, aPlacement.mReadMs, mAttempt->mWork, now);
   if (aPlacement.mReadMs >= kLargeReadMs) {
     mShared.mOnLargeRead();
   }
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -122,7 +122,7 @@
   StreamPace& Pace() const;
   void PassFailure();
   void NoteResult(RunnerOutcome aOutcome);
-  void NoteVersion(bool aGood);
+  void NoteVersion(VersionAnswer aAnswer);
   void EndAttempt();
   void TryAgain(std::string_view aReason);
   void GiveUp(std::string_view aReason);
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -103,14 +103,16 @@
       runner.mSlowness + kSlownessWeight * (ratio - runner.mSlowness),
       1 / kMaxSlowness,
       kMaxSlowness);
-    NotePromptRead(runner, mAttempt->mPlace, mAttempt->mWork, now);
+    ConfirmRead(runner.mBacklog, mAttempt->mWork);
   }
   // The caches of a new version's runners are empty, so the comparison allows
   // for reading the whole prompt.
   double whole =
     static_cast<double>(mFacts.mPromptTokens) * Speed(model).mMsPerToken;
   double longest = expected - mAttempt->mPlacement.mReadMs + whole;
-  NoteVersion(observed <= kSlowFactor * longest + kSlowMs);
+  NoteVersion(observed <= kSlowFactor * longest + kSlowMs
+                ? VersionAnswer::Good
+                : VersionAnswer::Slow);
 }
 
 // Drops the answer of a smaller model that doubts itself and asks the largest.
@@ -298,7 +300,7 @@
   }
   if (status >= 500) {
     NoteResult(RunnerOutcome::Failure);
-    NoteVersion(false);
+    NoteVersion(VersionAnswer::Failed);
     mFailure.emplace(mAttempt->mHead, std::move(mAttempt->mBody));
     TryAgain("runner failed with " + std::to_string(status));
     return;
@@ -357,7 +359,7 @@
   }
   mMayHaveRun = true;
   NoteResult(RunnerOutcome::Silent);
-  NoteVersion(false);
+  NoteVersion(VersionAnswer::Slow);
   EndAttempt();
   mPlaceSinceMs = Now();
   LogEvent(Event::AttemptEnded,
@@ -412,7 +414,7 @@
 }
 
 void
-Exchange::NoteVersion(bool aGood)
+Exchange::NoteVersion(VersionAnswer aAnswer)
 {
   auto& shifts = mShared.mBeliefs.mShifts.mShifts;
   auto found = shifts.find(mService);
@@ -420,9 +422,9 @@
     return;
   }
   if (mAttempt->mVersion == found->second.mOrder.mTarget) {
-    NoteTargetAnswer(found->second, aGood);
+    NoteTargetAnswer(found->second, aAnswer);
   } else {
-    NoteOldAnswer(found->second, aGood);
+    NoteOldAnswer(found->second, aAnswer);
   }
 }
 
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -65,7 +65,7 @@
   : mLoop(aLoop)
   , mShared(aLoop, std::move(aSettings))
   , mStore(aLoop, mShared.mSettings.mStore)
-  , mFollower(aLoop, mStore)
+  , mFollower(aLoop, mStore, mShared.mSettings.mChangeBoundMs)
   , mPeers(mShared, mFollower)
   , mCallers(aLoop,
              [this](const IncomingRequest& aRequest,
@@ -264,7 +264,7 @@
 Gateway::Tick()
 {
   TimeMs now = mLoop.NowMs();
-  CheckSuspension(now);
+  CheckSuspension();
   for (const std::string& id : PruneRunners(mShared.mBeliefs.mRunners, now)) {
     LogEvent(Event::RunnerGone, { { "runner", id }, { "lapsed", "over" } });
   }
@@ -281,7 +281,7 @@
 
 // A host that was suspended holds connections that its peers have given up.
 void
-Gateway::CheckSuspension(TimeMs)
+Gateway::CheckSuspension()
 {
   TimeMs lag = BootLagMs();
   if (lag - mBootLagMs > kSuspensionMs) {
--- a/router/gateway/gateway.h
+++ b/router/gateway/gateway.h
@@ -44,7 +44,7 @@
   void TakeStoredProgress(const std::string& aService);
   void CommitShift(const std::string& aService, const ShiftProgress& aNext);
   void CheckDrain();
-  void CheckSuspension(TimeMs aNowMs);
+  void CheckSuspension();
   bool IsReady() const;
 
   // Requests whose connection to a runner broke, until it is known whether
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -93,21 +93,28 @@
                        row.mOrderRevision,
                        row.mOrderAgeMs,
                        row.mCounts.mGood,
-                       row.mCounts.mBad,
+                       row.mCounts.mFailed,
+                       row.mCounts.mSlow,
                        row.mCounts.mOldInFlight });
   }
   Json suspects = Json::array();
   for (const SuspectRow& row : aBeacon.mSuspects) {
     suspects.push_back(ToJson(row));
   }
+  Json reads = Json::object();
+  for (const auto& [runner, row] : aBeacon.mReads) {
+    reads[runner] = { row.mTotalMs, row.mParts };
+  }
   Json document{ { "h", aBeacon.mHost },
                  { "a", aBeacon.mAddress },
+                 { "z", aBeacon.mZone },
+                 { "f", aBeacon.mRelay },
                  { "r", aBeacon.mAt },
                  { "l", aBeacon.mLeaving },
                  { "u", aBeacon.mReachesStore },
                  { "s", shifts },
                  { "q", suspects },
-                 { "w", aBeacon.mReads },
+                 { "w", reads },
                  { "k", aBeacon.mKnown } };
   std::vector<std::uint8_t> bytes = Json::to_cbor(document);
   return { bytes.begin(), bytes.end() };
@@ -125,6 +132,8 @@
     PeerBeacon beacon;
     beacon.mHost = document.at("h").get<std::string>();
     beacon.mAddress = document.at("a").get<std::string>();
+    beacon.mZone = document.at("z").get<std::string>();
+    beacon.mRelay = document.at("f").get<bool>();
     beacon.mAt = document.at("r").get<std::int64_t>();
     beacon.mLeaving = document.at("l").get<bool>();
     beacon.mReachesStore = document.at("u").get<bool>();
@@ -134,13 +143,17 @@
         row.at(2).get<TimeMs>(),
         { row.at(3).get<std::int64_t>(),
           row.at(4).get<std::int64_t>(),
-          row.at(5).get<int>() }
+          row.at(5).get<std::int64_t>(),
+          row.at(6).get<int>() }
       };
     }
     for (const Json& row : document.at("q")) {
       beacon.mSuspects.push_back(ToSuspect(row));
     }
-    beacon.mReads = document.at("w").get<std::map<std::string, double>>();
+    for (const auto& [runner, row] : document.at("w").items()) {
+      beacon.mReads[runner] = { row.at(0).get<double>(),
+                                row.at(1).get<std::vector<std::uint64_t>>() };
+    }
     beacon.mKnown = document.at("k").get<std::vector<std::string>>();
     return beacon;
   } catch (const Json::exception&) {
@@ -283,6 +296,7 @@
   PeerBeacon beacon;
   beacon.mHost = mShared.mSettings.mHost;
   beacon.mAddress = mShared.mSettings.mAddress;
+  beacon.mZone = mShared.mSettings.mZone;
   beacon.mAt = mFollower.At();
   beacon.mLeaving = mLeaving;
   beacon.mReachesStore = mFollower.IsReachable();
@@ -303,11 +317,11 @@
   }
   // Totals are told, so that a lost datagram is made up for by the next one
   // that names the runner.
-  for (const auto& [id, runner] : beliefs.mRunners.mRunners) {
+  for (auto& [id, runner] : beliefs.mRunners.mRunners) {
     double total = std::round(runner.mSentReadMs);
     double& told = mToldReads[id];
-    if (total != told) {
-      beacon.mReads[id] = total;
+    if (total != told || !runner.mUntoldParts.empty()) {
+      beacon.mReads[id] = { total, std::exchange(runner.mUntoldParts, {}) };
     }
     told = total;
   }
@@ -320,17 +334,23 @@
       beacon.mKnown.push_back(address);
     }
   }
+  // Bytes between zones are dear: one host of each other zone is told, another
+  // one each time, and passes it on. Hosts not heard lately are told directly.
+  std::map<std::string, std::vector<std::string>> others;
   std::string bytes = EncodeBeacon(beacon);
   for (const auto& [address, peer] : mPeers) {
-    sockaddr_in target =
-      ToSocketAddress(address, mShared.mSettings.mPeerDatagramPort);
-    // A datagram that cannot be sent is replaced by the next one.
-    (void)sendto(mSocket,
-                 bytes.data(),
-                 bytes.size(),
-                 0,
-                 reinterpret_cast<sockaddr*>(&target),
-                 sizeof target);
+    if (peer.mZone != beacon.mZone && !peer.mZone.empty() && !peer.mLeaving &&
+        now - peer.mHeardMs < kLiveMs) {
+      others[peer.mZone].push_back(address);
+    } else {
+      SendDatagram(address, bytes);
+    }
+  }
+  beacon.mRelay = true;
+  bytes = EncodeBeacon(beacon);
+  for (const auto& [zone, addresses] : others) {
+    std::uniform_int_distribution<std::size_t> any(0, addresses.size() - 1);
+    SendDatagram(addresses[any(beliefs.mRandom)], bytes);
   }
   std::erase_if(mPeers, [&](const auto& aRow) {
     return aRow.second.mHeardMs > 0 && now - aRow.second.mHeardMs > kForgetMs;
@@ -338,6 +358,33 @@
   PullIfBehind();
 }
 
+void
+Peers::SendDatagram(const std::string& aAddress, const std::string& aBytes)
+{
+  sockaddr_in target =
+    ToSocketAddress(aAddress, mShared.mSettings.mPeerDatagramPort);
+  // A datagram that cannot be sent is replaced by the next one.
+  (void)sendto(mSocket,
+               aBytes.data(),
+               aBytes.size(),
+               0,
+               reinterpret_cast<sockaddr*>(&target),
+               sizeof target);
+}
+
+// Passes a beacon of another zone on to the hosts of this one.
+void
+Peers::Relay(PeerBeacon aBeacon)
+{
+  aBeacon.mRelay = false;
+  std::string bytes = EncodeBeacon(aBeacon);
+  for (const auto& [address, peer] : mPeers) {
+    if (peer.mZone == mShared.mSettings.mZone && address != aBeacon.mAddress) {
+      SendDatagram(address, bytes);
+    }
+  }
+}
+
 void
 Peers::Receive()
 {
@@ -351,6 +398,9 @@
       DecodeBeacon({ bytes.data(), static_cast<std::size_t>(size) });
     if (beacon && beacon->mAddress != mShared.mSettings.mAddress) {
       TakeBeacon(*beacon);
+      if (beacon->mRelay) {
+        Relay(std::move(*beacon));
+      }
     }
   }
 }
@@ -366,6 +416,7 @@
                { "revision", std::to_string(aBeacon.mAt) } });
   }
   peer.mHost = aBeacon.mHost;
+  peer.mZone = aBeacon.mZone;
   peer.mHeardMs = now;
   peer.mAt = aBeacon.mAt;
   peer.mLeaving = aBeacon.mLeaving;
@@ -376,10 +427,11 @@
     }
   }
   Beliefs& beliefs = mShared.mBeliefs;
-  for (const auto& [id, total] : aBeacon.mReads) {
+  for (const auto& [id, reads] : aBeacon.mReads) {
     auto found = beliefs.mRunners.mRunners.find(id);
     if (found != beliefs.mRunners.mRunners.end()) {
-      NotePeerRead(found->second, aBeacon.mHost, total, now);
+      NotePeerRead(
+        found->second, aBeacon.mHost, reads.mTotalMs, reads.mParts, now);
     }
   }
   for (const auto& [service, row] : aBeacon.mShifts) {
--- a/router/gateway/peers.h
+++ b/router/gateway/peers.h
@@ -17,6 +17,9 @@
 {
   std::string mHost;
   std::string mAddress;
+  std::string mZone;
+  // The receiver passes the beacon on to the hosts of its own zone.
+  bool mRelay = false;
   // The store's revision that the sender knows.
   std::int64_t mAt = 0;
   bool mLeaving = false;
@@ -30,9 +33,15 @@
   };
   // Shifts in progress, by service.
   std::map<std::string, Shift> mShifts;
-  // Milliseconds of reading sent to each runner in all, of those that were
-  // sent work lately.
-  std::map<std::string, double> mReads;
+  // Work sent to a runner: milliseconds of reading in all, and the shared parts
+  // of prompts since the last beacon, by their CacheKey.
+  struct Reads
+  {
+    double mTotalMs = 0;
+    std::vector<std::uint64_t> mParts;
+  };
+  // Of the runners that were sent work lately.
+  std::map<std::string, Reads> mReads;
   std::vector<SuspectRow> mSuspects;
   // Addresses of the hosts that the sender heard lately.
   std::vector<std::string> mKnown;
@@ -72,6 +81,8 @@
   struct Peer
   {
     std::string mHost;
+    // Empty until the peer was heard.
+    std::string mZone;
     TimeMs mHeardMs = -1'000'000;
     std::int64_t mAt = 0;
     bool mLeaving = false;
@@ -79,6 +90,8 @@
   };
 
   void Send();
+  void SendDatagram(const std::string& aAddress, const std::string& aBytes);
+  void Relay(PeerBeacon aBeacon);
   void SendSoon();
   int Fanout() const;
   void Receive();
