Soak the gateways with random faults from outside their processes

tests/process/test_soak.py starts gateways as processes in three zones, puts a proxy before the store and each runner (delay, reset, silence, loss of one direction), stops, pauses, kills and restarts the processes, lets the store refuse, hang, lose answers and forget its history, and changes configurations and keys meanwhile, in overlapping series. It checks what callers and runners see: one run of what must run once, true refusals, whole streams, own answers, the key's customer, answers by the route's timeout, revoked keys, the end of a shutdown within its grace time, service after the faults. Stand-ins take ports below the kernel's range for outgoing connections: a restarted one found its port in use. The log line of a roll-out's step names the counts that decided it.

--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -343,12 +343,17 @@
                       aResult->mRevision,
                       mLoop.NowMs());
       }
+      const ShiftCounts& counts =
+        mShared.mBeliefs.mShifts.mShifts[aService].mJudged;
       LogEvent(
         Event::RolloutDriven,
         { { "service", aService },
           { "target", aNext.mTarget },
           { "state", std::string(NameOf(kShiftStateNames, aNext.mState)) },
           { "share", std::to_string(aNext.mShare) },
+          { "good", std::to_string(counts.mGood) },
+          { "failed", std::to_string(counts.mFailed) },
+          { "slow", std::to_string(counts.mSlow) },
           { "outcome", outcome } });
     });
 }
--- a/tests/process/fleet_platform.py
+++ b/tests/process/fleet_platform.py
@@ -4,6 +4,7 @@
 import asyncio
 import base64
 import json
+import random
 import socket
 import threading
 import time
@@ -11,9 +12,16 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port below the range from which the kernel takes ports for outgoing
+    connections, so that a server that restarts finds it free again."""
+    while True:
+        port = random.SystemRandom().randrange(12000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 async def read_request(reader):
--- /dev/null
+++ b/tests/process/test_soak.py
@@ -0,0 +1,492 @@
+"""A randomized soak of the gateways: real processes on loopback, faults from
+outside them, and the promises to callers and runners checked while it runs.
+
+    test_soak.py BIN                      the seeds that CI plays
+    test_soak.py BIN --seeds 1-50         these seeds, each in a process
+    test_soak.py BIN --seeds 7 --gateways 40 --runners 30 --clients 60
+
+A seed fixes the schedule of faults and the requests; the scheduling of the
+machine is not fixed, so a seed that failed is played several times."""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from fleet_platform import CONFIGURATION, Runner, free_port
+from soak_faults import FaultProxy, SoakStore, read_answer
+
+# Seeds that failed once, with the cause; CI plays them too.
+REGRESSIONS = {
+    25: "the soak's own: two crashes of one runner overlapped",
+    51: "the soak's own: two crashes of one runner overlapped",
+}
+
+FAULT_SECONDS = 10
+# The platform's bounds: in touch again after this without a fault, a
+# configuration in force after this, service back after this.
+CONTACT_SECONDS = 3.0
+APPLY_SECONDS = 2.0
+RECOVER_SECONDS = 12.0
+GRACE_SECONDS = 4
+# A final answer is due this long after a route's timeout, with an allowance
+# for this machine, on which everything shares the processors.
+TIMEOUT_SLACK_SECONDS = 0.5
+MACHINE_SLACK_SECONDS = 0.5
+
+NOT_RUN = (408, 421, 429, 503)
+STREAM_EVENTS = 6
+
+
+class SoakRunner(Runner):
+    """A runner behind a proxy that harms its connections."""
+
+    def __init__(self, store, name, service, zone):
+        self.is_down = False
+        super().__init__(store, name, service, zone)
+        self.events = STREAM_EVENTS
+        self.pause = 0.03
+        self.proxy = FaultProxy(self.loop, self.address)
+
+    def register(self, state="ready"):
+        real, self.address = self.address, self.proxy.address
+        super().register(state)
+        self.address = real
+
+
+class Gateway:
+    """One gateway process, with a proxy of its own before the store."""
+
+    def __init__(self, soak, number):
+        self.soak = soak
+        self.name = "g%02d" % number
+        self.zone = "z%d" % (number % 3 + 1)
+        self.address = "127.%d.%d.%d" % (
+            80 + soak.seed // 250 % 100, 1 + soak.seed % 250, number + 1)
+        self.store = FaultProxy(soak.store.loop, soak.store.address)
+        self.path = os.path.join(soak.folder, self.name + ".json")
+        # Faults of this process: until when it counts as out of touch.
+        self.faulty_until = 0.0
+        self.stopping_since = None
+        self.process = None
+        settings = {
+            "nodeName": self.name, "zone": self.zone, "ip": self.address,
+            "listen": {"frontend": "%s:%d" % (self.address, soak.ports[0]),
+                       "readyAddress": "%s:%d" % (self.address, soak.ports[1]),
+                       "controlPlane": "%s:%d" % (self.address, soak.ports[2])},
+            "portRange": [soak.ports[3], soak.ports[3] + 9],
+            "seeds": ["127.%d.%d.%d:%d" % (
+                80 + soak.seed // 250 % 100, 1 + soak.seed % 250, seed + 1,
+                soak.ports[2]) for seed in range(3)],
+            "platform": {"address": self.store.address},
+            "bounds": {"graceS": GRACE_SECONDS, "sessionS": 5,
+                       "configApplyMs": int(APPLY_SECONDS * 1000),
+                       "drainMs": 2000, "retryBudgetRatio": 0.9,
+                       "retrySlack": 56, "retryWindowS": 10}}
+        with open(self.path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        self.log = open(os.path.join(soak.folder, self.name + ".log"), "ab")
+        self.start()
+
+    def start(self):
+        self.stopping_since = None
+        self.process = subprocess.Popen(
+            [soak_binary(), "gateway"], stdout=self.log, stderr=self.log,
+            env=dict(os.environ, SAVORYSTREAM_CONFIG=self.path))
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def out_of_touch(self, seconds):
+        self.faulty_until = max(self.faulty_until, time.monotonic() + seconds)
+
+    def is_in_touch_since(self, moment):
+        return self.faulty_until + CONTACT_SECONDS < moment
+
+
+def soak_binary():
+    return os.path.join(sys.argv[1], "savorystream")
+
+
+class Soak:
+    def __init__(self, seed, options):
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.options = options
+        self.folder = tempfile.mkdtemp(prefix="savory-soak-%d-" % seed)
+        self.ports = [free_port() for _ in range(4)]
+        self.store = SoakStore()
+        zones = ["z1", "z2", "z3"]
+        count = options.runners
+        self.llm = [SoakRunner(self.store, "llm-%d" % i, "llm", zones[i % 3])
+                    for i in range(count)]
+        self.desk = [SoakRunner(self.store, "desk-%d" % i, "desk", zones[i % 3])
+                     for i in range(3)]
+        self.runners = self.llm + self.desk
+        self.configuration = json.loads(json.dumps(CONFIGURATION))
+        self.configuration["tenants"] = [
+            {"name": "t1", "apiKeys": ["k1"]}, {"name": "t2", "apiKeys": ["k2"]}]
+        # Only the kind of the route forbids a repetition.
+        self.configuration["routeTable"][1]["maxAttempts"] = 3
+        self.store.put("op/config", self.configuration)
+        for runner in self.runners:
+            runner.register()
+        self.gateways = [Gateway(self, i) for i in range(options.gateways)]
+        # Until when a fault at runners or the store excuses an answer.
+        self.shared_fault_until = 0.0
+        self.faults_end = time.monotonic() + FAULT_SECONDS
+        # When a key was taken away, as the store acknowledged it.
+        self.revoked_at = None
+        self.failures = []
+        self.checked = {}
+        self.served = 0
+        self.asked = 0
+        self.next_id = 0
+
+    def check(self, promise, holds, detail):
+        self.checked[promise] = self.checked.get(promise, 0) + 1
+        if not holds:
+            self.failures.append("%s: %s" % (promise, detail))
+
+    # Faults. Each sets what it excuses, acts, and undoes itself.
+
+    async def fault_kill(self, gateway):
+        gateway.out_of_touch(1.5)
+        gateway.signal(signal.SIGKILL)
+        await asyncio.sleep(self.random.uniform(0.2, 1.5))
+
+    async def fault_pause(self, gateway):
+        seconds = self.random.uniform(0.3, 3)
+        gateway.out_of_touch(seconds)
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        gateway.signal(signal.SIGCONT)
+
+    async def fault_stop(self, gateway):
+        gateway.stopping_since = gateway.stopping_since or time.monotonic()
+        gateway.out_of_touch(GRACE_SECONDS)
+        gateway.signal(signal.SIGTERM)
+        process = gateway.process
+        end = time.monotonic() + GRACE_SECONDS + 3
+        while process.poll() is None and time.monotonic() < end:
+            await asyncio.sleep(0.05)
+        if gateway.faulty_until < end - 3 + 0.1:
+            self.check("ends-in-grace", process.poll() is not None,
+                       gateway.name + " still runs after its grace time")
+
+    async def fault_hup(self, gateway):
+        gateway.signal(signal.SIGHUP)
+
+    async def fault_store_link(self, gateway):
+        seconds = self.random.uniform(0.5, 4)
+        gateway.out_of_touch(seconds)
+        gateway.store.set(self.random.choice(
+            ["reset", "silent", "cut-up", "cut-down", "delay"]))
+        await asyncio.sleep(seconds)
+        gateway.store.set("pass")
+
+    async def fault_store(self, _gateway):
+        seconds = self.random.uniform(0.5, 4)
+        for gateway in self.gateways:
+            gateway.out_of_touch(seconds)
+        self.store.mode = self.random.choice(
+            ["down", "silent", "slow", "lose"])
+        await asyncio.sleep(seconds)
+        self.store.mode = "serve"
+
+    async def fault_compact(self, _gateway):
+        self.store.compact()
+
+    async def fault_garbage(self, _gateway):
+        self.store.put("servers/odd-%d" % self.random.randrange(5),
+                       self.random.choice([b"\xff{", {"service": 5}, [1],
+                                           {"service": "llm", "state": "odd"}]))
+
+    async def fault_runner_link(self, _gateway):
+        seconds = self.random.uniform(0.3, 3)
+        self.shared_fault_until = max(self.shared_fault_until,
+                                      time.monotonic() + seconds)
+        runner = self.random.choice(self.runners)
+        runner.proxy.set(self.random.choice(
+            ["reset", "silent", "cut-up", "cut-down", "delay"]))
+        await asyncio.sleep(seconds)
+        runner.proxy.set("pass")
+
+    async def fault_runner_mode(self, _gateway):
+        seconds = self.random.uniform(0.3, 3)
+        self.shared_fault_until = max(self.shared_fault_until,
+                                      time.monotonic() + seconds)
+        runner = self.random.choice(self.runners)
+        runner.mode = self.random.choice(
+            ["refuse", "fail", "lose", "tear", "stray"])
+        await asyncio.sleep(seconds)
+        runner.mode = "serve"
+
+    async def fault_runner_crash(self, _gateway):
+        self.shared_fault_until = max(self.shared_fault_until,
+                                      time.monotonic() + 2)
+        runner = self.random.choice(self.runners)
+        if runner.is_down:
+            return
+        runner.is_down = True
+        await asyncio.to_thread(runner.crash)
+        await asyncio.sleep(self.random.uniform(0.2, 2))
+        await asyncio.to_thread(runner.start)
+        runner.is_down = False
+        runner.born += 1
+        runner.register()
+
+    async def fault_drain(self, _gateway):
+        runner = self.random.choice(self.llm)
+        runner.register("draining")
+        await asyncio.sleep(3)
+        runner.register()
+
+    async def fault_config(self, _gateway):
+        self.configuration["version"] += self.random.randint(1, 3)
+        self.configuration["routeTable"][2]["timeoutMs"] = 1500
+        self.store.put("op/config", self.configuration)
+
+    async def fault_revoke(self, _gateway):
+        if self.revoked_at:
+            return
+        self.configuration["version"] += 1
+        self.configuration["tenants"][1]["apiKeys"] = ["k3"]
+        self.store.put("op/config", self.configuration)
+        self.revoked_at = time.monotonic()
+
+    async def keep_running(self):
+        """Restarts processes that ended, as the platform does."""
+        while True:
+            for gateway in self.gateways:
+                if gateway.process.poll() is not None:
+                    code = gateway.process.returncode
+                    self.check("ends-only-when-told",
+                               code in (0, -signal.SIGKILL, -signal.SIGTERM),
+                               "%s ended with %d" % (gateway.name, code))
+                    gateway.out_of_touch(1.0)
+                    gateway.start()
+            await asyncio.sleep(0.3)
+
+    async def cause_faults(self):
+        faults = [getattr(self, name) for name in sorted(dir(self))
+                  if name.startswith("fault_")]
+        running = set()
+        await asyncio.sleep(1)
+        while time.monotonic() < self.faults_end:
+            fault = self.random.choice(faults)
+            gateway = self.random.choice(self.gateways)
+            task = asyncio.create_task(fault(gateway))
+            running.add(task)
+            # Series come close together and overlap.
+            await asyncio.sleep(self.random.choice([0.02, 0.1, 0.4, 1.0]))
+        for task in running:
+            await task
+
+    # Clients.
+
+    async def client(self, number):
+        choices = random.Random(self.seed * 1000 + number)
+        connection = None
+        gateway = None
+        while not self.over:
+            if connection is None:
+                gateway = choices.choice(self.gateways)
+                try:
+                    connection = await asyncio.wait_for(
+                        asyncio.open_connection(gateway.address, self.ports[0]),
+                        1)
+                except (OSError, asyncio.TimeoutError):
+                    await asyncio.sleep(0.1)
+                    continue
+            connection = await self.ask(choices, gateway, connection)
+            await asyncio.sleep(choices.choice([0, 0.02, 0.2]))
+        if connection:
+            connection[1].close()
+
+    async def ask(self, choices, gateway, connection):
+        """One request; returns the connection when it can be used again."""
+        kind = choices.choice(["stream", "once", "safe"])
+        key = choices.choice(["k1", "k1", "k2", "k3"])
+        self.next_id += 1
+        name = "a%d-%d" % (self.seed, self.next_id)
+        route = {"stream": 0, "once": 1, "safe": 2}[kind]
+        limit = self.configuration["routeTable"][route]["timeoutMs"] / 1000
+        body = b"x" * choices.choice([0, 10, 5000])
+        lines = ["%s /%s/%s HTTP/1.1" % ("GET" if kind == "safe" else "POST",
+                                         "sug"[route], name),
+                 "Host: h.example", "Attempt-Id: " + name, "Api-Key: " + key,
+                 "Tenant: forged", "Deadline-Ms: 20000",
+                 "Content-Length: %d" % len(body)]
+        if kind == "stream":
+            lines += ["Model: *", "Token-Usage: 100,20",
+                      "Prefix-Hash: a%d:50,b%s:50" % (
+                          choices.randrange(9), name.replace("-", "")[1:])]
+        reader, writer = connection
+        process = gateway.process
+        sent = time.monotonic()
+        self.asked += 1
+        status, headers, answer_body, whole = 0, {}, b"", False
+        try:
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            status, headers, answer_body, whole = await asyncio.wait_for(
+                read_answer(reader), limit + 4)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        except asyncio.TimeoutError:
+            status = -1
+        ended = time.monotonic()
+        calm = gateway.is_in_touch_since(sent) and gateway.process is process
+        if calm:
+            self.check("answer-by-timeout",
+                       ended - sent <= limit + TIMEOUT_SLACK_SECONDS +
+                       MACHINE_SLACK_SECONDS,
+                       "%s after %.2f s at %s, status %d" % (
+                           name, ended - sent, gateway.name, status))
+        if calm and self.shared_fault_until + CONTACT_SECONDS < sent and \
+                time.monotonic() > self.shared_fault_until + CONTACT_SECONDS:
+            self.check("calm-request-answered", whole and status != 0,
+                       "%s at %s: status %d" % (name, gateway.name, status))
+        self.judge(kind, key, name, status, headers, answer_body, whole)
+        if key == "k2" and self.revoked_at and calm and \
+                sent > self.revoked_at + APPLY_SECONDS + MACHINE_SLACK_SECONDS:
+            self.check("revoked-key", status in (0, 401, 503),
+                       "%s with a revoked key: %d at %s, %.2f s later" % (
+                           name, status, gateway.name, sent - self.revoked_at))
+        if whole and headers.get("connection", "").lower() != "close":
+            return connection
+        writer.close()
+        return None
+
+    def judge(self, kind, key, name, status, headers, body, whole):
+        if 200 <= status < 300 and whole:
+            self.served += 1
+            self.check("signed", "runner-signature" in headers, name)
+            self.check("own-answer", headers.get("attempt-id") == name,
+                       "%s got the answer to %s" % (
+                           name, headers.get("attempt-id")))
+            if kind == "stream":
+                ids = [int(line[4:]) for line in body.decode().split("\n")
+                       if line.startswith("id: ")]
+                self.check("whole-stream",
+                           ids == list(range(1, STREAM_EVENTS + 1)),
+                           "%s has events %s" % (name, ids))
+        if status in NOT_RUN and kind == "once":
+            self.refused.append(name)
+
+    def judge_runs(self):
+        """What the runners saw, after all is over."""
+        runs = {}
+        for runner in self.runners:
+            for headers, method, target, _ in runner.runs:
+                runs.setdefault(headers["attempt-id"], []).append(
+                    (runner.name, headers, method, target))
+        for name, rows in runs.items():
+            for _, headers, _, target in rows:
+                self.check("customer-of-the-key",
+                           headers.get("tenant") in ("t1", "t2") and
+                           "api-key" not in headers, "%s: %s" % (name, headers))
+                self.check("request-unchanged", target.endswith(name), target)
+                if target.startswith("/u/"):
+                    self.check("at-most-once", len(rows) == 1, "%s ran at %s" % (
+                        name, [row[0] for row in rows]))
+        for name in self.refused:
+            self.check("not-run-is-true", name not in runs,
+                       "%s was refused and ran at %s" % (
+                           name, [row[0] for row in runs.get(name, [])]))
+
+    async def run(self):
+        self.over = False
+        self.refused = []
+        keeper = asyncio.create_task(self.keep_running())
+        clients = [asyncio.create_task(self.client(number))
+                   for number in range(self.options.clients)]
+        await self.cause_faults()
+        # All faults are over: the service is back within the bound.
+        end = time.monotonic() + RECOVER_SECONDS
+        back = False
+        while not back and time.monotonic() < end:
+            before, asked = self.served, self.asked
+            await asyncio.sleep(1)
+            back = self.served - before >= 0.9 * 0.66 * (self.asked - asked) > 0
+        self.check("service-back", back, "%d of %d served" % (
+            self.served - before, self.asked - asked))
+        await asyncio.sleep(CONTACT_SECONDS + 1)
+        self.over = True
+        await asyncio.gather(*clients)
+        # A request that was refused must not run later either.
+        await asyncio.sleep(1)
+        keeper.cancel()
+        self.judge_runs()
+
+    def close(self):
+        for gateway in self.gateways:
+            if gateway.process.poll() is None:
+                gateway.process.kill()
+                gateway.process.wait()
+
+
+def play(seed, options):
+    soak = Soak(seed, options)
+    try:
+        asyncio.run(soak.run())
+    finally:
+        soak.close()
+    print("seed %d: %d asked, %d served, checks %s, logs in %s" % (
+        seed, soak.asked, soak.served, json.dumps(soak.checked), soak.folder))
+    for failure in soak.failures[:20]:
+        print("seed %d FAILED %s" % (seed, failure))
+    sys.stdout.flush()
+    return not soak.failures
+
+
+def play_apart(seeds, options):
+    """Each seed in a process of its own, a few at a time."""
+    waiting = list(seeds)
+    running = []
+    failed = []
+    while waiting or running:
+        while waiting and len(running) < options.jobs:
+            seed = waiting.pop(0)
+            running.append((seed, subprocess.Popen(
+                [sys.executable, __file__, sys.argv[1], "--one", str(seed),
+                 "--gateways", str(options.gateways),
+                 "--runners", str(options.runners),
+                 "--clients", str(options.clients)])))
+        time.sleep(0.2)
+        for row in list(running):
+            if row[1].poll() is not None:
+                running.remove(row)
+                if row[1].returncode:
+                    failed.append(row[0])
+    print("%d seeds, failed: %s" % (len(list(seeds)), sorted(failed)))
+    return not failed
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("binaries")
+    parser.add_argument("--seeds", default="")
+    parser.add_argument("--one", type=int)
+    parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--runners", type=int, default=4)
+    parser.add_argument("--clients", type=int, default=12)
+    parser.add_argument("--jobs", type=int, default=3)
+    options = parser.parse_args()
+    if options.one is not None:
+        sys.exit(0 if play(options.one, options) else 1)
+    seeds = [1, 2] + sorted(REGRESSIONS)
+    if options.seeds:
+        first, _, last = options.seeds.partition("-")
+        seeds = range(int(first), int(last or first) + 1)
+    sys.exit(0 if play_apart(seeds, options) else 1)
+
+
+main()
