Share one listener and one address conversion in net/

Cause: four listeners and clients each filled a socket address, and two did not check that the text was one; a peer's address that is none would have been taken for 0.0.0.0. ListenOn, SocketAddress, BoundPort and PeerText serve all of them. ParseKeepAliveMs no longer takes the address behind a value without a digit. Four accessors without a caller are gone. Ruled out: libevent's evutil_parse_sockaddr_port, which takes host names' forms and IPv6 as well, while the settings promise addresses of IP version 4. Unit tests of platform and core and test_gateway pass.

--- a/net/include/savory/net/http_link.h
+++ b/net/include/savory/net/http_link.h
@@ -176,8 +176,6 @@
   void Close();
 
   bool IsOpen() const { return mBuffer != nullptr; }
-  bool IsConnected() const { return mConnected; }
-  bool IsBusy() const { return mBusy; }
   bool IsFresh() const { return mAnswers == 0; }
   TimeMs IdleSinceMs() const { return mIdleSinceMs; }
   // How long the server keeps the connection when idle; 0 when unknown.
--- a/net/include/savory/net/inner.h
+++ b/net/include/savory/net/inner.h
@@ -84,7 +84,6 @@
   // Closes the connection and all its streams.
   void Close();
   bool IsOpen() const { return mSession != nullptr; }
-  bool IsConnected() const { return mConnected; }
   std::size_t StreamCount() const { return mStreams.size(); }
 
   // Called for each stream that the peer opened, before its first frame.
--- a/net/src/client_link.cpp
+++ b/net/src/client_link.cpp
@@ -1,5 +1,7 @@
 #include "savory/net/http_link.h"
 
+#include "savory/net/socket_address.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
@@ -20,16 +22,18 @@
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
 
-// The seconds that a Keep-Alive header states ("timeout=5" or "5").
+// The seconds that a Keep-Alive header states ("timeout=5" or "5"), in
+// milliseconds; 0 when it states none.
 TimeMs
 ParseKeepAliveMs(const std::string& aValue)
 {
-  auto digit = std::find_if(aValue.begin(), aValue.end(), [](char aChar) {
-    return aChar >= '0' && aChar <= '9';
-  });
+  std::size_t digit = aValue.find_first_of("0123456789");
   int seconds = 0;
-  std::from_chars(
-    &*digit, aValue.data() + aValue.size(), seconds); // 0 on failure
+  if (digit != std::string::npos) {
+    // Seconds stay 0 when the number is too large.
+    std::from_chars(
+      aValue.data() + digit, aValue.data() + aValue.size(), seconds);
+  }
   return TimeMs{ seconds } * 1000;
 }
 
@@ -112,14 +116,12 @@
     },
     link.get());
   bufferevent_enable(link->mBuffer, EV_READ | EV_WRITE);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(aServer.mPort));
-  inet_pton(AF_INET, aServer.mAddress.c_str(), &address.sin_addr);
+  auto address = SocketAddress(aServer.mAddress, aServer.mPort);
   link->mConnectTimer = Timer::After(aLoop, aOptions.mConnectTimeoutMs, fail);
-  if (bufferevent_socket_connect(link->mBuffer,
-                                 reinterpret_cast<sockaddr*>(&address),
-                                 sizeof address) != 0) {
+  if (!address ||
+      bufferevent_socket_connect(link->mBuffer,
+                                 reinterpret_cast<sockaddr*>(&*address),
+                                 sizeof *address) != 0) {
     Defer(aLoop, fail);
   }
   return link;
--- a/net/src/http_frontend.cpp
+++ b/net/src/http_frontend.cpp
@@ -1,5 +1,7 @@
 #include "savory/net/http_link.h"
 
+#include "savory/net/socket_address.h"
+
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -377,37 +379,19 @@
 int
 HttpFrontend::Listen(const std::string& aAddress, int aPort)
 {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
-  inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr);
-  mListener = evconnlistener_new_bind(
-    mLoop.Base(),
+  mListener = ListenOn(
+    mLoop,
+    aAddress,
+    aPort,
     [](evconnlistener*,
        evutil_socket_t aSocket,
        sockaddr* aPeer,
        int,
        void* aSelf) {
-      char text[INET_ADDRSTRLEN] = "";
-      inet_ntop(AF_INET,
-                &reinterpret_cast<sockaddr_in*>(aPeer)->sin_addr,
-                text,
-                sizeof text);
-      static_cast<HttpFrontend*>(aSelf)->Accept(aSocket, text);
+      static_cast<HttpFrontend*>(aSelf)->Accept(aSocket, PeerText(aPeer));
     },
-    this,
-    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-    SOMAXCONN,
-    reinterpret_cast<sockaddr*>(&address),
-    sizeof address);
-  if (!mListener) {
-    return 0;
-  }
-  socklen_t size = sizeof address;
-  getsockname(evconnlistener_get_fd(mListener),
-              reinterpret_cast<sockaddr*>(&address),
-              &size);
-  return ntohs(address.sin_port);
+    this);
+  return mListener ? BoundPort(evconnlistener_get_fd(mListener)) : 0;
 }
 
 void
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -1,5 +1,7 @@
 #include "savory/net/http_server.h"
 
+#include "savory/net/socket_address.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cctype>
@@ -307,12 +309,7 @@
   if (!bound) {
     return 0;
   }
-  sockaddr_in address{};
-  socklen_t size = sizeof address;
-  getsockname(evhttp_bound_socket_get_fd(bound),
-              reinterpret_cast<sockaddr*>(&address),
-              &size);
-  return ntohs(address.sin_port);
+  return BoundPort(evhttp_bound_socket_get_fd(bound));
 }
 
 } // namespace savory
--- a/net/src/inner.cpp
+++ b/net/src/inner.cpp
@@ -1,5 +1,7 @@
 #include "savory/net/inner.h"
 
+#include "savory/net/socket_address.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cstring>
@@ -290,12 +292,10 @@
   bufferevent* buffer =
     bufferevent_socket_new(aLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
   connection->Attach(buffer);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(aPeer.mPort));
-  if (inet_pton(AF_INET, aPeer.mAddress.c_str(), &address.sin_addr) != 1 ||
+  auto address = SocketAddress(aPeer.mAddress, aPeer.mPort);
+  if (!address ||
       bufferevent_socket_connect(
-        buffer, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+        buffer, reinterpret_cast<sockaddr*>(&*address), sizeof *address) != 0) {
     Defer(aLoop, [connection] { connection->Close(); });
     return connection;
   }
@@ -538,42 +538,25 @@
 int
 InnerListener::Listen(const std::string& aAddress, int aPort)
 {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
-  if (inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr) != 1) {
-    return 0;
-  }
-  mListener = evconnlistener_new_bind(
-    mLoop.Base(),
+  mListener = ListenOn(
+    mLoop,
+    aAddress,
+    aPort,
     [](evconnlistener*,
        evutil_socket_t aSocket,
        sockaddr* aPeer,
        int,
        void* aSelf) {
       auto* self = static_cast<InnerListener*>(aSelf);
-      char text[INET_ADDRSTRLEN] = "";
-      auto* peer = reinterpret_cast<sockaddr_in*>(aPeer);
-      inet_ntop(AF_INET, &peer->sin_addr, text, sizeof text);
-      auto connection = InnerConnection::Accept(self->mLoop, aSocket, text);
+      auto connection =
+        InnerConnection::Accept(self->mLoop, aSocket, PeerText(aPeer));
       connection->mOnStream = self->mOnStream;
       auto* raw = connection.get();
       connection->mOnClosed = [self, raw] { self->mConnections.erase(raw); };
       self->mConnections[raw] = connection;
     },
-    this,
-    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-    -1,
-    reinterpret_cast<sockaddr*>(&address),
-    sizeof address);
-  if (!mListener) {
-    return 0;
-  }
-  socklen_t size = sizeof address;
-  getsockname(evconnlistener_get_fd(mListener),
-              reinterpret_cast<sockaddr*>(&address),
-              &size);
-  return ntohs(address.sin_port);
+    this);
+  return mListener ? BoundPort(evconnlistener_get_fd(mListener)) : 0;
 }
 
 } // namespace savory
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -1,13 +1,12 @@
 #include "peers.h"
 
 #include "savory/net/log.h"
+#include "savory/net/socket_address.h"
 #include "savory/platform/base64.h"
 
-#include <arpa/inet.h>
 #include <cmath>
 #include <event2/event.h>
 #include <event2/util.h>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -48,16 +47,6 @@
 // Suspects told at once.
 constexpr std::size_t kMaxSuspectsTold = 32;
 
-sockaddr_in
-ToSocketAddress(const std::string& aAddress, int aPort)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
-  inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr);
-  return address;
-}
-
 Json
 ToJson(const SuspectRow& aRow)
 {
@@ -210,10 +199,9 @@
     return false;
   }
   mSocket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  sockaddr_in own =
-    ToSocketAddress(settings.mAddress, settings.mPeerDatagramPort);
-  if (mSocket < 0 ||
-      bind(mSocket, reinterpret_cast<sockaddr*>(&own), sizeof own) != 0) {
+  auto own = SocketAddress(settings.mAddress, settings.mPeerDatagramPort);
+  if (mSocket < 0 || !own ||
+      bind(mSocket, reinterpret_cast<sockaddr*>(&*own), sizeof *own) != 0) {
     return false;
   }
   mEvent = event_new(
@@ -361,15 +349,18 @@
 void
 Peers::SendDatagram(const std::string& aAddress, const std::string& aBytes)
 {
-  sockaddr_in target =
-    ToSocketAddress(aAddress, mShared.mSettings.mPeerDatagramPort);
+  // An address that a peer told of may be none.
+  auto target = SocketAddress(aAddress, mShared.mSettings.mPeerDatagramPort);
+  if (!target) {
+    return;
+  }
   // A datagram that cannot be sent is replaced by the next one.
   (void)sendto(mSocket,
                aBytes.data(),
                aBytes.size(),
                0,
-               reinterpret_cast<sockaddr*>(&target),
-               sizeof target);
+               reinterpret_cast<sockaddr*>(&*target),
+               sizeof *target);
 }
 
 // Passes a beacon of another zone on to the hosts of this one.
--- a/router/gateway/runner_links.cpp
+++ b/router/gateway/runner_links.cpp
@@ -78,16 +78,6 @@
   mIdle.erase(aRunner);
 }
 
-std::size_t
-RunnerLinks::IdleCount() const
-{
-  std::size_t count = 0;
-  for (const auto& [runner, links] : mIdle) {
-    count += links.size();
-  }
-  return count;
-}
-
 void
 RunnerLinks::Sweep()
 {
--- a/router/gateway/runner_links.h
+++ b/router/gateway/runner_links.h
@@ -21,7 +21,6 @@
   void Keep(std::shared_ptr<ClientLink> aLink);
   // Closes the idle connections to a runner that is gone or has restarted.
   void Drop(const std::string& aRunner);
-  std::size_t IdleCount() const;
 
 private:
   void Sweep();
