--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -16,8 +16,8 @@
 // How often expired beliefs, roll-outs and the shutdown are looked at.
 constexpr TimeMs kTickMs = 100;
 
-// The pause after a write of a roll-out's progress, in which the store's own
-// account of it arrives.
+// The pause after a write of a roll-out's progress that did not take effect, in
+// which the store's own account of the progress arrives.
 constexpr TimeMs kDrivePauseMs = 400;
 
 // During a shutdown the platform needs two missed questions, a second apart,
@@ -330,7 +330,9 @@
     transaction,
     [this, aService, aNext](tl::expected<StoreCommit, StoreError> aResult) {
       std::string outcome = "conflict";
-      mNextDriveMs = mLoop.NowMs() + kDrivePauseMs;
+      if (!aResult || !aResult->mSucceeded) {
+        mNextDriveMs = mLoop.NowMs() + kDrivePauseMs;
+      }
       if (!aResult) {
         outcome = aResult.error().mReason;
       } else if (!aResult->mSucceeded) {
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -16,6 +16,7 @@
 import time
 
 from fleet_platform import CONFIGURATION, Runner, Store, free_port
+from soak_faults import FaultProxy
 
 BINARY = os.path.join(sys.argv[1], "savorystream")
 FOLDER = tempfile.mkdtemp(prefix="savory-gateway-")
@@ -105,8 +106,8 @@
             runner.register()
         self.gateways = []
 
-    def gateway(self, name, **options):
-        gateway = Gateway(name, self.store, **options)
+    def gateway(self, name, store=None, **options):
+        gateway = Gateway(name, store or self.store, **options)
         self.gateways.append(gateway)
         wait_until(gateway.is_ready, what=name + " ready")
         return gateway
@@ -232,6 +233,23 @@
     assert gateway.call("GET", "/g/x")[0] == 200
 
 
+def finds_a_store_that_went_silent(world):
+    """Soak seed 74: a watch of which no answer came hid a taken key for longer
+    than the platform takes a gateway for out of touch (3 s)."""
+    proxy = FaultProxy(world.store.loop, world.store.address)
+    gateway = world.gateway("silent", store=proxy)
+    time.sleep(0.4)
+    proxy.set("silent")
+    time.sleep(0.1)
+    proxy.set("pass")
+    changed = copy.deepcopy(CONFIGURATION)
+    changed["version"] = 9
+    changed["tenants"][0]["apiKeys"] = ["k2"]
+    world.store.put("op/config", changed)
+    wait_until(lambda: gateway.call("GET", "/g/x", key="k1")[0] == 401, 3,
+               "the key to be refused")
+
+
 def learns_from_peers(world):
     peers, datagrams = free_port(), free_port()
     seeds = ["127.0.0.2:%d" % peers, "127.0.0.3:%d" % peers]
@@ -340,7 +358,8 @@
     failed = 0
     checks = [serves_and_rejects, asks_the_larger_model, resumes_a_torn_stream,
               never_runs_twice, goes_elsewhere_when_it_may, leaves_what_leaves,
-              keeps_serving_without_the_store, learns_from_peers,
+              keeps_serving_without_the_store,
+              finds_a_store_that_went_silent, learns_from_peers,
               completes_a_good_version, rolls_back_a_bad_version,
               stops_gracefully, log_never_blocks, check_names_faults]
     for check in checks:
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -26,6 +26,7 @@
 REGRESSIONS = {
     25: "the soak's own: two crashes of one runner overlapped",
     51: "the soak's own: two crashes of one runner overlapped",
+    74: "a watch without an answer was waited for longer than 3 s",
 }
 
 FAULT_SECONDS = 10
