--- a/core/include/savory/core/events.h
+++ b/core/include/savory/core/events.h
@@ -57,6 +57,8 @@
   PeerHeard = 506,
   PeerPulled = 507,
   PeerPullFailed = 508,
+  PeerMessageDropped = 509,
+  WatchDutyChanged = 510,
   SlotTaken = 601,
   SlotLost = 602,
   BillsWritten = 603,
@@ -70,7 +72,7 @@
   Severity mSeverity;
 };
 
-inline constexpr std::array<EventRow, 43> kEventTable{ {
+inline constexpr std::array<EventRow, 45> kEventTable{ {
   { Event::ProcessStarted, "process-started", Severity::Info },
   { Event::DrainStarted, "drain-started", Severity::Info },
   { Event::ProcessStopped, "process-stopped", Severity::Info },
@@ -110,6 +112,8 @@
   { Event::PeerHeard, "peer-heard", Severity::Info },
   { Event::PeerPulled, "peer-pulled", Severity::Info },
   { Event::PeerPullFailed, "peer-pull-failed", Severity::Warning },
+  { Event::PeerMessageDropped, "peer-message-dropped", Severity::Warning },
+  { Event::WatchDutyChanged, "watch-duty-changed", Severity::Info },
   { Event::SlotTaken, "slot-taken", Severity::Info },
   { Event::SlotLost, "slot-lost", Severity::Warning },
   { Event::BillsWritten, "bills-written", Severity::Info },
--- /dev/null
+++ b/core/src/peer_message.cpp
@@ -0,0 +1,241 @@
+#include "savory/core/peer_message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace savory {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint8_t kFormatVersion = 2;
+constexpr std::size_t kHeaderBytes = 2;
+
+// Largest size in CBOR of an unsigned 64-bit integer or a double, and of the
+// head of a text or an array.
+constexpr std::size_t kNumberBytes = 9;
+constexpr std::size_t kLengthBytes = 5;
+
+Json
+ToJson(const SuspectRow& aRow)
+{
+  Json crashes = Json::array();
+  for (const Crash& crash : aRow.mCrashes) {
+    crashes.push_back({ crash.mId, crash.mIsolated, crash.mCleared });
+  }
+  return { aRow.mFingerprint, aRow.mAgeMs, crashes };
+}
+
+SuspectRow
+ToSuspectRow(const Json& aJson)
+{
+  SuspectRow row;
+  row.mFingerprint = aJson.at(0).get<std::uint64_t>();
+  row.mAgeMs = aJson.at(1).get<TimeMs>();
+  for (const Json& crash : aJson.at(2)) {
+    row.mCrashes.push_back({ crash.at(0).get<std::uint64_t>(),
+                             crash.at(1).get<bool>(),
+                             crash.at(2).get<bool>() });
+  }
+  return row;
+}
+
+std::string
+EncodeDatagram(PeerDatagramKind aKind, const Json& aDocument)
+{
+  std::vector<std::uint8_t> bytes{ kFormatVersion,
+                                   static_cast<std::uint8_t>(aKind) };
+  Json::to_cbor(aDocument, bytes);
+  return { bytes.begin(), bytes.end() };
+}
+
+Json
+ParseDocument(std::string_view aBytes)
+{
+  if (aBytes.size() < kHeaderBytes) {
+    return {};
+  }
+  aBytes.remove_prefix(kHeaderBytes);
+  return Json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+}
+
+PeerMessage
+ToPeerMessage(const Json& aDocument)
+{
+  PeerMessage message;
+  message.mHost = aDocument.at("h").get<std::string>();
+  message.mAddress = aDocument.at("a").get<std::string>();
+  message.mZone = aDocument.at("z").get<std::string>();
+  message.mStoreRevision = aDocument.at("r").get<std::int64_t>();
+  message.mLeaving = aDocument.at("l").get<bool>();
+  message.mMayWatch = aDocument.at("u").get<bool>();
+  if (aDocument.contains("g")) {
+    message.mContactAgeMs = aDocument.at("g").get<TimeMs>();
+  }
+  message.mReachableForMs = aDocument.at("o").get<TimeMs>();
+  message.mLiveHosts = aDocument.at("n").get<int>();
+  for (const Json& row : aDocument.at("s")) {
+    message.mShifts[row.at(0).get<std::string>()] = {
+      row.at(1).get<std::int64_t>(),
+      row.at(2).get<TimeMs>(),
+      { row.at(3).get<std::int64_t>(),
+        row.at(4).get<std::int64_t>(),
+        row.at(5).get<std::int64_t>(),
+        row.at(6).get<int>() }
+    };
+  }
+  for (const Json& row : aDocument.at("q")) {
+    message.mSuspects.push_back(ToSuspectRow(row));
+  }
+  for (const auto& [runner, row] : aDocument.at("w").items()) {
+    message.mPrefills[runner] = { row.at(0).get<double>(),
+                                  row.at(1).get<std::vector<std::uint64_t>>() };
+  }
+  message.mLiveAddresses = aDocument.at("k").get<std::vector<std::string>>();
+  return message;
+}
+
+ChangeMessage
+ToChangeMessage(const Json& aDocument)
+{
+  ChangeMessage message;
+  message.mAddress = aDocument.at("a").get<std::string>();
+  message.mFromRevision = aDocument.at("f").get<std::int64_t>();
+  message.mToRevision = aDocument.at("r").get<std::int64_t>();
+  for (const Json& row : aDocument.at("c")) {
+    ChangeRow change;
+    change.mKey = row.at(0).get<std::string>();
+    change.mRevision = row.at(1).get<std::int64_t>();
+    if (row.size() > 2) {
+      const auto& value = row.at(2).get_binary();
+      change.mValue = std::string(value.begin(), value.end());
+    }
+    message.mRows.push_back(std::move(change));
+  }
+  return message;
+}
+
+} // namespace
+
+std::string
+EncodePeerMessage(const PeerMessage& aMessage)
+{
+  Json shifts = Json::array();
+  for (const auto& [service, row] : aMessage.mShifts) {
+    shifts.push_back({ service,
+                       row.mOrderRevision,
+                       row.mOrderAgeMs,
+                       row.mCounts.mGood,
+                       row.mCounts.mFailed,
+                       row.mCounts.mSlow,
+                       row.mCounts.mBaselineInFlight });
+  }
+  Json suspects = Json::array();
+  for (const SuspectRow& row : aMessage.mSuspects) {
+    suspects.push_back(ToJson(row));
+  }
+  Json prefills = Json::object();
+  for (const auto& [runner, row] : aMessage.mPrefills) {
+    prefills[runner] = { row.mTotalMs, row.mPartKeys };
+  }
+  Json document{ { "h", aMessage.mHost },
+                 { "a", aMessage.mAddress },
+                 { "z", aMessage.mZone },
+                 { "r", aMessage.mStoreRevision },
+                 { "l", aMessage.mLeaving },
+                 { "u", aMessage.mMayWatch },
+                 { "o", aMessage.mReachableForMs },
+                 { "n", aMessage.mLiveHosts },
+                 { "s", shifts },
+                 { "q", suspects },
+                 { "w", prefills },
+                 { "k", aMessage.mLiveAddresses } };
+  if (aMessage.mContactAgeMs) {
+    document["g"] = *aMessage.mContactAgeMs;
+  }
+  return EncodeDatagram(PeerDatagramKind::Beacon, document);
+}
+
+std::string
+EncodeChangeMessage(const ChangeMessage& aMessage)
+{
+  Json rows = Json::array();
+  std::size_t valueBytes = 0;
+  for (const ChangeRow& row : aMessage.mRows) {
+    Json fields{ row.mKey, row.mRevision };
+    if (row.mValue) {
+      valueBytes += row.mValue->size();
+      if (valueBytes > kMaxPeerDatagramBytes) {
+        return {};
+      }
+      fields.push_back(
+        Json::binary({ row.mValue->begin(), row.mValue->end() }));
+    }
+    rows.push_back(std::move(fields));
+  }
+  std::string bytes = EncodeDatagram(PeerDatagramKind::Changes,
+                                     { { "a", aMessage.mAddress },
+                                       { "f", aMessage.mFromRevision },
+                                       { "r", aMessage.mToRevision },
+                                       { "c", rows } });
+  return bytes.size() <= kMaxPeerDatagramBytes ? bytes : std::string();
+}
+
+tl::expected<PeerDatagramKind, std::string>
+ParseDatagramKind(std::string_view aBytes)
+{
+  if (aBytes.size() < kHeaderBytes) {
+    return tl::unexpected(std::string("shorter than its header"));
+  }
+  auto version = static_cast<std::uint8_t>(aBytes[0]);
+  if (version != kFormatVersion) {
+    return tl::unexpected("format version " + std::to_string(version));
+  }
+  auto kind = static_cast<std::uint8_t>(aBytes[1]);
+  if (kind < static_cast<std::uint8_t>(PeerDatagramKind::Beacon) ||
+      kind > static_cast<std::uint8_t>(PeerDatagramKind::Changes)) {
+    return tl::unexpected("kind " + std::to_string(kind));
+  }
+  return static_cast<PeerDatagramKind>(kind);
+}
+
+void
+SetDatagramKind(std::string& aBytes, PeerDatagramKind aKind)
+{
+  aBytes[1] = static_cast<char>(aKind);
+}
+
+std::optional<PeerMessage>
+DecodePeerMessage(std::string_view aBytes)
+{
+  Json document = ParseDocument(aBytes);
+  // The library reports missing fields and wrong types by exceptions.
+  try {
+    return document.is_object() ? std::optional(ToPeerMessage(document))
+                                : std::nullopt;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::optional<ChangeMessage>
+DecodeChangeMessage(std::string_view aBytes)
+{
+  Json document = ParseDocument(aBytes);
+  try {
+    return document.is_object() ? std::optional(ToChangeMessage(document))
+                                : std::nullopt;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::size_t
+EncodedPrefillBytes(std::string_view aRunner,
+                    const PeerMessage::PrefillReport& aReport)
+{
+  return aRunner.size() + 3 * kLengthBytes + kNumberBytes +
+         kNumberBytes * aReport.mPartKeys.size();
+}
+
+} // namespace savory
--- /dev/null
+++ b/core/src/watch_duty.cpp
@@ -0,0 +1,108 @@
+#include "savory/core/watch_duty.h"
+
+#include <algorithm>
+#include <limits>
+#include <xxhash.h>
+
+namespace savory {
+
+namespace {
+
+// With this bound on a change or a higher one, a zone has one watcher: a change
+// that it misses arrives within 3 s.
+constexpr TimeMs kMinSingleWatcherBoundMs = 4000;
+
+// From this bound on, a zone has two watchers, so that the loss of one delays
+// no change. Below it, all hosts watch.
+constexpr TimeMs kMinFollowBoundMs = 3000;
+
+// The zone's name is part of the key, so that hosts with alike names in
+// different zones do not all rank first.
+std::uint64_t
+Rank(const std::string& aHost, const std::string& aZone)
+{
+  return XXH3_64bits_withSeed(
+    aHost.data(), aHost.size(), XXH3_64bits(aZone.data(), aZone.size()));
+}
+
+bool
+IsLive(const ZonePeer& aPeer, const WatchDutyOptions& aOptions, TimeMs aNowMs)
+{
+  return !aPeer.mLeaving && aNowMs - aPeer.mHeardMs < aOptions.mMaxSilenceMs;
+}
+
+} // namespace
+
+int
+WatcherCount(const WatchDutyOptions& aOptions)
+{
+  if (aOptions.mChangeBoundMs < kMinFollowBoundMs) {
+    return std::numeric_limits<int>::max();
+  }
+  return aOptions.mChangeBoundMs < kMinSingleWatcherBoundMs ? 2 : 1;
+}
+
+bool
+IsInContact(const ZonePeer& aPeer,
+            const WatchDutyOptions& aOptions,
+            TimeMs aNowMs)
+{
+  return IsLive(aPeer, aOptions, aNowMs) && aPeer.mContactMs &&
+         aNowMs - *aPeer.mContactMs < aOptions.mMaxContactAgeMs;
+}
+
+void
+UpdateWatchDuty(WatchDuty& aDuty,
+                const WatchDutyOptions& aOptions,
+                const std::vector<ZonePeer>& aPeers,
+                bool aMayWatch,
+                TimeMs aNowMs)
+{
+  std::uint64_t localRank = Rank(aOptions.mHost, aOptions.mZone);
+  int candidatesAbove = 0;
+  int watchers = 0;
+  int watchersAbove = 0;
+  for (const ZonePeer& peer : aPeers) {
+    if (!IsLive(peer, aOptions, aNowMs)) {
+      continue;
+    }
+    bool above = Rank(peer.mHost, aOptions.mZone) > localRank;
+    candidatesAbove += above && peer.mMayWatch;
+    if (IsInContact(peer, aOptions, aNowMs)) {
+      aDuty.mReachableSinceMs =
+        watchers == 0
+          ? peer.mReachableSinceMs
+          : std::min(aDuty.mReachableSinceMs, peer.mReachableSinceMs);
+      ++watchers;
+      watchersAbove += above;
+    }
+  }
+  int electedHosts = WatcherCount(aOptions);
+  bool isElected = aMayWatch && candidatesAbove < electedHosts;
+  // A host that already watches stops only for a watcher of a higher rank;
+  // otherwise two hosts that took over would both stop.
+  aDuty.mCovered =
+    !isElected &&
+    (aDuty.mWatching && aMayWatch ? watchersAbove > 0 : watchers > 0);
+  if (aDuty.mCovered) {
+    aDuty.mWatching = false;
+    aDuty.mUncoveredMs.reset();
+    return;
+  }
+  if (aDuty.mWatching) {
+    return;
+  }
+  if (!aDuty.mUncoveredMs) {
+    aDuty.mUncoveredMs = aNowMs;
+  }
+  TimeMs delayMs = isElected ? 0
+                             : std::min(aOptions.mMaxTakeoverMs,
+                                        aOptions.mTakeoverStepMs *
+                                          (candidatesAbove - electedHosts + 1));
+  if (aNowMs - *aDuty.mUncoveredMs >= delayMs) {
+    aDuty.mWatching = true;
+    aDuty.mUncoveredMs.reset();
+  }
+}
+
+} // namespace savory
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -275,6 +275,7 @@
 {
   TimeMs now = mLoop.NowMs();
   CheckSuspension();
+  mPeers.UpdateSharing();
   for (const std::string& id : PruneRunners(mShared.mState.mRunners, now)) {
     LogEvent(Event::RunnerGone, { { "runner", id }, { "lapsed", "over" } });
   }
@@ -302,6 +303,7 @@
     for (const auto& [id, runner] : mShared.mState.mRunners.mRunners) {
       mShared.mLinks.CloseIdle(runner.mRegistration.mAddress);
     }
+    mPeers.OnResumed();
   }
   mTotalSuspendedMs = totalMs;
 }
--- a/router/gateway/gateway.h
+++ b/router/gateway/gateway.h
@@ -2,7 +2,7 @@
 
 #include "exchange.h"
 #include "peers.h"
-#include "savory/platform/fleet_store.h"
+#include "savory/platform/fleet_watcher.h"
 
 #include <map>
 #include <memory>
--- a/router/gateway/gateway_metrics.h
+++ b/router/gateway/gateway_metrics.h
@@ -21,6 +21,13 @@
                                     "Requests sent to runners, by outcome.",
                                     { { "outcome", aOutcome } }));
   }
+  void CountDroppedDatagram()
+  {
+    mRegistry.Add(
+      mRegistry.Counter("savory_gateway_datagrams_dropped_total",
+                        "Datagrams of peers that could not be read.",
+                        {}));
+  }
   void ObserveFirstByte(const std::string& aRoute, double aSeconds)
   {
     mRegistry.Observe(
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -2,12 +2,13 @@
 
 #include "savory/net/log.h"
 #include "savory/net/socket_address.h"
-#include "savory/platform/base64.h"
 
+#include <algorithm>
+#include <arpa/inet.h>
 #include <cmath>
 #include <event2/event.h>
 #include <event2/util.h>
-#include <nlohmann/json.hpp>
+#include <iterator>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,8 +16,6 @@
 
 namespace {
 
-using Json = nlohmann::json;
-
 // Interval of peer messages. A rollback must be done within seconds, and each
 // datagram between zones costs money.
 constexpr TimeMs kSendIntervalMs = 300;
@@ -27,20 +26,27 @@
 constexpr TimeMs kBatchDelayMs = 20;
 constexpr int kPeersAtMinBatchDelay = 4;
 
-// A peer without a message for this long is considered down.
-constexpr TimeMs kPeerTimeoutMs = 2500;
-
 // A peer that sent messages, but none for this long, is removed. Addresses from
 // which none arrived yet stay.
 constexpr TimeMs kPeerRemovalMs = 20000;
 
-// Time limit for fetching the store's entries from a peer.
-constexpr TimeMs kPullTimeoutMs = 1500;
+// The size of the receive buffer; a longer datagram is truncated and cannot be
+// decoded.
+constexpr std::size_t kReceiveBufferBytes = 2 * kMaxPeerDatagramBytes;
+
+// Largest part of a beacon that prefill reports take. Those that do not fit are
+// in the next one.
+constexpr std::size_t kMaxPrefillBytes = kMaxPeerDatagramBytes / 2;
+
+// Number of live addresses in a beacon. They are drawn anew each time, so that
+// all hosts know each other within a few beacons.
+constexpr std::size_t kAddressesPerMessage = 12;
 
-// Largest datagram that is received; a longer one is truncated and cannot be
-// decoded. It fits an unfragmented UDP packet of the loopback interface with
-// some room; networks with a smaller MTU fragment it.
-constexpr std::size_t kMaxDatagramBytes = 16 * 1024;
+// A host that has just started and has not heard its peers yet assumes a fleet
+// of this size for this long, so that it does not take too large a share of
+// what all hosts have in common.
+constexpr int kUnknownFleetHosts = 500;
+constexpr TimeMs kUnknownFleetMs = 1500;
 
 // A peer whose store revision is behind this host's by more than this is not
 // accepted as coordinator: it may be cut off from the store.
@@ -49,131 +55,44 @@
 // Maximum number of quarantine suspects in one message.
 constexpr std::size_t kMaxSuspectRows = 32;
 
-Json
-ToJson(const SuspectRow& aRow)
-{
-  Json crashes = Json::array();
-  for (const Crash& crash : aRow.mCrashes) {
-    crashes.push_back({ crash.mId, crash.mIsolated, crash.mCleared });
-  }
-  return { aRow.mFingerprint, aRow.mAgeMs, crashes };
-}
+// Maximum number of sources of unreadable datagrams that are remembered.
+constexpr std::size_t kMaxDroppedSources = 1024;
 
-SuspectRow
-ToSuspectRow(const Json& aJson)
-{
-  SuspectRow row;
-  row.mFingerprint = aJson.at(0).get<std::uint64_t>();
-  row.mAgeMs = aJson.at(1).get<TimeMs>();
-  for (const Json& crash : aJson.at(2)) {
-    row.mCrashes.push_back({ crash.at(0).get<std::uint64_t>(),
-                             crash.at(1).get<bool>(),
-                             crash.at(2).get<bool>() });
-  }
-  return row;
-}
-
-} // namespace
+// A peer whose last answer from the store is older than this is not taken to
+// reach it. It covers the wait and the pause of its watch.
+constexpr TimeMs kMaxContactAgeMs = 4000;
 
-std::string
-EncodePeerMessage(const PeerMessage& aMessage)
-{
-  Json shifts = Json::array();
-  for (const auto& [service, row] : aMessage.mShifts) {
-    shifts.push_back({ service,
-                       row.mOrderRevision,
-                       row.mOrderAgeMs,
-                       row.mCounts.mGood,
-                       row.mCounts.mFailed,
-                       row.mCounts.mSlow,
-                       row.mCounts.mBaselineInFlight });
-  }
-  Json suspects = Json::array();
-  for (const SuspectRow& row : aMessage.mSuspects) {
-    suspects.push_back(ToJson(row));
-  }
-  Json prefills = Json::object();
-  for (const auto& [runner, row] : aMessage.mPrefills) {
-    prefills[runner] = { row.mTotalMs, row.mPartKeys };
-  }
-  Json document{ { "h", aMessage.mHost },
-                 { "a", aMessage.mAddress },
-                 { "z", aMessage.mZone },
-                 { "f", aMessage.mRelay },
-                 { "r", aMessage.mStoreRevision },
-                 { "l", aMessage.mLeaving },
-                 { "u", aMessage.mReachesStore },
-                 { "s", shifts },
-                 { "q", suspects },
-                 { "w", prefills },
-                 { "k", aMessage.mLiveAddresses } };
-  std::vector<std::uint8_t> bytes = Json::to_cbor(document);
-  return { bytes.begin(), bytes.end() };
-}
-
-std::optional<PeerMessage>
-DecodePeerMessage(std::string_view aBytes)
+bool
+HasContact(const Peer& aPeer, TimeMs aNowMs)
 {
-  Json document = Json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
-  if (!document.is_object()) {
-    return std::nullopt;
-  }
-  // The library reports missing fields and wrong types by exceptions.
-  try {
-    PeerMessage message;
-    message.mHost = document.at("h").get<std::string>();
-    message.mAddress = document.at("a").get<std::string>();
-    message.mZone = document.at("z").get<std::string>();
-    message.mRelay = document.at("f").get<bool>();
-    message.mStoreRevision = document.at("r").get<std::int64_t>();
-    message.mLeaving = document.at("l").get<bool>();
-    message.mReachesStore = document.at("u").get<bool>();
-    for (const Json& row : document.at("s")) {
-      message.mShifts[row.at(0).get<std::string>()] = {
-        row.at(1).get<std::int64_t>(),
-        row.at(2).get<TimeMs>(),
-        { row.at(3).get<std::int64_t>(),
-          row.at(4).get<std::int64_t>(),
-          row.at(5).get<std::int64_t>(),
-          row.at(6).get<int>() }
-      };
-    }
-    for (const Json& row : document.at("q")) {
-      message.mSuspects.push_back(ToSuspectRow(row));
-    }
-    for (const auto& [runner, row] : document.at("w").items()) {
-      message.mPrefills[runner] = {
-        row.at(0).get<double>(), row.at(1).get<std::vector<std::uint64_t>>()
-      };
-    }
-    message.mLiveAddresses = document.at("k").get<std::vector<std::string>>();
-    return message;
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  return aPeer.mContactMs && aNowMs - *aPeer.mContactMs < kMaxContactAgeMs;
 }
 
 std::string
-FormatFleetEntries(const StoreWatcher& aWatcher)
+FormatAddress(std::uint32_t aAddress)
 {
-  Json entries = Json::array();
-  for (const auto& [key, entry] : aWatcher.Entries()) {
-    entries.push_back({ { "key", key },
-                        { "value", EncodeBase64(entry.mValue) },
-                        { "revision", entry.mModRevision } });
-  }
-  return Json{ { "at", aWatcher.Revision() }, { "entries", entries } }.dump();
+  in_addr address{ htonl(aAddress) };
+  char text[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &address, text, sizeof text);
+  return text;
 }
 
+} // namespace
+
 Peers::Peers(GatewayShared& aShared, StoreWatcher& aWatcher)
   : mShared(aShared)
   , mWatcher(aWatcher)
   , mFrontend(aShared.mLoop,
               [this](const IncomingRequest& aRequest,
                      const std::shared_ptr<CallerLink>& aCaller) {
-                OnPeerRequest(aRequest, aCaller);
+                mSharing.OnRequest(aRequest, aCaller);
               })
+  , mSharing(aShared.mLoop, aShared.mSettings, mPeers, aWatcher)
 {
+  mSharing.mSendToZone = [this](const std::string& aBytes) {
+    SendToZone(aBytes, mShared.mSettings.mAddress);
+  };
+  mSharing.mOnRevisionChanged = [this] { Send(); };
   for (const Endpoint& seed : mShared.mSettings.mSeeds) {
     if (seed.mAddress != mShared.mSettings.mAddress) {
       mPeers[seed.mAddress];
@@ -220,6 +139,7 @@
     this);
   event_add(mEvent, nullptr);
   mShared.mOnLongPrefill = [this] { ScheduleSend(); };
+  mStartedMs = mShared.mLoop.NowMs();
   mSendTimer = Timer::Every(mShared.mLoop, kSendIntervalMs, [this] { Send(); });
   Send();
   return true;
@@ -230,7 +150,7 @@
 {
   int live = 0;
   for (const auto& [address, peer] : mPeers) {
-    live += aNowMs - peer.mLastHeardMs < kPeerTimeoutMs;
+    live += IsLive(peer, aNowMs);
   }
   return live;
 }
@@ -239,7 +159,7 @@
 Peers::IsStoreServingPeers(TimeMs aNowMs) const
 {
   for (const auto& [address, peer] : mPeers) {
-    if (aNowMs - peer.mLastHeardMs < kPeerTimeoutMs && peer.mReachesStore) {
+    if (IsLive(peer, aNowMs) && HasContact(peer, aNowMs)) {
       return true;
     }
   }
@@ -249,11 +169,11 @@
 bool
 Peers::IsCoordinator(TimeMs aNowMs) const
 {
-  if (!mWatcher.IsReachable() || mLeaving) {
+  if (!mWatcher.IsReachable() || mWatcher.IsFollowing() || mLeaving) {
     return false;
   }
   for (const auto& [address, peer] : mPeers) {
-    if (aNowMs - peer.mLastHeardMs < kPeerTimeoutMs && !peer.mLeaving &&
+    if (IsLive(peer, aNowMs) && HasContact(peer, aNowMs) && !peer.mLeaving &&
         peer.mStoreRevision >=
           mWatcher.Revision() - kMaxCoordinatorLagRevisions &&
         peer.mHost < mShared.mSettings.mHost) {
@@ -283,22 +203,62 @@
   }
 }
 
+// Number of hosts that share the budgets of the fleet. Peers may know more of
+// them than this host, which may just have started.
+int
+Peers::CountEntryHosts(TimeMs aNowMs) const
+{
+  int hosts = std::max(1 + LivePeerCount(aNowMs),
+                       static_cast<int>(mShared.mSettings.mSeeds.size()));
+  bool isHeard = false;
+  for (const auto& [address, peer] : mPeers) {
+    if (IsLive(peer, aNowMs)) {
+      isHeard = true;
+      hosts = std::max(hosts, peer.mLiveHosts);
+    }
+  }
+  bool mayHavePeers = !mPeers.empty();
+  return !isHeard && mayHavePeers && aNowMs - mStartedMs < kUnknownFleetMs
+           ? kUnknownFleetHosts
+           : hosts;
+}
+
+// Adds the prefills since the last beacon. A beacon holds totals, so that the
+// next one that lists the runner makes up for a lost one. Runners that do not
+// fit are in the next beacon, which begins with them.
 void
-Peers::Send()
+Peers::AddPrefills(PeerMessage& aMessage)
 {
-  TimeMs now = mShared.mLoop.NowMs();
-  GatewayState& state = mShared.mState;
-  state.mRunners.mEntryHosts = std::max(
-    1 + LivePeerCount(now), static_cast<int>(mShared.mSettings.mSeeds.size()));
-  mWatcher.SetWatcherCount(state.mRunners.mEntryHosts);
-  PeerMessage message;
-  message.mHost = mShared.mSettings.mHost;
-  message.mAddress = mShared.mSettings.mAddress;
-  message.mZone = mShared.mSettings.mZone;
-  message.mStoreRevision = mWatcher.Revision();
-  message.mLeaving = mLeaving;
-  message.mReachesStore = mWatcher.IsReachable();
-  for (auto& [service, shift] : state.mShifts.mShifts) {
+  auto& runners = mShared.mState.mRunners.mRunners;
+  auto next = runners.upper_bound(mLastPrefillRunner);
+  std::size_t bytes = 0;
+  for (std::size_t visited = 0; visited < runners.size(); ++visited, ++next) {
+    if (next == runners.end()) {
+      next = runners.begin();
+    }
+    auto& [id, runner] = *next;
+    double total = std::round(runner.mSentPrefillMs);
+    double& published = mPublishedPrefillMs[id];
+    if (total == published && runner.mUnpublishedParts.empty()) {
+      continue;
+    }
+    PeerMessage::PrefillReport report{ total, runner.mUnpublishedParts };
+    bytes += EncodedPrefillBytes(id, report);
+    if (bytes > kMaxPrefillBytes) {
+      return;
+    }
+    published = total;
+    runner.mUnpublishedParts.clear();
+    aMessage.mPrefills.emplace(id, std::move(report));
+    mLastPrefillRunner = id;
+  }
+}
+
+// Adds the progress of version shifts as this host sees it.
+void
+Peers::AddShifts(PeerMessage& aMessage) const
+{
+  for (auto& [service, shift] : mShared.mState.mShifts.mShifts) {
     if (shift.mOrder.mTarget.empty() ||
         (shift.mProgress &&
          shift.mProgress->mState != ShiftState::InProgress)) {
@@ -309,45 +269,69 @@
       shift.mLocalCounts.mBaselineInFlight +=
         exchange->RunsOtherVersion(service, shift.mOrder.mTarget);
     }
-    message.mShifts[service] = { shift.mOrder.mRevision,
-                                 now - shift.mOrderSeenMs,
-                                 shift.mLocalCounts };
-  }
-  // The message holds totals, so that the next message that lists the runner
-  // makes up for a lost one.
-  for (auto& [id, runner] : state.mRunners.mRunners) {
-    double total = std::round(runner.mSentPrefillMs);
-    double& published = mPublishedPrefillMs[id];
-    if (total != published || !runner.mUnpublishedParts.empty()) {
-      message.mPrefills[id] = { total,
-                                std::exchange(runner.mUnpublishedParts, {}) };
-    }
-    published = total;
+    aMessage.mShifts[service] = { shift.mOrder.mRevision,
+                                  mShared.mLoop.NowMs() - shift.mOrderSeenMs,
+                                  shift.mLocalCounts };
   }
-  message.mSuspects = MakeSuspectRows(state.mQuarantine, now);
+}
+
+PeerMessage
+Peers::MakeMessage(TimeMs aNowMs)
+{
+  GatewayState& state = mShared.mState;
+  PeerMessage message;
+  message.mHost = mShared.mSettings.mHost;
+  message.mAddress = mShared.mSettings.mAddress;
+  message.mZone = mShared.mSettings.mZone;
+  message.mStoreRevision = mWatcher.Revision();
+  message.mLeaving = mLeaving;
+  message.mMayWatch = mWatcher.MayWatch();
+  if (mWatcher.LastContactMs()) {
+    message.mContactAgeMs = aNowMs - *mWatcher.LastContactMs();
+  }
+  message.mReachableForMs = aNowMs - mWatcher.ReachableSinceMs();
+  AddShifts(message);
+  AddPrefills(message);
+  message.mSuspects = MakeSuspectRows(state.mQuarantine, aNowMs);
   if (message.mSuspects.size() > kMaxSuspectRows) {
     message.mSuspects.resize(kMaxSuspectRows);
   }
+  std::vector<std::string> live;
   for (const auto& [address, peer] : mPeers) {
-    if (now - peer.mLastHeardMs < kPeerTimeoutMs) {
-      message.mLiveAddresses.push_back(address);
+    if (IsLive(peer, aNowMs)) {
+      live.push_back(address);
     }
   }
-  // Traffic between zones is expensive: of each other zone, one live host,
-  // chosen at random, receives the message and relays it. Hosts that are not
-  // live or whose zone is unknown receive it directly.
+  message.mLiveHosts = 1 + static_cast<int>(live.size());
+  std::sample(live.begin(),
+              live.end(),
+              std::back_inserter(message.mLiveAddresses),
+              kAddressesPerMessage,
+              state.mRandom);
+  return message;
+}
+
+// Traffic between zones is expensive: of each other zone, one live host, chosen
+// at random, receives the beacon and relays it. Hosts that are not live or
+// whose zone is unknown receive it directly.
+void
+Peers::Send()
+{
+  TimeMs now = mShared.mLoop.NowMs();
+  GatewayState& state = mShared.mState;
+  state.mRunners.mEntryHosts = CountEntryHosts(now);
+  PeerMessage message = MakeMessage(now);
   std::map<std::string, std::vector<std::string>> otherZones;
   std::string bytes = EncodePeerMessage(message);
   for (const auto& [address, peer] : mPeers) {
     if (peer.mZone != message.mZone && !peer.mZone.empty() && !peer.mLeaving &&
-        now - peer.mLastHeardMs < kPeerTimeoutMs) {
+        IsLive(peer, now)) {
       otherZones[peer.mZone].push_back(address);
     } else {
       SendDatagram(address, bytes);
     }
   }
-  message.mRelay = true;
-  bytes = EncodePeerMessage(message);
+  SetDatagramKind(bytes, PeerDatagramKind::RelayedBeacon);
   for (const auto& [zone, addresses] : otherZones) {
     std::uniform_int_distribution<std::size_t> uniform(0, addresses.size() - 1);
     SendDatagram(addresses[uniform(state.mRandom)], bytes);
@@ -356,7 +340,6 @@
     return aRow.second.mLastHeardMs > 0 &&
            now - aRow.second.mLastHeardMs > kPeerRemovalMs;
   });
-  PullIfBehind();
 }
 
 void
@@ -377,15 +360,14 @@
                sizeof *target);
 }
 
-// Forwards a message from another zone to the hosts of the local zone.
+// Sends a datagram to the live hosts of the local zone, but not to the one that
+// it comes from.
 void
-Peers::Relay(PeerMessage aMessage)
+Peers::SendToZone(const std::string& aBytes, const std::string& aFromAddress)
 {
-  aMessage.mRelay = false;
-  std::string bytes = EncodePeerMessage(aMessage);
   for (const auto& [address, peer] : mPeers) {
-    if (peer.mZone == mShared.mSettings.mZone && address != aMessage.mAddress) {
-      SendDatagram(address, bytes);
+    if (peer.mZone == mShared.mSettings.mZone && address != aFromAddress) {
+      SendDatagram(address, aBytes);
     }
   }
 }
@@ -393,20 +375,67 @@
 void
 Peers::Receive()
 {
-  std::string bytes(kMaxDatagramBytes, '\0');
+  std::string bytes(kReceiveBufferBytes, '\0');
   for (;;) {
-    ssize_t size = recv(mSocket, bytes.data(), bytes.size(), 0);
+    sockaddr_in source{};
+    socklen_t sourceSize = sizeof source;
+    ssize_t size = recvfrom(mSocket,
+                            bytes.data(),
+                            bytes.size(),
+                            0,
+                            reinterpret_cast<sockaddr*>(&source),
+                            &sourceSize);
     if (size < 0) {
       return;
     }
-    auto message =
-      DecodePeerMessage({ bytes.data(), static_cast<std::size_t>(size) });
-    if (message && message->mAddress != mShared.mSettings.mAddress) {
-      OnPeerMessage(*message);
-      if (message->mRelay) {
-        Relay(std::move(*message));
-      }
+    OnDatagram({ bytes.data(), static_cast<std::size_t>(size) },
+               ntohl(source.sin_addr.s_addr));
+  }
+}
+
+void
+Peers::OnDatagram(std::string_view aBytes, std::uint32_t aSource)
+{
+  auto kind = ParseDatagramKind(aBytes);
+  if (!kind) {
+    OnDatagramDropped(aSource, kind.error());
+    return;
+  }
+  if (*kind == PeerDatagramKind::Changes) {
+    auto changes = DecodeChangeMessage(aBytes);
+    if (changes) {
+      mSharing.OnChangeMessage(*changes);
+    } else {
+      OnDatagramDropped(aSource, "malformed changes");
     }
+    return;
+  }
+  auto message = DecodePeerMessage(aBytes);
+  if (!message) {
+    OnDatagramDropped(aSource, "malformed beacon");
+    return;
+  }
+  if (message->mAddress == mShared.mSettings.mAddress) {
+    return;
+  }
+  OnPeerMessage(*message);
+  if (*kind == PeerDatagramKind::RelayedBeacon) {
+    std::string forwarded(aBytes);
+    SetDatagramKind(forwarded, PeerDatagramKind::Beacon);
+    SendToZone(forwarded, message->mAddress);
+  }
+}
+
+// Counts a datagram that cannot be read. The first of each source is logged;
+// during a change of releases there are many.
+void
+Peers::OnDatagramDropped(std::uint32_t aSource, const std::string& aReason)
+{
+  mShared.mMetrics.CountDroppedDatagram();
+  if (mDroppedSources.size() < kMaxDroppedSources &&
+      mDroppedSources.insert(aSource).second) {
+    LogEvent(Event::PeerMessageDropped,
+             { { "peer", FormatAddress(aSource) }, { "reason", aReason } });
   }
 }
 
@@ -415,7 +444,7 @@
 {
   TimeMs now = mShared.mLoop.NowMs();
   Peer& peer = mPeers[aMessage.mAddress];
-  if (now - peer.mLastHeardMs >= kPeerTimeoutMs) {
+  if (!IsLive(peer, now)) {
     LogEvent(Event::PeerHeard,
              { { "peer", aMessage.mHost },
                { "revision", std::to_string(aMessage.mStoreRevision) } });
@@ -425,7 +454,13 @@
   peer.mLastHeardMs = now;
   peer.mStoreRevision = aMessage.mStoreRevision;
   peer.mLeaving = aMessage.mLeaving;
-  peer.mReachesStore = aMessage.mReachesStore;
+  peer.mMayWatch = aMessage.mMayWatch;
+  peer.mContactMs.reset();
+  if (aMessage.mContactAgeMs) {
+    peer.mContactMs = now - *aMessage.mContactAgeMs;
+  }
+  peer.mReachableSinceMs = now - aMessage.mReachableForMs;
+  peer.mLiveHosts = aMessage.mLiveHosts;
   for (const std::string& address : aMessage.mLiveAddresses) {
     if (address != mShared.mSettings.mAddress) {
       mPeers.try_emplace(address);
@@ -456,73 +491,4 @@
   }
 }
 
-// Fetches the store's entries from the live peer with the newest revision while
-// this host cannot reach the store and its own revision is older.
-void
-Peers::PullIfBehind()
-{
-  if (mWatcher.IsReachable() ||
-      (mPullConnection && mPullConnection->IsBusy())) {
-    return;
-  }
-  TimeMs now = mShared.mLoop.NowMs();
-  const std::string* newestAddress = nullptr;
-  std::int64_t newestRevision = mWatcher.Revision();
-  for (const auto& [address, peer] : mPeers) {
-    if (now - peer.mLastHeardMs < kPeerTimeoutMs &&
-        peer.mStoreRevision > newestRevision) {
-      newestRevision = peer.mStoreRevision;
-      newestAddress = &address;
-    }
-  }
-  if (!newestAddress) {
-    return;
-  }
-  if (*newestAddress != mPullAddress || !mPullConnection) {
-    mPullAddress = *newestAddress;
-    mPullConnection = std::make_unique<FleetStoreConnection>(
-      mShared.mLoop,
-      Endpoint{ *newestAddress, mShared.mSettings.mPeers.mPort });
-  }
-  mPullConnection->Call(
-    "GET",
-    "/items",
-    {},
-    kPullTimeoutMs,
-    [this](tl::expected<HttpResponse, StoreError> aResult) {
-      if (!aResult || aResult->mStatus != 200) {
-        LogEvent(Event::PeerPullFailed,
-                 { { "peer", mPullAddress },
-                   { "reason",
-                     aResult ? "status " + std::to_string(aResult->mStatus)
-                             : aResult.error().mReason } });
-        return;
-      }
-      auto entries = ParseFleetEntries(aResult->mBody);
-      if (!entries) {
-        LogEvent(
-          Event::PeerPullFailed,
-          { { "peer", mPullAddress }, { "reason", entries.error().mReason } });
-        return;
-      }
-      LogEvent(Event::PeerPulled,
-               { { "peer", mPullAddress },
-                 { "revision", std::to_string(entries->mRevision) } });
-      mWatcher.MergePeerEntries(*entries);
-    });
-}
-
-void
-Peers::OnPeerRequest(const IncomingRequest& aRequest,
-                     const std::shared_ptr<CallerLink>& aCaller)
-{
-  if (aRequest.mHead.mTarget != "/items" || !mWatcher.HasState()) {
-    aCaller->Respond(404, {}, {});
-    return;
-  }
-  aCaller->Respond(200,
-                   { { "Content-Type", "application/json" } },
-                   FormatFleetEntries(mWatcher));
-}
-
 } // namespace savory
--- a/router/gateway/peers.h
+++ b/router/gateway/peers.h
@@ -1,63 +1,18 @@
 #pragma once
 
 #include "exchange.h"
-#include "savory/platform/fleet_store.h"
+#include "peer_table.h"
+#include "savory/core/peer_message.h"
+#include "store_sharing.h"
 
 #include <map>
-#include <memory>
+#include <set>
 #include <string>
 
 struct event;
 
 namespace savory {
 
-// The datagram that entry hosts exchange several times a second. Delivery need
-// not be reliable: the next message replaces a lost one.
-struct PeerMessage
-{
-  std::string mHost;
-  std::string mAddress;
-  std::string mZone;
-  // The receiver forwards the message to the hosts of its own zone.
-  bool mRelay = false;
-  // The store's revision that the sender has applied.
-  std::int64_t mStoreRevision = 0;
-  bool mLeaving = false;
-  // The sender reaches the store.
-  bool mReachesStore = false;
-  struct Shift
-  {
-    std::int64_t mOrderRevision = 0;
-    TimeMs mOrderAgeMs = 0;
-    ShiftCounts mCounts;
-  };
-  // Version shifts in progress, keyed by service.
-  std::map<std::string, Shift> mShifts;
-  // Prefills that the sender sent to a runner: their expected milliseconds in
-  // total, and the PrefixCacheKeys of the shared prompt parts since the last
-  // message.
-  struct PrefillReport
-  {
-    double mTotalMs = 0;
-    std::vector<std::uint64_t> mPartKeys;
-  };
-  // Keyed by runner; only runners with prefills since the last message.
-  std::map<std::string, PrefillReport> mPrefills;
-  std::vector<SuspectRow> mSuspects;
-  // Addresses of the hosts that the sender considers live.
-  std::vector<std::string> mLiveAddresses;
-};
-
-std::string
-EncodePeerMessage(const PeerMessage& aMessage);
-std::optional<PeerMessage>
-DecodePeerMessage(std::string_view aBytes);
-
-// Returns the watched store entries in the format that ParseFleetEntries reads,
-// for a peer that cannot reach the store.
-std::string
-FormatFleetEntries(const StoreWatcher& aWatcher);
-
 // The other entry hosts. They are discovered through the seeds and through the
 // addresses in peer messages, exchange state by datagrams, and provide the
 // store's entries while this host cannot reach the store.
@@ -72,6 +27,9 @@
   // Opens the sockets and starts sending. Returns false if an address cannot be
   // used.
   bool Start();
+  // Updates which hosts watch the store. To be called several times a second.
+  void UpdateSharing() { mSharing.Update(); }
+  void OnResumed() { mSharing.OnResumed(); }
   void StartDrain() { mLeaving = true; }
   int LivePeerCount(TimeMs aNowMs) const;
   // Whether a live peer reaches the store. If so, an outage that this host sees
@@ -83,40 +41,35 @@
   bool IsCoordinator(TimeMs aNowMs) const;
 
 private:
-  struct Peer
-  {
-    std::string mHost;
-    // Empty until the first message of the peer.
-    std::string mZone;
-    TimeMs mLastHeardMs = -1'000'000;
-    std::int64_t mStoreRevision = 0;
-    bool mLeaving = false;
-    bool mReachesStore = false;
-  };
-
   void Send();
   void SendDatagram(const std::string& aAddress, const std::string& aBytes);
-  void Relay(PeerMessage aMessage);
+  void SendToZone(const std::string& aBytes, const std::string& aFromAddress);
+  PeerMessage MakeMessage(TimeMs aNowMs);
+  void AddPrefills(PeerMessage& aMessage);
+  void AddShifts(PeerMessage& aMessage) const;
   void ScheduleSend();
   int PeerCount() const;
+  int CountEntryHosts(TimeMs aNowMs) const;
   void Receive();
+  void OnDatagram(std::string_view aBytes, std::uint32_t aSource);
+  void OnDatagramDropped(std::uint32_t aSource, const std::string& aReason);
   void OnPeerMessage(const PeerMessage& aMessage);
-  void PullIfBehind();
-  void OnPeerRequest(const IncomingRequest& aRequest,
-                     const std::shared_ptr<CallerLink>& aCaller);
 
   GatewayShared& mShared;
   StoreWatcher& mWatcher;
   HttpFrontend mFrontend;
   int mSocket = -1;
   event* mEvent = nullptr;
-  // Keyed by address.
-  std::map<std::string, Peer> mPeers;
-  std::string mPullAddress;
-  std::unique_ptr<FleetStoreConnection> mPullConnection;
+  PeerTable mPeers;
+  StoreSharing mSharing;
   bool mLeaving = false;
   // Total prefill time in the last message, keyed by runner.
   std::map<std::string, double> mPublishedPrefillMs;
+  // The last runner whose prefills were in a message.
+  std::string mLastPrefillRunner;
+  // Addresses from which a datagram could not be read.
+  std::set<std::uint32_t> mDroppedSources;
+  TimeMs mStartedMs = 0;
   Timer mBatchTimer;
   Timer mSendTimer;
 };
--- /dev/null
+++ b/router/gateway/store_sharing.cpp
@@ -0,0 +1,275 @@
+#include "store_sharing.h"
+
+#include "savory/net/log.h"
+#include "savory/platform/base64.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace savory {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Time limit for fetching the store's entries from a peer.
+constexpr TimeMs kPullTimeoutMs = 1500;
+
+constexpr std::string_view kItemsTarget = "/items";
+constexpr std::string_view kChangesTarget = "/changes?after=";
+
+// Writes entries in the format that ParseFleetEntries reads.
+std::string
+FormatEntries(std::int64_t aRevision, const Json& aRows)
+{
+  return Json{ { "at", aRevision }, { "entries", aRows } }.dump();
+}
+
+Json
+FormatEntry(const StoreEntry& aEntry)
+{
+  Json row{ { "key", aEntry.mKey }, { "revision", aEntry.mModRevision } };
+  if (aEntry.mDeleted) {
+    row["tombstone"] = true;
+  } else {
+    row["value"] = EncodeBase64(aEntry.mValue);
+  }
+  return row;
+}
+
+FleetChanges
+ToFleetChanges(const ChangeMessage& aMessage)
+{
+  FleetChanges changes;
+  changes.mFromRevision = aMessage.mFromRevision;
+  changes.mEntries.mRevision = aMessage.mToRevision;
+  for (const ChangeRow& row : aMessage.mRows) {
+    changes.mEntries.mEntries.push_back(
+      { row.mKey, row.mValue.value_or(""), row.mRevision, !row.mValue });
+  }
+  return changes;
+}
+
+} // namespace
+
+StoreSharing::StoreSharing(EventLoop& aLoop,
+                           const FleetSettings& aSettings,
+                           const PeerTable& aPeers,
+                           StoreWatcher& aWatcher)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mPeers(aPeers)
+  , mWatcher(aWatcher)
+{
+  mDutyOptions.mHost = aSettings.mHost;
+  mDutyOptions.mZone = aSettings.mZone;
+  mDutyOptions.mChangeBoundMs = aSettings.mChangeBoundMs;
+  mWatcher.mOnWatchedChanges = [this](const FleetChanges& aChanges) {
+    Share(aChanges);
+  };
+}
+
+void
+StoreSharing::Update()
+{
+  TimeMs now = mLoop.NowMs();
+  std::vector<ZonePeer> zonePeers;
+  // Live hosts by zone, this one included.
+  std::map<std::string, int> hosts{ { mSettings.mZone, 1 } };
+  for (const auto& [address, peer] : mPeers) {
+    if (!IsLive(peer, now) || peer.mLastHeardMs < mResumedMs) {
+      continue;
+    }
+    ++hosts[peer.mZone];
+    if (peer.mZone == mSettings.mZone) {
+      zonePeers.push_back(ToZonePeer(peer));
+    }
+  }
+  int watchers = 0;
+  for (const auto& [zone, count] : hosts) {
+    watchers += std::min(count, WatcherCount(mDutyOptions));
+  }
+  mWatcher.SetWatcherCount(watchers,
+                           hosts[mSettings.mZone] > WatcherCount(mDutyOptions));
+  bool wasWatching = mDuty.mWatching;
+  UpdateWatchDuty(mDuty, mDutyOptions, zonePeers, mWatcher.MayWatch(), now);
+  if (wasWatching != mDuty.mWatching) {
+    LogEvent(Event::WatchDutyChanged,
+             { { "watching", mDuty.mWatching ? "true" : "false" },
+               { "zone_hosts", std::to_string(hosts[mSettings.mZone]) },
+               { "revision", std::to_string(mWatcher.Revision()) } });
+  }
+  if (mDuty.mCovered) {
+    mWatcher.Follow(mDuty.mReachableSinceMs);
+  } else if (mDuty.mWatching && mWatcher.IsFollowing()) {
+    mWatcher.StopFollowing();
+  }
+  PullIfBehind();
+}
+
+void
+StoreSharing::OnResumed()
+{
+  mResumedMs = mLoop.NowMs();
+  mDuty = {};
+  mWatcher.StopFollowing();
+}
+
+// Passes changes on to the zone. Those that do not fit into a datagram are
+// fetched by the peers once they hear of the new revision.
+void
+StoreSharing::Share(const FleetChanges& aChanges)
+{
+  ChangeMessage message;
+  message.mAddress = mSettings.mAddress;
+  message.mFromRevision = aChanges.mFromRevision;
+  message.mToRevision = aChanges.mEntries.mRevision;
+  for (const StoreEntry& entry : aChanges.mEntries.mEntries) {
+    ChangeRow row{ entry.mKey, entry.mValue, entry.mModRevision };
+    if (entry.mDeleted) {
+      row.mValue.reset();
+    }
+    message.mRows.push_back(std::move(row));
+  }
+  std::string bytes = EncodeChangeMessage(message);
+  if (bytes.empty()) {
+    mOnRevisionChanged();
+  } else {
+    mSendToZone(bytes);
+  }
+}
+
+void
+StoreSharing::OnChangeMessage(const ChangeMessage& aMessage)
+{
+  if (!mWatcher.MergePeerChanges(ToFleetChanges(aMessage)) &&
+      mPeers.contains(aMessage.mAddress)) {
+    Pull(aMessage.mAddress, mWatcher.HasState());
+  }
+}
+
+bool
+StoreSharing::IsWatcher(const Peer& aPeer) const
+{
+  return aPeer.mZone == mSettings.mZone &&
+         IsInContact(ToZonePeer(aPeer), mDutyOptions, mLoop.NowMs());
+}
+
+// Fetches what this host lacks while it does not reach the store itself: from a
+// watcher of the zone that it follows, or from the live peer with the newest
+// revision.
+void
+StoreSharing::PullIfBehind()
+{
+  bool isFollowing = mWatcher.IsFollowing();
+  if (mWatcher.IsReachable() && !isFollowing) {
+    return;
+  }
+  TimeMs now = mLoop.NowMs();
+  const std::string* newestAddress = nullptr;
+  std::int64_t newestRevision = mWatcher.Revision();
+  for (const auto& [address, peer] : mPeers) {
+    if (IsLive(peer, now) && peer.mStoreRevision > newestRevision &&
+        (!isFollowing || IsWatcher(peer))) {
+      newestRevision = peer.mStoreRevision;
+      newestAddress = &address;
+    }
+  }
+  if (newestAddress) {
+    Pull(*newestAddress, isFollowing);
+  }
+}
+
+void
+StoreSharing::Pull(const std::string& aAddress, bool aOnlyChanges)
+{
+  if (mPullConnection && mPullConnection->IsBusy()) {
+    return;
+  }
+  if (aAddress != mPullAddress || !mPullConnection) {
+    mPullAddress = aAddress;
+    mPullConnection = std::make_unique<FleetStoreConnection>(
+      mLoop, Endpoint{ aAddress, mSettings.mPeers.mPort });
+  }
+  std::string target(kItemsTarget);
+  if (aOnlyChanges) {
+    target = kChangesTarget;
+    target += std::to_string(mWatcher.Revision());
+  }
+  mPullConnection->Call(
+    "GET",
+    target,
+    {},
+    kPullTimeoutMs,
+    [this,
+     aOnlyChanges](const tl::expected<HttpResponse, StoreError>& aResult) {
+      OnPulled(aOnlyChanges, aResult);
+    });
+}
+
+void
+StoreSharing::OnPulled(bool aOnlyChanges,
+                       const tl::expected<HttpResponse, StoreError>& aResult)
+{
+  if (aOnlyChanges && aResult && aResult->mStatus == 410) {
+    Pull(std::string(mPullAddress), false);
+    return;
+  }
+  tl::expected<FleetEntries, StoreError> entries =
+    aResult && aResult->mStatus == 200
+      ? ParseFleetEntries(aResult->mBody)
+      : tl::unexpected(
+          aResult ? StoreError{ StoreErrorCode::Refused,
+                                "status " + std::to_string(aResult->mStatus) }
+                  : aResult.error());
+  if (!entries) {
+    LogEvent(
+      Event::PeerPullFailed,
+      { { "peer", mPullAddress }, { "reason", entries.error().mReason } });
+    return;
+  }
+  LogEvent(Event::PeerPulled,
+           { { "peer", mPullAddress },
+             { "revision", std::to_string(entries->mRevision) },
+             { "entries", std::to_string(entries->mEntries.size()) },
+             { "full", aOnlyChanges ? "false" : "true" } });
+  if (aOnlyChanges) {
+    mWatcher.MergePeerChanges({ mWatcher.Revision(), *entries });
+  } else {
+    mWatcher.MergePeerEntries(*entries);
+  }
+}
+
+void
+StoreSharing::OnRequest(const IncomingRequest& aRequest,
+                        const std::shared_ptr<CallerLink>& aCaller) const
+{
+  std::string_view target = aRequest.mHead.mTarget;
+  Json rows = Json::array();
+  if (target == kItemsTarget && mWatcher.HasState()) {
+    for (const auto& [key, entry] : mWatcher.Entries()) {
+      rows.push_back(FormatEntry(entry));
+    }
+  } else if (target.starts_with(kChangesTarget)) {
+    target.remove_prefix(kChangesTarget.size());
+    std::int64_t after = 0;
+    std::from_chars(target.data(), target.data() + target.size(), after);
+    auto changes = mWatcher.ChangesAfter(after);
+    if (!changes) {
+      aCaller->Respond(410, {}, {});
+      return;
+    }
+    for (const StoreEntry& entry : changes->mEntries.mEntries) {
+      rows.push_back(FormatEntry(entry));
+    }
+  } else {
+    aCaller->Respond(404, {}, {});
+    return;
+  }
+  aCaller->Respond(200,
+                   { { "Content-Type", "application/json" } },
+                   FormatEntries(mWatcher.Revision(), rows));
+}
+
+} // namespace savory
--- /dev/null
+++ b/router/gateway/store_sharing.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "peer_table.h"
+#include "savory/core/peer_message.h"
+#include "savory/net/http_link.h"
+#include "savory/platform/fleet_settings.h"
+#include "savory/platform/fleet_watcher.h"
+
+#include <memory>
+#include <string>
+
+namespace savory {
+
+// Shares the copy of the store among the hosts of an availability zone: decides
+// whether this host watches the store, passes on the changes that it receives,
+// and fetches from a peer what it lacks.
+class StoreSharing
+{
+public:
+  StoreSharing(EventLoop& aLoop,
+               const FleetSettings& aSettings,
+               const PeerTable& aPeers,
+               StoreWatcher& aWatcher);
+
+  // Updates the duty and the watcher. To be called several times a second.
+  void Update();
+  // Makes this host watch the store itself until peers are heard anew, since
+  // its clock stood still and what it knows of them may be old.
+  void OnResumed();
+  void OnChangeMessage(const ChangeMessage& aMessage);
+  // Answers a peer that asks for entries or changes of the store.
+  void OnRequest(const IncomingRequest& aRequest,
+                 const std::shared_ptr<CallerLink>& aCaller) const;
+
+  // Sends a datagram to each host of the own zone.
+  sigc::slot<void(const std::string&)> mSendToZone;
+  // Called when this host has received changes from the store.
+  sigc::slot<void()> mOnRevisionChanged;
+
+private:
+  void Share(const FleetChanges& aChanges);
+  void PullIfBehind();
+  void Pull(const std::string& aAddress, bool aOnlyChanges);
+  void OnPulled(bool aOnlyChanges,
+                const tl::expected<HttpResponse, StoreError>& aResult);
+  bool IsWatcher(const Peer& aPeer) const;
+
+  EventLoop& mLoop;
+  const FleetSettings& mSettings;
+  const PeerTable& mPeers;
+  StoreWatcher& mWatcher;
+  WatchDutyOptions mDutyOptions;
+  WatchDuty mDuty;
+  // Messages of peers before this time are not relied upon.
+  TimeMs mResumedMs = -1'000'000;
+  std::string mPullAddress;
+  std::unique_ptr<FleetStoreConnection> mPullConnection;
+};
+
+} // namespace savory
--- /dev/null
+++ b/tests/core/test_peer_message.cpp
@@ -0,0 +1,121 @@
+#include "savory/core/peer_message.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace savory;
+
+namespace {
+
+PeerMessage
+MakeMessage()
+{
+  PeerMessage message;
+  message.mHost = "edge-1";
+  message.mAddress = "10.0.0.1";
+  message.mZone = "z1";
+  message.mStoreRevision = 412;
+  message.mMayWatch = true;
+  message.mContactAgeMs = 250;
+  message.mReachableForMs = 30000;
+  message.mLiveHosts = 103;
+  message.mShifts["llm"] = { 7, 1200, { 1, 2, 3, 4 } };
+  message.mPrefills["i-1"] = { 812.5, { 0xffffffffffffffffU, 2 } };
+  message.mSuspects.push_back({ 9, { { 11, true, false } }, 40 });
+  message.mLiveAddresses = { "10.0.0.2" };
+  return message;
+}
+
+ChangeMessage
+MakeChanges()
+{
+  return { "10.0.0.1",
+           410,
+           412,
+           { { "servers/i-1", std::string("\x00\xff{}", 4), 411 },
+             { "op/evacuate/z1", std::nullopt, 412 } } };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_message)
+
+// Guards against fields that are lost or exchanged on the way.
+BOOST_AUTO_TEST_CASE(messages_are_read_as_written)
+{
+  std::string bytes = EncodePeerMessage(MakeMessage());
+  BOOST_TEST((ParseDatagramKind(bytes) == PeerDatagramKind::Beacon));
+  SetDatagramKind(bytes, PeerDatagramKind::RelayedBeacon);
+  BOOST_TEST((ParseDatagramKind(bytes) == PeerDatagramKind::RelayedBeacon));
+  auto read = DecodePeerMessage(bytes);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(EncodePeerMessage(*read) == EncodePeerMessage(MakeMessage()));
+  BOOST_TEST(read->mContactAgeMs.value_or(0) == 250);
+  BOOST_TEST(read->mPrefills.at("i-1").mPartKeys.at(0) == 0xffffffffffffffffU);
+
+  std::string changeBytes = EncodeChangeMessage(MakeChanges());
+  BOOST_TEST((ParseDatagramKind(changeBytes) == PeerDatagramKind::Changes));
+  auto changes = DecodeChangeMessage(changeBytes);
+  BOOST_REQUIRE(changes);
+  BOOST_TEST(EncodeChangeMessage(*changes) == changeBytes);
+  BOOST_TEST(changes->mRows.at(0).mValue.value_or("").size() == 4U);
+  BOOST_TEST(!changes->mRows.at(1).mValue);
+}
+
+// Guards against a datagram of another release that is taken for one of this:
+// an earlier one began with a CBOR map of eleven fields.
+BOOST_AUTO_TEST_CASE(other_versions_are_told_apart)
+{
+  BOOST_TEST(!ParseDatagramKind(std::string_view("\xab\x61")));
+  BOOST_TEST(!ParseDatagramKind(""));
+  BOOST_TEST(!ParseDatagramKind(std::string_view("\x02\x00", 2)));
+  BOOST_TEST(!ParseDatagramKind(std::string_view("\x02\x04", 2)));
+}
+
+// Guards against changes that the receiver would cut off.
+BOOST_AUTO_TEST_CASE(changes_that_do_not_fit_are_not_sent)
+{
+  ChangeMessage message = MakeChanges();
+  message.mRows[0].mValue = std::string(kMaxPeerDatagramBytes - 500, 'x');
+  BOOST_TEST(EncodeChangeMessage(message).size() <= kMaxPeerDatagramBytes);
+  BOOST_TEST(!EncodeChangeMessage(message).empty());
+  message.mRows[0].mValue = std::string(kMaxPeerDatagramBytes, 'x');
+  BOOST_TEST(EncodeChangeMessage(message).empty());
+}
+
+// Guards against an estimate of a prefill row below its size, by which a beacon
+// would outgrow its bound.
+BOOST_AUTO_TEST_CASE(prefill_bytes_are_an_upper_bound)
+{
+  PeerMessage message = MakeMessage();
+  std::size_t before = EncodePeerMessage(message).size();
+  std::size_t estimate = 0;
+  for (int i = 0; i < 30; ++i) {
+    std::string runner = "i-" + std::to_string(100000 + i);
+    PeerMessage::PrefillReport report{ 1e9 + i, {} };
+    report.mPartKeys.assign(static_cast<std::size_t>(i), 0xffffffffffffffffU);
+    estimate += EncodedPrefillBytes(runner, report);
+    message.mPrefills[runner] = report;
+  }
+  BOOST_TEST(EncodePeerMessage(message).size() - before <= estimate);
+}
+
+// Guards against malformed datagrams that end the process: bytes of real
+// messages, changed, cut and extended.
+RC_BOOST_PROP(mutated_datagrams_are_survived, ())
+{
+  bool isChange = *rc::gen::arbitrary<bool>();
+  std::string bytes = isChange ? EncodeChangeMessage(MakeChanges())
+                               : EncodePeerMessage(MakeMessage());
+  auto edits = *rc::gen::container<std::vector<std::pair<unsigned, char>>>(
+    rc::gen::arbitrary<std::pair<unsigned, char>>());
+  for (const auto& [position, value] : edits) {
+    bytes[position % bytes.size()] = value;
+  }
+  bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 3));
+  (void)ParseDatagramKind(bytes);
+  (void)DecodePeerMessage(bytes);
+  (void)DecodeChangeMessage(bytes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -33,7 +33,7 @@
 
 class Gateway:
     def __init__(self, name, store, address="127.0.0.1", seeds=(), peer_port=0,
-                 datagram_port=0, reads_log=True):
+                 datagram_port=0, reads_log=True, bounds=None):
         self.frontend_port = free_port()
         self.ready_port = free_port()
         self.path = os.path.join(FOLDER, name + ".json")
@@ -44,7 +44,7 @@
                        "controlPlane": "%s:%d" % (address, peer_port)},
             "portRange": [datagram_port, datagram_port + 9], "seeds": list(seeds),
             "platform": {"address": store.address},
-            "bounds": {"graceS": 4, "sessionS": 5}}
+            "bounds": dict({"graceS": 4, "sessionS": 5}, **(bounds or {}))}
         with open(self.path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         self.address = address
@@ -284,6 +284,66 @@
     assert cut_off_gateway.call("GET", "/g/x", key="k2")[0] == 200
 
 
+def zone_follows_two_watchers(platform):
+    """Guards against calls to the store that grow with the hosts of a zone, and
+    against a host that misses a change because both hosts that watch for it were
+    killed: the key that was taken away must be refused within the bound."""
+    peer_port, datagram_port = free_port(), free_port()
+    addresses = ["127.0.0.%d" % number for number in range(11, 17)]
+    bound_s = 3
+    gateways = [platform.gateway(
+        "follows-" + address, address=address,
+        seeds=["%s:%d" % (seed, peer_port) for seed in addresses[:3]],
+        peer_port=peer_port, datagram_port=datagram_port,
+        bounds={"configApplyMs": 1000 * bound_s, "drainMs": 1000 * bound_s})
+                for address in addresses]
+
+    def watching(gateway):
+        lines = [line for line in gateway.read_log().splitlines()
+                 if "watch-duty-changed" in line]
+        return not lines or "watching=true" in lines[-1]
+
+    def watchers():
+        return [gateway for gateway in gateways if watching(gateway)]
+    wait_until(lambda: len(watchers()) == 2, what="two watchers")
+    time.sleep(2)
+    calls_before = platform.store.calls
+    time.sleep(4)
+    calls = platform.store.calls - calls_before
+    assert calls <= 2 * 4, "%d calls of two watchers in 4 s" % calls
+
+    def revoke(version, keys, hosts, what):
+        changed = copy.deepcopy(CONFIGURATION)
+        changed["version"] = version
+        changed["tenants"][0]["apiKeys"] = keys
+        platform.store.put("op/config", changed)
+        end = time.monotonic() + bound_s
+        for gateway in hosts:
+            wait_until(
+                lambda host=gateway: host.call("GET", "/g/x", key="k1")[0]
+                == 401, max(0.1, end - time.monotonic()), what)
+    revoke(5, ["k2"], gateways, "the followers to refuse the key")
+    revoke(6, ["k1", "k2"], [], "")
+    wait_until(lambda: gateways[0].call("GET", "/g/x")[0] == 200,
+               what="the key to return")
+    dead = watchers()
+    assert len(dead) == 2, dead
+    for gateway in dead:
+        gateway.stop()
+    alive = [gateway for gateway in gateways if gateway not in dead]
+    revoke(7, ["k2"], alive, "the key to be refused without the watchers")
+    # A configuration that no datagram holds is fetched from a watcher.
+    changed = copy.deepcopy(CONFIGURATION)
+    changed["version"] = 8
+    changed["routeTable"] += [
+        dict(changed["routeTable"][2], name="r%d" % number,
+             prefix="/r%d/" % number) for number in range(100)]
+    platform.store.put("op/config", changed)
+    for gateway in alive:
+        wait_until(lambda host=gateway: host.call("GET", "/r99/x")[0] == 200,
+                   bound_s, "the large configuration")
+
+
 def completes_a_good_version(platform):
     gateway = platform.gateway("shift")
     new_runner = Runner(platform.store, "llm-new", "llm", version="v2")
@@ -368,6 +428,7 @@
               retries_safe_calls_elsewhere, drains_runners_and_zones,
               keeps_serving_without_the_store,
               finds_a_store_that_went_silent, learns_from_peers,
+              zone_follows_two_watchers,
               completes_a_good_version, rolls_back_a_bad_version,
               stops_gracefully, log_never_blocks,
               check_option_reports_invalid_fields]
