Move what a beacon holds and who counts as live into core

A report now holds only what was sent since the last one. A lost datagram loses its reports. - the bound of a beacon (8 KiB) was stated, not kept, and of more than 32 suspects always the same ones were sent. Prefill reports and suspects now take turns (core/beacon). - the number of hosts that share budgets, the coordinator and the locality of an outage were decided in router/gateway/peers.cpp; they are core/peer_table now, with tests. - a host that had been suspended stated too young a contact with the store, as the monotonic clock stands still meanwhile: the age is counted by the boot clock, and the pending watch is given up on waking.

first_total_of_a_peer_adds_no_queue_time is replaced by each_prefill_is_reported_once: no total is sent any more, and a host that starts later receives no past report. Checked: test_core suites beacon, peer_table, runners, peer_message, watch_duty and prefill_queue, and test_gateway (0 failed).

--- a/core/include/savory/core/peer_message.h
+++ b/core/include/savory/core/peer_message.h
@@ -57,13 +57,12 @@
   };
   // Version shifts in progress, keyed by service.
   std::map<std::string, Shift> mShifts;
-  // Prefills that the sender sent to a runner: their expected milliseconds in
-  // total and since the last message that listed the runner, and the
-  // PrefixCacheKeys of the shared prompt parts since then.
+  // Prefills that the sender sent to a runner since its last report: their
+  // expected milliseconds in total, and the PrefixCacheKeys of their shared
+  // prompt parts.
   struct PrefillReport
   {
-    double mTotalMs = 0;
-    double mRecentMs = 0;
+    double mPrefillMs = 0;
     std::vector<std::uint64_t> mPartKeys;
   };
   // Keyed by runner; only runners with prefills since the last message.
--- /dev/null
+++ b/core/include/savory/core/peer_table.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "savory/core/types.h"
+#include "savory/core/watch_duty.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace savory {
+
+// A peer without a message for this long is considered down.
+inline constexpr TimeMs kPeerTimeoutMs = 2500;
+
+// Another entry host, as its last message described it.
+struct Peer
+{
+  std::string mHost;
+  // Empty until the first message of the peer.
+  std::string mZone;
+  TimeMs mLastHeardMs = -1'000'000;
+  std::int64_t mStoreRevision = 0;
+  bool mLeaving = false;
+  bool mMayWatch = false;
+  // Last answer that the peer received from the store itself.
+  std::optional<TimeMs> mContactMs;
+  TimeMs mReachableSinceMs = 0;
+  // Number of live hosts that the peer counts.
+  int mLiveHosts = 0;
+};
+
+// Keyed by address.
+using PeerTable = std::map<std::string, Peer>;
+
+bool
+IsLive(const Peer& aPeer, TimeMs aNowMs);
+
+int
+CountLivePeers(const PeerTable& aPeers, TimeMs aNowMs);
+
+// Number of hosts that share the budgets of the fleet: allowances of cold
+// backend servers and retries. Peers may know more hosts than this one, which
+// may just have started; while it has heard none of them it assumes a large
+// fleet. aSeeds is the number of hosts that the settings name.
+int
+CountEntryHosts(const PeerTable& aPeers,
+                int aSeeds,
+                TimeMs aStartedMs,
+                TimeMs aNowMs);
+
+// Whether some live peer has had an answer from the store lately. If so, an
+// outage that this host sees is local.
+bool
+IsStoreServingPeers(const PeerTable& aPeers, TimeMs aNowMs);
+
+// Whether no peer precedes aHost as coordinator: a live one with a lower name
+// that reaches the store and is not far behind aStoreRevision.
+bool
+IsFirstCoordinator(const PeerTable& aPeers,
+                   const std::string& aHost,
+                   std::int64_t aStoreRevision,
+                   TimeMs aNowMs);
+
+// The part of a peer's state that decides who watches the store.
+ZonePeer
+ToZonePeer(const Peer& aPeer);
+
+} // namespace savory
--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -57,11 +57,9 @@
   int mInFlight = 0;
   // Prompts that wait for prefill at this runner.
   PrefillQueue mPrefillQueue;
-  // Cumulative milliseconds of prefill that this host has sent to the runner.
-  // Peers receive the total and add its growth to their queue estimate.
-  double mSentPrefillMs = 0;
-  // The last total received from each peer.
-  std::map<std::string, double> mPeerPrefillMs;
+  // Milliseconds of prefill that this host has sent to the runner and not
+  // reported to its peers yet.
+  double mUnreportedPrefillMs = 0;
   // The runner's last load report and the time it arrived.
   int mReportedRunning = 0;
   int mReportedWaiting = 0;
@@ -86,7 +84,7 @@
   std::unordered_map<std::uint64_t, TimeMs> mCachedParts;
   // Keys of the parts that this host sent here since the last gossip message to
   // peers.
-  std::vector<std::uint64_t> mUnpublishedParts;
+  std::vector<std::uint64_t> mUnreportedParts;
 };
 
 // All backend servers that this host knows, by id, and the operators' orders
@@ -232,14 +230,11 @@
               std::uint64_t aLocalId,
               TimeMs aNowMs);
 
-// Merges a peer's state of a runner: the cumulative milliseconds of prefill
-// that the peer has sent there, those since its last message about the runner,
-// and the keys of the parts it sent there lately.
+// Merges a peer's report about a runner: the milliseconds of prefill that the
+// peer has sent there since its last report, and the keys of the parts.
 void
 MergePeerPrefill(RunnerState& aRunner,
-                 const std::string& aPeer,
-                 double aTotalMs,
-                 double aRecentMs,
+                 double aPrefillMs,
                  const std::vector<std::uint64_t>& aParts,
                  TimeMs aNowMs);
 
--- a/core/src/peer_message.cpp
+++ b/core/src/peer_message.cpp
@@ -89,8 +89,7 @@
   }
   for (const auto& [runner, row] : aDocument.at("w").items()) {
     message.mPrefills[runner] = { row.at(0).get<double>(),
-                                  row.at(1).get<double>(),
-                                  row.at(2).get<std::vector<std::uint64_t>>() };
+                                  row.at(1).get<std::vector<std::uint64_t>>() };
   }
   message.mLiveAddresses = aDocument.at("k").get<std::vector<std::string>>();
   return message;
@@ -137,7 +136,7 @@
   }
   Json prefills = Json::object();
   for (const auto& [runner, row] : aMessage.mPrefills) {
-    prefills[runner] = { row.mTotalMs, row.mRecentMs, row.mPartKeys };
+    prefills[runner] = { row.mPrefillMs, row.mPartKeys };
   }
   Json document{ { "h", aMessage.mHost },
                  { "a", aMessage.mAddress },
@@ -235,7 +234,7 @@
 EncodedPrefillBytes(std::string_view aRunner,
                     const PeerMessage::PrefillReport& aReport)
 {
-  return aRunner.size() + 3 * kLengthBytes + 2 * kNumberBytes +
+  return aRunner.size() + 3 * kLengthBytes + kNumberBytes +
          kNumberBytes * aReport.mPartKeys.size();
 }
 
--- /dev/null
+++ b/core/src/peer_table.cpp
@@ -0,0 +1,96 @@
+#include "savory/core/peer_table.h"
+
+#include <algorithm>
+
+namespace savory {
+
+namespace {
+
+// A host that has just started and has not heard its peers yet assumes a fleet
+// of this size for this long, so that it does not take too large a share of
+// what all hosts have in common.
+constexpr int kUnknownFleetHosts = 500;
+constexpr TimeMs kUnknownFleetMs = 1500;
+
+// A peer whose store revision is behind this host's by more than this is not
+// accepted as coordinator: it may be cut off from the store.
+constexpr std::int64_t kMaxCoordinatorLagRevisions = 60;
+
+// A peer whose last answer from the store is older than this is not taken to
+// reach it. It covers the wait and the pause of its watch.
+constexpr TimeMs kMaxContactAgeMs = 4000;
+
+bool
+HasContact(const Peer& aPeer, TimeMs aNowMs)
+{
+  return IsLive(aPeer, aNowMs) && aPeer.mContactMs &&
+         aNowMs - *aPeer.mContactMs < kMaxContactAgeMs;
+}
+
+} // namespace
+
+bool
+IsLive(const Peer& aPeer, TimeMs aNowMs)
+{
+  return aNowMs - aPeer.mLastHeardMs < kPeerTimeoutMs;
+}
+
+int
+CountLivePeers(const PeerTable& aPeers, TimeMs aNowMs)
+{
+  return static_cast<int>(
+    std::count_if(aPeers.begin(), aPeers.end(), [aNowMs](const auto& aRow) {
+      return IsLive(aRow.second, aNowMs);
+    }));
+}
+
+int
+CountEntryHosts(const PeerTable& aPeers,
+                int aSeeds,
+                TimeMs aStartedMs,
+                TimeMs aNowMs)
+{
+  int live = CountLivePeers(aPeers, aNowMs);
+  if (live == 0 && !aPeers.empty() && aNowMs - aStartedMs < kUnknownFleetMs) {
+    return kUnknownFleetHosts;
+  }
+  int hosts = std::max(1 + live, aSeeds);
+  for (const auto& [address, peer] : aPeers) {
+    if (IsLive(peer, aNowMs)) {
+      hosts = std::max(hosts, peer.mLiveHosts);
+    }
+  }
+  return hosts;
+}
+
+bool
+IsStoreServingPeers(const PeerTable& aPeers, TimeMs aNowMs)
+{
+  return std::any_of(aPeers.begin(), aPeers.end(), [aNowMs](const auto& aRow) {
+    return HasContact(aRow.second, aNowMs);
+  });
+}
+
+bool
+IsFirstCoordinator(const PeerTable& aPeers,
+                   const std::string& aHost,
+                   std::int64_t aStoreRevision,
+                   TimeMs aNowMs)
+{
+  return std::none_of(aPeers.begin(), aPeers.end(), [&](const auto& aRow) {
+    const Peer& peer = aRow.second;
+    return HasContact(peer, aNowMs) && !peer.mLeaving &&
+           peer.mStoreRevision >=
+             aStoreRevision - kMaxCoordinatorLagRevisions &&
+           peer.mHost < aHost;
+  });
+}
+
+ZonePeer
+ToZonePeer(const Peer& aPeer)
+{
+  return { aPeer.mHost,    aPeer.mLastHeardMs, aPeer.mMayWatch,
+           aPeer.mLeaving, aPeer.mContactMs,   aPeer.mReachableSinceMs };
+}
+
+} // namespace savory
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -62,11 +62,11 @@
 // Number of parts recorded as cached at one runner above which expired ones are
 // removed, and the maximum number of its parts in one gossip message to peers.
 constexpr std::size_t kMaxCachedParts = 4096;
-constexpr std::size_t kMaxUnpublishedParts = 256;
+constexpr std::size_t kMaxUnreportedParts = 256;
 
-// Shorter parts are not published to peers, as their prefill takes only a few
+// Shorter parts are not reported to peers, as their prefill takes only a few
 // milliseconds.
-constexpr std::int64_t kMinPublishedTokens = 512;
+constexpr std::int64_t kMinReportedTokens = 512;
 
 bool
 IsLive(const RunnerState& aRunner)
@@ -382,7 +382,7 @@
   ++aRunner.mInFlight;
   ExpirePeerPrefills(aRunner.mPrefillQueue, aNowMs);
   AddPrefill(aRunner.mPrefillQueue, { aNowMs, aPrefillMs, aLocalId });
-  aRunner.mSentPrefillMs += aPrefillMs;
+  aRunner.mUnreportedPrefillMs += aPrefillMs;
   if (aNowMs < aRunner.mColdUntilMs) {
     aRunner.mLastColdSendMs = aNowMs;
   }
@@ -390,18 +390,16 @@
   for (const PromptPart& part : aRequest.mSharedParts) {
     std::uint64_t key = PrefixCacheKey(aRequest.mModel, part.mId);
     aRunner.mCachedParts[key] = aNowMs;
-    if (part.mTokens >= kMinPublishedTokens &&
-        aRunner.mUnpublishedParts.size() < kMaxUnpublishedParts) {
-      aRunner.mUnpublishedParts.push_back(key);
+    if (part.mTokens >= kMinReportedTokens &&
+        aRunner.mUnreportedParts.size() < kMaxUnreportedParts) {
+      aRunner.mUnreportedParts.push_back(key);
     }
   }
 }
 
 void
 MergePeerPrefill(RunnerState& aRunner,
-                 const std::string& aPeer,
-                 double aTotalMs,
-                 double aRecentMs,
+                 double aPrefillMs,
                  const std::vector<std::uint64_t>& aParts,
                  TimeMs aNowMs)
 {
@@ -409,14 +407,9 @@
   for (std::uint64_t key : aParts) {
     aRunner.mCachedParts[key] = aNowMs;
   }
-  auto [found, isNew] = aRunner.mPeerPrefillMs.try_emplace(aPeer, aTotalMs);
-  // The first total of a peer is mostly prefill that was sent long ago. In a
-  // large fleet, most messages of a peer about a runner are its first ones.
-  double growth = isNew ? aRecentMs : aTotalMs - found->second;
-  found->second = aTotalMs;
-  if (growth > 0) {
+  if (aPrefillMs > 0) {
     ExpirePeerPrefills(aRunner.mPrefillQueue, aNowMs);
-    AddPrefill(aRunner.mPrefillQueue, { aNowMs, growth, 0 });
+    AddPrefill(aRunner.mPrefillQueue, { aNowMs, aPrefillMs, 0 });
   }
 }
 
--- a/net/include/savory/net/loop.h
+++ b/net/include/savory/net/loop.h
@@ -39,6 +39,11 @@
 std::int64_t
 MonotonicUs();
 
+// Time in milliseconds since the host booted, with the time of suspensions,
+// during which the monotonic clock stands still.
+TimeMs
+BootTimeMs();
+
 // Wall-clock time in milliseconds since the Unix epoch. It may jump, so it is
 // only for names, logs and times that several hosts compare.
 std::int64_t
--- a/net/src/loop.cpp
+++ b/net/src/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <event2/event.h>
 #include <event2/thread.h>
 #include <utility>
@@ -53,6 +54,14 @@
   return MonotonicUs() / 1000;
 }
 
+TimeMs
+BootTimeMs()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return static_cast<TimeMs>(now.tv_sec) * 1000 + now.tv_nsec / 1000000;
+}
+
 std::int64_t
 WallClockMs()
 {
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -7,7 +7,6 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <ctime>
 
 namespace savory {
 
@@ -45,20 +44,11 @@
 // the runner is alive.
 constexpr TimeMs kPeerDeletionGraceMs = 1200;
 
-TimeMs
-ClockMs(clockid_t aClock)
-{
-  timespec now{};
-  clock_gettime(aClock, &now);
-  return static_cast<TimeMs>(now.tv_sec) * 1000 + now.tv_nsec / 1000000;
-}
-
-// Returns how long the host has been suspended since it booted: CLOCK_BOOTTIME
-// advances during a suspension, CLOCK_MONOTONIC does not.
+// Returns how long the host has been suspended since it booted.
 TimeMs
 TotalSuspendedMs()
 {
-  return ClockMs(CLOCK_BOOTTIME) - ClockMs(CLOCK_MONOTONIC);
+  return BootTimeMs() - MonotonicMs();
 }
 
 } // namespace
@@ -440,6 +430,7 @@
   current.mRetryRatio = settings->mRetryRatio;
   current.mRetrySlack = settings->mRetrySlack;
   current.mRetryWindowMs = settings->mRetryWindowMs;
+  mShared.mState.mRetryBudgetOptions.mWindowMs = settings->mRetryWindowMs;
   mShared.mState.mRetryBudgetOptions.mRatio = settings->mRetryRatio;
   mShared.mState.mRetryBudgetOptions.mSlack = settings->mRetrySlack;
   LogEvent(Event::SettingsReloaded, { { "path", aPath } });
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
-#include <cmath>
 #include <event2/event.h>
 #include <event2/util.h>
 #include <iterator>
@@ -34,40 +33,13 @@
 // decoded.
 constexpr std::size_t kReceiveBufferBytes = 2 * kMaxPeerDatagramBytes;
 
-// Largest part of a beacon that prefill reports take. Those that do not fit are
-// in the next one.
-constexpr std::size_t kMaxPrefillBytes = kMaxPeerDatagramBytes / 2;
-
 // Number of live addresses in a beacon. They are drawn anew each time, so that
 // all hosts know each other within a few beacons.
 constexpr std::size_t kAddressesPerMessage = 12;
 
-// A host that has just started and has not heard its peers yet assumes a fleet
-// of this size for this long, so that it does not take too large a share of
-// what all hosts have in common.
-constexpr int kUnknownFleetHosts = 500;
-constexpr TimeMs kUnknownFleetMs = 1500;
-
-// A peer whose store revision is behind this host's by more than this is not
-// accepted as coordinator: it may be cut off from the store.
-constexpr std::int64_t kMaxCoordinatorLagRevisions = 60;
-
-// Maximum number of quarantine suspects in one message.
-constexpr std::size_t kMaxSuspectRows = 32;
-
 // Maximum number of sources of unreadable datagrams that are remembered.
 constexpr std::size_t kMaxDroppedSources = 1024;
 
-// A peer whose last answer from the store is older than this is not taken to
-// reach it. It covers the wait and the pause of its watch.
-constexpr TimeMs kMaxContactAgeMs = 4000;
-
-bool
-HasContact(const Peer& aPeer, TimeMs aNowMs)
-{
-  return aPeer.mContactMs && aNowMs - *aPeer.mContactMs < kMaxContactAgeMs;
-}
-
 std::string
 FormatAddress(std::uint32_t aAddress)
 {
@@ -92,7 +64,7 @@
   mSharing.mSendToZone = [this](const std::string& aBytes) {
     SendToZone(aBytes, mShared.mSettings.mAddress);
   };
-  mSharing.mOnRevisionChanged = [this] { Send(); };
+  mSharing.mAnnounceRevision = [this] { Send(); };
   for (const Endpoint& seed : mShared.mSettings.mSeeds) {
     if (seed.mAddress != mShared.mSettings.mAddress) {
       mPeers[seed.mAddress];
@@ -145,42 +117,18 @@
   return true;
 }
 
-int
-Peers::LivePeerCount(TimeMs aNowMs) const
-{
-  int live = 0;
-  for (const auto& [address, peer] : mPeers) {
-    live += IsLive(peer, aNowMs);
-  }
-  return live;
-}
-
 bool
 Peers::IsStoreServingPeers(TimeMs aNowMs) const
 {
-  for (const auto& [address, peer] : mPeers) {
-    if (IsLive(peer, aNowMs) && HasContact(peer, aNowMs)) {
-      return true;
-    }
-  }
-  return false;
+  return savory::IsStoreServingPeers(mPeers, aNowMs);
 }
 
 bool
 Peers::IsCoordinator(TimeMs aNowMs) const
 {
-  if (!mWatcher.IsReachable() || mWatcher.IsFollowing() || mLeaving) {
-    return false;
-  }
-  for (const auto& [address, peer] : mPeers) {
-    if (IsLive(peer, aNowMs) && HasContact(peer, aNowMs) && !peer.mLeaving &&
-        peer.mStoreRevision >=
-          mWatcher.Revision() - kMaxCoordinatorLagRevisions &&
-        peer.mHost < mShared.mSettings.mHost) {
-      return false;
-    }
-  }
-  return true;
+  return mWatcher.IsReachable() && !mWatcher.IsFollowing() && !mLeaving &&
+         IsFirstCoordinator(
+           mPeers, mShared.mSettings.mHost, mWatcher.Revision(), aNowMs);
 }
 
 int
@@ -203,59 +151,6 @@
   }
 }
 
-// Number of hosts that share the budgets of the fleet. Peers may know more of
-// them than this host, which may just have started.
-int
-Peers::CountEntryHosts(TimeMs aNowMs) const
-{
-  int hosts = std::max(1 + LivePeerCount(aNowMs),
-                       static_cast<int>(mShared.mSettings.mSeeds.size()));
-  bool isHeard = false;
-  for (const auto& [address, peer] : mPeers) {
-    if (IsLive(peer, aNowMs)) {
-      isHeard = true;
-      hosts = std::max(hosts, peer.mLiveHosts);
-    }
-  }
-  bool mayHavePeers = !mPeers.empty();
-  return !isHeard && mayHavePeers && aNowMs - mStartedMs < kUnknownFleetMs
-           ? kUnknownFleetHosts
-           : hosts;
-}
-
-// Adds the prefills since the last beacon. A beacon holds totals, so that the
-// next one that lists the runner makes up for a lost one. Runners that do not
-// fit are in the next beacon, which begins with them.
-void
-Peers::AddPrefills(PeerMessage& aMessage)
-{
-  auto& runners = mShared.mState.mRunners.mRunners;
-  auto next = runners.upper_bound(mLastPrefillRunner);
-  std::size_t bytes = 0;
-  for (std::size_t visited = 0; visited < runners.size(); ++visited, ++next) {
-    if (next == runners.end()) {
-      next = runners.begin();
-    }
-    auto& [id, runner] = *next;
-    double total = std::round(runner.mSentPrefillMs);
-    double& published = mPublishedPrefillMs[id];
-    if (total == published && runner.mUnpublishedParts.empty()) {
-      continue;
-    }
-    PeerMessage::PrefillReport report{ total,
-                                       total - published,
-                                       runner.mUnpublishedParts };
-    bytes += EncodedPrefillBytes(id, report);
-    if (bytes > kMaxPrefillBytes) {
-      return;
-    }
-    published = total;
-    runner.mUnpublishedParts.clear();
-    aMessage.mPrefills.emplace(id, std::move(report));
-    mLastPrefillRunner = id;
-  }
-}
-
 // Adds the progress of version shifts as this host sees it.
 void
 Peers::AddShifts(PeerMessage& aMessage) const
@@ -288,16 +183,11 @@
   message.mStoreRevision = mWatcher.Revision();
   message.mLeaving = mLeaving;
   message.mMayWatch = mWatcher.MayWatch();
-  if (mWatcher.LastContactMs()) {
-    message.mContactAgeMs = aNowMs - *mWatcher.LastContactMs();
-  }
+  message.mContactAgeMs = mWatcher.ContactAgeMs();
   message.mReachableForMs = aNowMs - mWatcher.ReachableSinceMs();
   AddShifts(message);
-  AddPrefills(message);
-  message.mSuspects = MakeSuspectRows(state.mQuarantine, aNowMs);
-  if (message.mSuspects.size() > kMaxSuspectRows) {
-    message.mSuspects.resize(kMaxSuspectRows);
-  }
+  AddPrefillReports(message, state.mRunners, mBeaconCursor);
+  AddSuspects(message, state.mQuarantine, mBeaconCursor, aNowMs);
   std::vector<std::string> live;
   for (const auto& [address, peer] : mPeers) {
     if (IsLive(peer, aNowMs)) {
@@ -321,7 +211,8 @@
 {
   TimeMs now = mShared.mLoop.NowMs();
   GatewayState& state = mShared.mState;
-  state.mRunners.mEntryHosts = CountEntryHosts(now);
+  state.mRunners.mEntryHosts = CountEntryHosts(
+    mPeers, static_cast<int>(mShared.mSettings.mSeeds.size()), mStartedMs, now);
   PeerMessage message = MakeMessage(now);
   std::map<std::string, std::vector<std::string>> otherZones;
   std::string bytes = EncodePeerMessage(message);
@@ -472,12 +363,8 @@
   for (const auto& [id, prefills] : aMessage.mPrefills) {
     auto found = state.mRunners.mRunners.find(id);
     if (found != state.mRunners.mRunners.end()) {
-      MergePeerPrefill(found->second,
-                       aMessage.mHost,
-                       prefills.mTotalMs,
-                       prefills.mRecentMs,
-                       prefills.mPartKeys,
-                       now);
+      MergePeerPrefill(
+        found->second, prefills.mPrefillMs, prefills.mPartKeys, now);
     }
   }
   for (const auto& [service, row] : aMessage.mShifts) {
--- a/router/gateway/peers.h
+++ b/router/gateway/peers.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "exchange.h"
-#include "peer_table.h"
-#include "savory/core/peer_message.h"
+#include "savory/core/beacon.h"
+#include "savory/core/peer_table.h"
 #include "store_sharing.h"
 
 #include <map>
@@ -31,7 +31,6 @@
   void UpdateSharing() { mSharing.Update(); }
   void OnResumed() { mSharing.OnResumed(); }
   void StartDrain() { mLeaving = true; }
-  int LivePeerCount(TimeMs aNowMs) const;
   // Whether a live peer reaches the store. If so, an outage that this host sees
   // is local, and a deleted entry is not the effect of a store outage.
   bool IsStoreServingPeers(TimeMs aNowMs) const;
@@ -45,11 +44,9 @@
   void SendDatagram(const std::string& aAddress, const std::string& aBytes);
   void SendToZone(const std::string& aBytes, const std::string& aFromAddress);
   PeerMessage MakeMessage(TimeMs aNowMs);
-  void AddPrefills(PeerMessage& aMessage);
   void AddShifts(PeerMessage& aMessage) const;
   void ScheduleSend();
   int PeerCount() const;
-  int CountEntryHosts(TimeMs aNowMs) const;
   void Receive();
   void OnDatagram(std::string_view aBytes, std::uint32_t aSource);
   void OnDatagramDropped(std::uint32_t aSource, const std::string& aReason);
@@ -63,10 +60,7 @@
   PeerTable mPeers;
   StoreSharing mSharing;
   bool mLeaving = false;
-  // Total prefill time in the last message, keyed by runner.
-  std::map<std::string, double> mPublishedPrefillMs;
-  // The last runner whose prefills were in a message.
-  std::string mLastPrefillRunner;
+  BeaconCursor mBeaconCursor;
   // Addresses from which a datagram could not be read.
   std::set<std::uint32_t> mDroppedSources;
   TimeMs mStartedMs = 0;
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -113,7 +113,7 @@
 {
   mResumedMs = mLoop.NowMs();
   mDuty = {};
-  mWatcher.StopFollowing();
+  mWatcher.OnResumed();
 }
 
 // Passes changes on to the zone. Those that do not fit into a datagram are
@@ -134,7 +134,7 @@
   }
   std::string bytes = EncodeChangeMessage(message);
   if (bytes.empty()) {
-    mOnRevisionChanged();
+    mAnnounceRevision();
   } else {
     mSendToZone(bytes);
   }
--- a/router/gateway/store_sharing.h
+++ b/router/gateway/store_sharing.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "peer_table.h"
 #include "savory/core/peer_message.h"
+#include "savory/core/peer_table.h"
 #include "savory/net/http_link.h"
 #include "savory/platform/fleet_settings.h"
 #include "savory/platform/fleet_watcher.h"
@@ -34,8 +34,9 @@
 
   // Sends a datagram to each host of the own zone.
   sigc::slot<void(const std::string&)> mSendToZone;
-  // Called when this host has received changes from the store.
-  sigc::slot<void()> mOnRevisionChanged;
+  // Called when changes do not fit into a datagram, so that a beacon announces
+  // their revision to the hosts that fetch them.
+  sigc::slot<void()> mAnnounceRevision;
 
 private:
   void Share(const FleetChanges& aChanges);
--- /dev/null
+++ b/tests/core/test_peer_table.cpp
@@ -0,0 +1,92 @@
+#include "savory/core/peer_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace savory;
+
+namespace {
+
+constexpr TimeMs kNowMs = 100000;
+
+// A peer that was heard just now and reaches the store.
+Peer
+MakePeer(const std::string& aHost)
+{
+  Peer peer;
+  peer.mHost = aHost;
+  peer.mZone = "z";
+  peer.mLastHeardMs = kNowMs;
+  peer.mStoreRevision = 500;
+  peer.mContactMs = kNowMs - 1000;
+  peer.mLiveHosts = 3;
+  return peer;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_table)
+
+// Load: 103 hosts of which many were killed and start at once, each before it
+// has heard the others. Guards against shares of a cold runner's allowance that
+// add up to several times the allowance.
+BOOST_AUTO_TEST_CASE(host_that_starts_takes_no_large_share)
+{
+  PeerTable peers;
+  peers["10.0.0.2"];
+  peers["10.0.0.3"];
+  BOOST_TEST(CountEntryHosts(peers, 3, kNowMs, kNowMs) >= 103);
+  peers["10.0.0.2"] = MakePeer("b");
+  peers["10.0.0.2"].mLiveHosts = 103;
+  BOOST_TEST(CountEntryHosts(peers, 3, kNowMs, kNowMs) == 103);
+  // A host that nobody answers is alone after a while.
+  peers["10.0.0.2"] = {};
+  BOOST_TEST(CountEntryHosts(peers, 3, kNowMs - 2000, kNowMs) == 3);
+  BOOST_TEST(CountEntryHosts({}, 1, kNowMs, kNowMs) == 1);
+}
+
+// Guards against shares that stay small after hosts have left: a peer's count
+// is used only while it is heard.
+BOOST_AUTO_TEST_CASE(count_of_a_silent_peer_is_not_used)
+{
+  PeerTable peers{ { "10.0.0.2", MakePeer("b") } };
+  peers["10.0.0.2"].mLiveHosts = 103;
+  TimeMs later = kNowMs + kPeerTimeoutMs;
+  BOOST_TEST(CountEntryHosts(peers, 1, 0, later) == 1);
+}
+
+// Guards against two hosts that drive a roll-out at once, and against none: the
+// coordinator is the lowest name that reaches the store itself.
+BOOST_AUTO_TEST_CASE(coordinator_reaches_the_store)
+{
+  PeerTable peers{ { "10.0.0.2", MakePeer("a") } };
+  Peer& peer = peers.at("10.0.0.2");
+  auto isFirst = [&] { return IsFirstCoordinator(peers, "b", 500, kNowMs); };
+  BOOST_TEST(!isFirst());
+  BOOST_TEST(IsFirstCoordinator(peers, "0", 500, kNowMs));
+  peer.mContactMs.reset();
+  BOOST_TEST(isFirst(), "a follower drives nothing");
+  peer = MakePeer("a");
+  peer.mContactMs = kNowMs - 4000;
+  BOOST_TEST(isFirst(), "lost the store");
+  peer = MakePeer("a");
+  peer.mStoreRevision = 400;
+  BOOST_TEST(isFirst(), "far behind");
+  peer = MakePeer("a");
+  peer.mLeaving = true;
+  BOOST_TEST(isFirst(), "leaving");
+  peer = MakePeer("a");
+  peer.mLastHeardMs = kNowMs - kPeerTimeoutMs;
+  BOOST_TEST(isFirst(), "silent");
+}
+
+// Guards against an outage of one host that is taken for one of the store, by
+// which it would keep runners that have left.
+BOOST_AUTO_TEST_CASE(store_serves_peers_while_one_has_answers)
+{
+  PeerTable peers{ { "10.0.0.2", MakePeer("a") }, { "10.0.0.3", {} } };
+  BOOST_TEST(IsStoreServingPeers(peers, kNowMs));
+  peers["10.0.0.2"].mContactMs = kNowMs - 4000;
+  BOOST_TEST(!IsStoreServingPeers(peers, kNowMs));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
