Choose the source of a pull in core and test the log of changes

The choice of the peer from which a host fetches what it lacks stood in store_sharing; it is ChoosePullSource in core/peer_table now, with a test. The watcher's merge and log of changes have tests without a network: a gap is not skipped, a change is not applied twice, a whole copy leaves no hole in the log, and the log is bounded.

--- a/core/include/savory/core/peer_table.h
+++ b/core/include/savory/core/peer_table.h
@@ -61,6 +61,17 @@
                    std::int64_t aStoreRevision,
                    TimeMs aNowMs);
 
+// Address of the peer from which a host fetches what it lacks of the store
+// while it does not reach the store itself: the one with the newest revision
+// above aStoreRevision, or nothing if there is none. A host that follows its
+// zone's watchers fetches only from them.
+std::optional<std::string>
+ChoosePullSource(const PeerTable& aPeers,
+                 const WatchDutyOptions& aOptions,
+                 bool aIsFollowing,
+                 std::int64_t aStoreRevision,
+                 TimeMs aNowMs);
+
 // The part of a peer's state that decides who watches the store.
 ZonePeer
 ToZonePeer(const Peer& aPeer);
--- a/core/src/peer_table.cpp
+++ b/core/src/peer_table.cpp
@@ -86,6 +86,27 @@
   });
 }
 
+std::optional<std::string>
+ChoosePullSource(const PeerTable& aPeers,
+                 const WatchDutyOptions& aOptions,
+                 bool aIsFollowing,
+                 std::int64_t aStoreRevision,
+                 TimeMs aNowMs)
+{
+  std::optional<std::string> source;
+  std::int64_t newestRevision = aStoreRevision;
+  for (const auto& [address, peer] : aPeers) {
+    bool isWatcher = peer.mZone == aOptions.mZone &&
+                     IsInContact(ToZonePeer(peer), aOptions, aNowMs);
+    if (IsLive(peer, aNowMs) && peer.mStoreRevision > newestRevision &&
+        (isWatcher || !aIsFollowing)) {
+      newestRevision = peer.mStoreRevision;
+      source = address;
+    }
+  }
+  return source;
+}
+
 ZonePeer
 ToZonePeer(const Peer& aPeer)
 {
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -149,16 +149,7 @@
   }
 }
 
-bool
-StoreSharing::IsWatcher(const Peer& aPeer) const
-{
-  return aPeer.mZone == mSettings.mZone &&
-         IsInContact(ToZonePeer(aPeer), mDutyOptions, mLoop.NowMs());
-}
-
-// Fetches what this host lacks while it does not reach the store itself: from a
-// watcher of the zone that it follows, or from the live peer with the newest
-// revision.
+// Fetches what this host lacks while it does not reach the store itself.
 void
 StoreSharing::PullIfBehind()
 {
@@ -166,18 +157,10 @@
   if (mWatcher.IsReachable() && !isFollowing) {
     return;
   }
-  TimeMs now = mLoop.NowMs();
-  const std::string* newestAddress = nullptr;
-  std::int64_t newestRevision = mWatcher.Revision();
-  for (const auto& [address, peer] : mPeers) {
-    if (IsLive(peer, now) && peer.mStoreRevision > newestRevision &&
-        (!isFollowing || IsWatcher(peer))) {
-      newestRevision = peer.mStoreRevision;
-      newestAddress = &address;
-    }
-  }
-  if (newestAddress) {
-    Pull(*newestAddress, isFollowing);
+  auto source = ChoosePullSource(
+    mPeers, mDutyOptions, isFollowing, mWatcher.Revision(), mLoop.NowMs());
+  if (source) {
+    Pull(*source, isFollowing && mWatcher.HasState());
   }
 }
 
--- a/router/gateway/store_sharing.h
+++ b/router/gateway/store_sharing.h
@@ -44,7 +44,6 @@
   void Pull(const std::string& aAddress, bool aOnlyChanges);
   void OnPulled(bool aOnlyChanges,
                 const tl::expected<HttpResponse, StoreError>& aResult);
-  bool IsWatcher(const Peer& aPeer) const;
 
   EventLoop& mLoop;
   const FleetSettings& mSettings;
--- a/tests/core/test_peer_table.cpp
+++ b/tests/core/test_peer_table.cpp
@@ -79,6 +79,31 @@
   BOOST_TEST(isFirst(), "silent");
 }
 
+// Guards against a follower that fetches from a host which may be behind the
+// store, and against hosts that fetch what they have.
+BOOST_AUTO_TEST_CASE(followers_fetch_from_their_watchers)
+{
+  WatchDutyOptions options;
+  options.mHost = "b";
+  options.mZone = "z";
+  PeerTable peers{ { "10.0.0.2", MakePeer("a") },
+                   { "10.0.0.3", MakePeer("c") },
+                   { "10.0.0.4", MakePeer("d") } };
+  peers["10.0.0.3"].mContactMs.reset();
+  peers["10.0.0.3"].mStoreRevision = 510;
+  peers["10.0.0.4"].mZone = "other";
+  peers["10.0.0.4"].mStoreRevision = 520;
+  auto choose = [&](bool aIsFollowing, std::int64_t aRevision) {
+    return ChoosePullSource(peers, options, aIsFollowing, aRevision, kNowMs)
+      .value_or("none");
+  };
+  BOOST_TEST(choose(true, 490) == "10.0.0.2");
+  BOOST_TEST(choose(true, 500) == "none");
+  BOOST_TEST(choose(false, 490) == "10.0.0.4");
+  peers["10.0.0.4"].mLastHeardMs = kNowMs - kPeerTimeoutMs;
+  BOOST_TEST(choose(false, 490) == "10.0.0.3");
+}
+
 // Guards against an outage of one host that is taken for one of the store, by
 // which it would keep runners that have left.
 BOOST_AUTO_TEST_CASE(store_serves_peers_while_one_has_answers)
--- a/tests/platform/test_fleet.cpp
+++ b/tests/platform/test_fleet.cpp
@@ -1,7 +1,7 @@
 #include "savory/platform/fleet_documents.h"
 #include "savory/platform/fleet_headers.h"
 #include "savory/platform/fleet_settings.h"
-#include "savory/platform/fleet_store.h"
+#include "savory/platform/fleet_watcher.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
@@ -282,4 +282,83 @@
   }
 }
 
+namespace {
+
+// A watcher that never calls the store, and what it applied.
+struct WatcherFixture
+{
+  EventLoop mLoop;
+  FleetStore mStore{ mLoop, { "127.0.0.1", 1 } };
+  StoreWatcher mWatcher{ mLoop, mStore, 4000 };
+  std::vector<std::string> mApplied;
+
+  WatcherFixture()
+  {
+    mWatcher.mOnEntry = [this](const StoreEntry& aEntry) {
+      mApplied.push_back(aEntry.mKey + "=" + aEntry.mValue);
+    };
+    mWatcher.mOnDeleted = [this](const std::string& aKey) {
+      mApplied.push_back("-" + aKey);
+    };
+  }
+};
+
+} // namespace
+
+// Guards against a follower that skips changes: those after a gap are not
+// applied, those that it has are not applied twice, and a copy of a peer that
+// is older takes nothing back.
+BOOST_AUTO_TEST_CASE(changes_of_peers_are_applied_once_and_in_order)
+{
+  WatcherFixture fixture;
+  StoreWatcher& watcher = fixture.mWatcher;
+  FleetChanges early{ 10, { 11, { { "a", "2", 11 } } } };
+  BOOST_TEST(!watcher.MergePeerChanges(early));
+  watcher.MergePeerEntries({ 10, { { "a", "1", 5 }, { "b", "1", 9 } } });
+  fixture.mApplied.clear();
+  BOOST_TEST(watcher.MergePeerChanges(early));
+  BOOST_TEST(watcher.MergePeerChanges(early));
+  FleetChanges later{ 14, { 15, { { "a", "3", 15 } } } };
+  BOOST_TEST(!watcher.MergePeerChanges(later));
+  FleetChanges overlapping{
+    9, { 14, { { "a", "2", 11 }, { "b", "", 13, true } } }
+  };
+  BOOST_TEST(watcher.MergePeerChanges(overlapping));
+  BOOST_TEST(watcher.MergePeerChanges(later));
+  watcher.MergePeerEntries({ 12, { { "a", "2", 11 }, { "b", "1", 9 } } });
+  std::vector<std::string> expected{ "a=2", "-b", "a=3" };
+  BOOST_TEST(fixture.mApplied == expected, boost::test_tools::per_element());
+  BOOST_TEST(watcher.Revision() == 15);
+}
+
+// Guards against a log of changes that has a hole where a whole copy was read,
+// or that grows without end: a peer that asks for too old a revision must fetch
+// the copy.
+BOOST_AUTO_TEST_CASE(log_of_changes_is_complete_and_bounded)
+{
+  WatcherFixture fixture;
+  StoreWatcher& watcher = fixture.mWatcher;
+  BOOST_TEST(!watcher.ChangesAfter(0));
+  watcher.MergePeerEntries({ 10, { { "a", "1", 5 }, { "b", "1", 9 } } });
+  BOOST_TEST(!watcher.ChangesAfter(9));
+  watcher.MergePeerEntries({ 20, { { "a", "2", 15 }, { "c", "1", 20 } } });
+  auto changes = watcher.ChangesAfter(10);
+  BOOST_REQUIRE(changes);
+  std::map<std::string, bool> deleted;
+  for (const StoreEntry& entry : changes->mEntries.mEntries) {
+    deleted[entry.mKey] = entry.mDeleted;
+  }
+  std::map<std::string, bool> expected{ { "a", false },
+                                        { "b", true },
+                                        { "c", false } };
+  BOOST_TEST((deleted == expected));
+  for (std::int64_t revision = 21; revision < 2000; ++revision) {
+    watcher.MergePeerChanges(
+      { revision - 1, { revision, { { "a", "x", revision } } } });
+  }
+  BOOST_TEST(!watcher.ChangesAfter(20));
+  BOOST_REQUIRE(watcher.ChangesAfter(1990));
+  BOOST_TEST(watcher.ChangesAfter(1990)->mEntries.mEntries.size() == 9U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
