--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -141,7 +141,8 @@
 
     def __init__(self, deployment, number):
         self.deployment = deployment
-        self.name = "edge-gulf-%s-1" % "abc"[number]
+        zone = deployment.zones[number]
+        self.name = "edge-%s-1" % zone
         self.address = deployment.addresses[number]
         self.frontend = (self.address, deployment.ports[0])
         self.path = os.path.join(deployment.folder, self.name + ".json")
@@ -149,7 +150,7 @@
         settings = {
             "nodeName": self.name, "role": "gateway", "machineClass": "edge",
             "serves": ["edge", "control"], "ip": address,
-            "zone": "gulf-" + "abc"[number], "region": "gulf-south",
+            "zone": zone, "region": "the-region",
             "listen": {"frontend": "%s:%d" % self.frontend,
                        "readyAddress": "%s:%d" % (address, deployment.ports[1]),
                        "controlPlane": "%s:%d" % (address, deployment.ports[2])},
@@ -208,16 +209,18 @@
 class Deployment:
     """Store, runners and gateways. Ends all processes on close()."""
 
-    def __init__(self, record, gateways, runners):
+    def __init__(self, record, gateways, runners, configuration=CONFIGURATION,
+                 zones=("gulf-a", "gulf-b", "gulf-c")):
         """runners: rows of class, name, service and zone."""
         self.record = record
+        self.zones = zones
         self.folder = tempfile.mkdtemp(prefix="savory-review-")
         net = random.SystemRandom()
         prefix = "127.%d.%d." % (net.randrange(30, 250), net.randrange(1, 250))
         self.addresses = [prefix + str(number + 1) for number in range(gateways)]
         self.ports = [_port(self.addresses) for _ in range(4)]
         self.store = Store()
-        self.store.put("op/config", CONFIGURATION)
+        self.store.put("op/config", configuration)
         self.runners = [row[0](self, *row[1:]) for row in runners]
         self.gateways = []
         try:
