--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,9 @@
-"""A chunked request whose last bytes arrive one by one ends the gateway.
+"""An empty chunked body whose last bytes arrive one by one ends the gateway.
 
-Callers book on kept connections. One more caller sends a request with an empty
-chunked body; the disruption is that the five bytes of its last chunk arrive as
-three segments. TROUBLE=0 sends the same bytes at once."""
+Callers book on kept connections at two gateways. At the first, one more caller
+sends a request with an empty chunked body; at the second, a runner answers one
+lookup with such a body. The disruption is that the five bytes of the last chunk
+arrive as three segments. TROUBLE=0 sends the same bytes at once."""
 
 import asyncio
 import os
@@ -21,10 +22,26 @@
 BOOKING_SECONDS = 4.0
 # The rule allows this many at a machine.
 ALLOWED = 3
+LOOKUP = "lookup-with-an-empty-answer"
+
+
+PARTS = [b"0\r\n", b"\r", b"\n"] if TROUBLE else [b"0\r\n\r\n"]
+PAUSE_SECONDS = 0.05
 
 
 class Desk(ReviewRunner):
     async def answer(self, writer, attempt, headers, identity):
+        if attempt == LOOKUP:
+            head = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+            head += ["%s: %s" % row for row in identity]
+            writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+            for part in PARTS:
+                await writer.drain()
+                await asyncio.sleep(PAUSE_SECONDS)
+                self.deployment.record.write("runner %s sends %r id=%s" % (
+                    self.name, part, attempt))
+                writer.write(part)
+            return True
         await asyncio.sleep(WORK_SECONDS)
         write_response(writer, 200, b"booked", identity)
         return True
@@ -52,25 +69,35 @@
 
 def send_chunked(record, gateway):
     """One proper request with an empty body in chunks."""
-    attempt = "chunked-" + gateway.name
+    attempt = "chunked-booking"
     link = CallerLink(gateway)
-    head = request_bytes("POST", "/book/deposit", attempt,
-                         framing="Transfer-Encoding: chunked")
-    for part in [b"0\r\n", b"\r", b"\n"] if TROUBLE else [b"0\r\n\r\n"]:
-        if head:
-            link.send(head)
-            head = b""
-        time.sleep(0.05)
-        record.write("chunked caller sends %r to %s" % (part, gateway.name))
+    record.write("caller sends id=%s to %s" % (attempt, gateway.name))
+    link.send(request_bytes("POST", "/book/deposit", attempt,
+                            framing="Transfer-Encoding: chunked"))
+    for part in PARTS:
+        time.sleep(PAUSE_SECONDS)
+        record.write("caller sends %r id=%s" % (part, attempt))
         try:
             link.send(part)
         except OSError:
             break
+    read(record, link, attempt)
+
+
+def look_up(record, gateway):
+    """One lookup, which a runner answers with an empty body in chunks."""
+    link = CallerLink(gateway)
+    record.write("caller sends id=%s to %s" % (LOOKUP, gateway.name))
+    link.send(request_bytes("GET", "/stock/empty", LOOKUP))
+    read(record, link, LOOKUP)
+
+
+def read(record, link, attempt):
     try:
         status, _, _ = link.read_answer()
-        record.write("chunked caller gets %d id=%s" % (status, attempt))
+        record.write("caller gets %d id=%s" % (status, attempt))
     except OSError as error:
-        record.write("chunked caller gets no answer: %s" % error)
+        record.write("caller gets no answer id=%s: %s" % (attempt, error))
 
 
 def check(record):
@@ -86,9 +113,10 @@
             for gateway in deployment.gateways for number in range(CALLERS)]
         for thread in threads:
             thread.start()
-        for gateway in deployment.gateways:
-            time.sleep(1.2)
-            send_chunked(record, gateway)
+        time.sleep(1.2)
+        send_chunked(record, deployment.gateways[0])
+        time.sleep(1.2)
+        look_up(record, deployment.gateways[1])
         for thread in threads:
             thread.join()
         ran = {run[0] for runner in deployment.runners for run in runner.runs}
