--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
 from harness import (  # noqa: E402
-    BROKEN, CallerLink, Deployment, HELD, ReviewRunner, TROUBLE, request_bytes,
+    BROKEN, CallerLink, CutAnswer, Deployment, HELD, ReviewRunner, TROUBLE, request_bytes,
     run_case, write_response)
 
 CALLERS = 6
@@ -60,7 +60,8 @@
             status, _, _ = link.read_answer()
         except OSError as error:
             record.write("caller gets no answer id=%s: %s" % (attempt, error))
-            if number > 0:
+            is_closed = isinstance(error, ConnectionError)
+            if number > 0 and is_closed and not isinstance(error, CutAnswer):
                 lost.append((gateway.name, attempt))
             return
         record.write("caller gets %d id=%s" % (status, attempt))
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -97,6 +97,8 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.alive = True
+        # End of the time for which the runner is cold after a start.
+        self.cold_until = 0.0
         # Attempt id, method, target and body of each request that ran.
         self.runs = []
         super().__init__()
@@ -107,7 +109,9 @@
         self.deployment.store.put("servers/" + self.name, {
             "service": self.service, "address": self.address,
             "zone": self.zone, "version": "v1", "slots": self.slots,
-            "state": "ready", "coldRemainingMs": 0,
+            "state": "ready",
+            "coldRemainingMs": max(0, int(1000 * (self.cold_until -
+                                                  time.monotonic()))),
             "sequence": self.sequence, "born": self.born})
 
     def _renew(self):
@@ -261,6 +265,10 @@
     return ("\r\n".join(rows) + "\r\n\r\n").encode() + body
 
 
+class CutAnswer(ConnectionError):
+    """The connection closed after a part of the answer."""
+
+
 class BadAnswer(Exception):
     """Bytes that are no answer in the protocol."""
 
@@ -273,14 +281,19 @@
         self.socket.settimeout(timeout)
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.buffer = b""
+        # A byte of the answer to the last request has arrived.
+        self.began = False
 
     def send(self, data):
+        self.began = False
         self.socket.sendall(data)
 
     def _fill(self):
         data = self.socket.recv(65536)
         if not data:
-            raise ConnectionError("closed by the gateway")
+            raise (CutAnswer if self.began else ConnectionError)(
+                "closed by the gateway")
+        self.began = True
         self.buffer += data
 
     def read_until(self, mark):
@@ -339,8 +352,12 @@
     signal.alarm(MAX_SECONDS)
     record = Record(folder)
     record.write("TROUBLE=%d" % TROUBLE)
+    failed = []
+    threading.excepthook = lambda row: failed.append(row.exc_value)
     try:
         result = check(record)
+        if failed:
+            raise RuntimeError("a stand-in failed: %r" % failed[0])
     except Exception as error:  # Whatever it is, the case could not run.
         record.write("could not run: %r" % error)
         result = CANNOT_RUN
