Read the last chunk of an empty body in any number of pieces

What callers saw: a valid message ended the gateway.

Cause: Boost.Beast 1.74 asserts that it gets the whole last chunk (five bytes or more) in the call after the one that read its size; it asks for more input after three bytes, and HttpReader called it again with four. A body of one byte or more puts a line end before the chunk, which makes up for it, so that no test with a body met the assertion.

Change: while the input begins with a part of a chunk's header, HttpReader waits for the length of the shortest last chunk. Every message that is framed correctly has at least that much to come, and bytes of chunks are still reported as they arrive.

Ruled out: compiling the assertions out. The deployed program keeps them, as what they guard is a fault that has to show; the reader's test runs in both builds.

Measured: the table of messages in up to three pieces aborts at "empty chunked request" on the parent commit and passes now, with and without assertions. test_message_pieces fails on the parent commit (the process aborts) and passes.

--- a/net/src/http_reader.cpp
+++ b/net/src/http_reader.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+// Length of the shortest last chunk, "0" and two line ends. The parser may only
+// be called again after it has read the size of the last chunk if it is given
+// at least this much.
+constexpr std::size_t kMinLastChunkBytes = 5;
+
 std::string
 ToText(boost::beast::string_view aText)
 {
@@ -88,14 +93,16 @@
   {
     while (!Base::is_done()) {
       std::size_t size = evbuffer_get_length(aInput);
-      if (size == 0) {
+      if (size == 0 || (mAwaitsChunkHeader && size < kMinLastChunkBytes)) {
         return {};
       }
+      mAwaitsChunkHeader = false;
       const unsigned char* bytes = evbuffer_pullup(aInput, -1);
       Error error;
       std::size_t used = Base::put(boost::asio::buffer(bytes, size), error);
       evbuffer_drain(aInput, used);
       if (error == http::error::need_more) {
+        mAwaitsChunkHeader = Base::is_header_done();
         // The rest is a part of the header, of a chunk's header or of the
         // trailers, of which the parser limits only the first.
         return evbuffer_get_length(aInput) > mMaxLineBytes
@@ -195,6 +202,9 @@
 
   HttpReader& mReader;
   std::size_t mMaxLineBytes;
+  // Whether the input begins with a part of a chunk's header. In every message
+  // that is framed correctly, at least the last chunk follows.
+  bool mAwaitsChunkHeader = false;
   HttpHead mHead;
 };
 
