Survive a datagram that states an excessive length

What callers saw: nothing yet. A datagram from a peer, or from anyone who reaches the port, whose CBOR states an array longer than memory can hold ended the gateway with an uncaught exception, and with it all requests in hand.

Cause: Json::from_cbor throws on such a length also where it is told not to, and peer_message called it outside of its try block. wire.cpp, the other caller, catches it.

Change: decoding and conversion are in one try block.

Measured: excessive_lengths_are_survived fails on the parent commit by that exception and passes now; test_core's peer_message suite passes.

--- a/core/src/peer_message.cpp
+++ b/core/src/peer_message.cpp
@@ -64,14 +64,21 @@
   return { bytes.begin(), bytes.end() };
 }
 
-Json
-ParseDocument(std::string_view aBytes)
+// Decodes a datagram with aConvert. The library reports missing fields, wrong
+// types and lengths out of range by exceptions, also where it is asked not to.
+template<class Message>
+std::optional<Message>
+DecodeDatagram(std::string_view aBytes, Message (*aConvert)(const Json&))
 {
   if (aBytes.size() < kHeaderBytes) {
-    return {};
+    return std::nullopt;
   }
   aBytes.remove_prefix(kHeaderBytes);
-  return Json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+  try {
+    return aConvert(Json::from_cbor(aBytes.begin(), aBytes.end()));
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
 }
 
 PeerMessage
@@ -244,26 +251,13 @@
 std::optional<PeerMessage>
 DecodePeerMessage(std::string_view aBytes)
 {
-  Json document = ParseDocument(aBytes);
-  // The library reports missing fields and wrong types by exceptions.
-  try {
-    return document.is_object() ? std::optional(ToPeerMessage(document))
-                                : std::nullopt;
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  return DecodeDatagram(aBytes, ToPeerMessage);
 }
 
 std::optional<ChangeMessage>
 DecodeChangeMessage(std::string_view aBytes)
 {
-  Json document = ParseDocument(aBytes);
-  try {
-    return document.is_object() ? std::optional(ToChangeMessage(document))
-                                : std::nullopt;
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  return DecodeDatagram(aBytes, ToChangeMessage);
 }
 
 std::size_t
--- a/tests/core/test_peer_message.cpp
+++ b/tests/core/test_peer_message.cpp
@@ -111,6 +111,26 @@
   BOOST_TEST(EncodePeerMessage(message).size() - before <= estimate);
 }
 
+// Guards against a length out of range that ends the process: the library
+// throws although it is asked not to.
+BOOST_AUTO_TEST_CASE(excessive_lengths_are_survived)
+{
+  for (unsigned char head : { 0x9b, 0xbb, 0x5b, 0x7b }) {
+    for (bool isNested : { false, true }) {
+      std::string bytes{ 2, static_cast<char>(PeerDatagramKind::Beacon) };
+      if (isNested) {
+        bytes += "\xa1\x61"
+                 "h";
+      }
+      bytes += static_cast<char>(head);
+      bytes += std::string(8, '\x7f');
+      BOOST_TEST(!DecodePeerMessage(bytes));
+      bytes[1] = static_cast<char>(PeerDatagramKind::Changes);
+      BOOST_TEST(!DecodeChangeMessage(bytes));
+    }
+  }
+}
+
 // Guards against malformed datagrams that end the process: bytes of real
 // messages, changed, cut and extended.
 RC_BOOST_PROP(mutated_datagrams_are_survived, ())
