Tell the callers of requests that a planned stop cannot finish

Cause: the times of a stop were constants for a grace of 8 s. Requests were taken for 2.8 s whatever the grace and however long their route may take, the end of the grace was looked for only after 2.6 s, and what was left then was dropped.

Change: core/shutdown plans the stop from the grace. A request that must not be repeated is taken only if its longest time ends before the stop; others if twice their latency goal is left. Refusals are truthful and close the connection, so that the caller is served elsewhere. What is left at the end is answered 502, or 503 if it has not been sent; begun streams are broken off; the process then waits for its answers to be sent.

--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -90,12 +90,15 @@
   if (!Admit()) {
     return;
   }
-  mCaller->mOnClosed = [this] { OnCallerClosed(); };
   TimeMs limit =
     mMetadata.mDeadlineMs > 0 ? mMetadata.mDeadlineMs : kDefaultDeadlineMs;
   if (mRoute->mTimeoutMs > 0) {
     limit = std::min(limit, mRoute->mTimeoutMs);
   }
+  if (!AdmitDuringShutdown(limit)) {
+    return;
+  }
+  mCaller->mOnClosed = [this] { OnCallerClosed(); };
   mDeadlineMs = mArrivedMs + limit;
   mDeadlineTimer = Timer::After(mShared.mLoop, limit, [this] { OnDeadline(); });
   mPlacementStartMs = mArrivedMs;
@@ -141,6 +144,39 @@
   return CheckForSuspects();
 }
 
+// Refuses a request that might not be answered before this process is killed,
+// and returns false. Its caller is served at once by another host.
+bool
+Exchange::AdmitDuringShutdown(TimeMs aLimitMs)
+{
+  if (!mShared.mShutdown) {
+    return true;
+  }
+  const Shutdown& shutdown = *mShared.mShutdown;
+  bool admits = AdmitsDuringShutdown(shutdown.mPlan,
+                                     { mArrivedMs - shutdown.mStartMs,
+                                       aLimitMs,
+                                       mRoute->mLatencyGoalMs,
+                                       IsRepeatable() });
+  if (!admits) {
+    LogEvent(Event::RequestRefused,
+             { { "id", mMetadata.mId }, { "reason", "shutdown" } });
+    Refuse("shutdown", 0);
+  }
+  return admits;
+}
+
+void
+Exchange::Abandon()
+{
+  if (mDone) {
+    return;
+  }
+  auto self = shared_from_this();
+  mMayHaveRun = mMayHaveRun || mAttempt;
+  FailRequest("shutdown");
+}
+
 // Refuses a request that holds what crashes runners and returns false, unless
 // it serves as a trial. No time to come back is stated: the caller cannot know
 // when the cause is gone, and many would return at once.
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -4,6 +4,7 @@
 #include "gateway_state.h"
 #include "runner_links.h"
 #include "savory/core/event_stream.h"
+#include "savory/core/shutdown.h"
 #include "savory/net/http_link.h"
 #include "savory/platform/fleet_headers.h"
 
@@ -24,6 +25,13 @@
   std::optional<CrashCandidate> mCandidate;
 };
 
+// A planned stop of this process that is under way.
+struct Shutdown
+{
+  TimeMs mStartMs = 0;
+  ShutdownPlan mPlan;
+};
+
 // State that all requests of the process share.
 struct GatewayShared
 {
@@ -33,6 +41,7 @@
   RunnerLinks mLinks;
   GatewayMetrics mMetrics;
   std::set<std::shared_ptr<Exchange>> mExchanges;
+  std::optional<Shutdown> mShutdown;
   // Bytes of answers that are buffered until they are whole.
   std::size_t mBufferedBytes = 0;
   // The attempt id assigned last; each attempt gets the next one.
@@ -152,9 +161,12 @@
   // Ends the request if it holds what crashes runners and has not been
   // answered.
   void StopIfBlocked();
+  // Ends the request as the process is about to be killed.
+  void Abandon();
 
 private:
   bool Admit();
+  bool AdmitDuringShutdown(TimeMs aLimitMs);
   bool CheckForSuspects();
   void FailAsBlocked();
   void ChooseInitialModel();
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -19,18 +19,6 @@
 // host's write. The stored progress arrives during the pause.
 constexpr TimeMs kCommitRetryMs = 400;
 
-// In a shutdown the platform stops sending new connections after two failed
-// readiness checks, a second apart; until then the host serves them.
-constexpr TimeMs kDrainRoutedMs = 2600;
-
-// Requests that arrive later than this in a shutdown are refused, since a
-// stream might not end before the process is killed. Idle connections are
-// closed from kDrainRoutedMs on, so that callers connect to another host.
-constexpr TimeMs kDrainAcceptMs = 2800;
-
-// The process exits this long before the platform would kill it.
-constexpr TimeMs kKillMarginMs = 300;
-
 // Shortest suspension of the host after which the connections to runners count
 // as stale.
 constexpr TimeMs kMinSuspensionMs = 700;
@@ -121,13 +109,6 @@
 Gateway::OnRequest(const IncomingRequest& aRequest,
                    const std::shared_ptr<CallerLink>& aCaller)
 {
-  if (mDraining && mLoop.NowMs() - mDrainStartMs > kDrainAcceptMs) {
-    RequestMetadata metadata = ParseRequestMetadata(aRequest.mHead);
-    LogEvent(Event::RequestRefused,
-             { { "id", metadata.mId }, { "reason", "shutdown" } });
-    aCaller->Respond(503, MakeRouterHeaders(metadata.mId, 0), {});
-    return;
-  }
   std::make_shared<Exchange>(mShared, aRequest, aCaller)->Start();
 }
 
@@ -465,7 +446,8 @@
     return;
   }
   mDraining = true;
-  mDrainStartMs = mLoop.NowMs();
+  mShared.mShutdown =
+    Shutdown{ mLoop.NowMs(), MakeShutdownPlan(mShared.mSettings.mGraceMs) };
   mCallerFrontend.StartDrain();
   mPeers.StartDrain();
   LogEvent(Event::DrainStarted,
@@ -473,22 +455,27 @@
 }
 
 // Stops the event loop when no requests are left and no more can arrive, or
-// just before the process would be killed.
+// just before the process would be killed. What is left then is told first.
 void
 Gateway::CheckDrain()
 {
-  TimeMs elapsed = mLoop.NowMs() - mDrainStartMs;
-  if (elapsed < kDrainRoutedMs) {
+  const ShutdownPlan& plan = mShared.mShutdown->mPlan;
+  TimeMs elapsed = mLoop.NowMs() - mShared.mShutdown->mStartMs;
+  if (elapsed < plan.mCloseIdleMs) {
     return;
   }
   mCallerFrontend.CloseIdle();
-  bool isKillImminent = elapsed >= mShared.mSettings.mGraceMs - kKillMarginMs;
-  if (isKillImminent) {
+  if (elapsed >= plan.mAbandonMs && !mShared.mExchanges.empty()) {
     LogEvent(Event::AbandonedAtStop,
              { { "requests", std::to_string(mShared.mExchanges.size()) } });
+    // Ending a request removes it from the set.
+    auto exchanges = mShared.mExchanges;
+    for (const auto& exchange : exchanges) {
+      exchange->Abandon();
+    }
   }
-  if (isKillImminent ||
-      (mShared.mExchanges.empty() && mCallerFrontend.BusyCount() == 0)) {
+  bool isIdle = mShared.mExchanges.empty() && mCallerFrontend.BusyCount() == 0;
+  if (isIdle || elapsed >= plan.mExitMs) {
     mLoop.Stop();
   }
 }
--- a/router/gateway/gateway.h
+++ b/router/gateway/gateway.h
@@ -76,7 +76,6 @@
   bool mOutageIsLocal = false;
   TimeMs mNextAdvanceMs = 0;
   bool mDraining = false;
-  TimeMs mDrainStartMs = 0;
   TimeMs mTotalSuspendedMs = 0;
   std::string mSettingsText;
   Timer mTickTimer;
