Let a begun stream go on with its own events only, or break off

Resumed at one that answers with another success, the events of that answer were passed on as the rest of the stream, and after 204 it ended as if it were complete.

Cause: Exchange::OnEnd told only 5xx from all other answers. For the rest it called CallerLink::Respond, which does nothing once an answer has begun, and ended the exchange with its deadline timer. The log showed it as end=served status=400.

Change: core/answer_use decides from an answer's head, and from what the caller has got, what becomes of it, and how a request without further attempts ends. A begun stream goes on with a success of the same status and content type only; all else is a failed attempt, after the last of which it is broken off.

--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -3,6 +3,7 @@
 #include "gateway_metrics.h"
 #include "gateway_state.h"
 #include "runner_links.h"
+#include "savory/core/answer_use.h"
 #include "savory/core/event_stream.h"
 #include "savory/core/shutdown.h"
 #include "savory/net/http_link.h"
@@ -133,6 +134,7 @@
   std::uint64_t mPrefillId = 0;
   HttpHead mHead;
   AnswerMetadata mMetadata;
+  AnswerUse mUse = AnswerUse::Broken;
   std::string mBody;
   EventStream mStream;
   // Comments before the first event, which go with it.
@@ -198,6 +200,7 @@
   void CountDelay(bool aIsDelayed);
   VersionShift* FindActiveShift() const;
   bool IsAtTarget() const;
+  AnswerUse ChooseUse(const HttpHead& aHead) const;
   void StartAnswer();
   void ForwardEvents(std::vector<StreamEvent> aEvents);
   bool MigrateIfSlow();
@@ -210,7 +213,7 @@
   bool TryBuffer(std::string_view aBytes);
   void EndAttempt();
   void RetryOrFail(std::string_view aReason);
-  void FailRequest(std::string_view aReason);
+  void FailRequest(std::string_view aReason, bool aIsTimeUp = false);
   void Refuse(std::string_view aReason, std::optional<TimeMs> aRetryAfterMs);
   TimeMs RetryAfterMs();
   void Reject(int aStatus, std::string_view aReason);
@@ -256,6 +259,10 @@
   bool mDone = false;
   std::optional<std::int64_t> mLastEventId;
   bool mAnswerStarted = false;
+  // Status and content type of the head that the caller got, once the answer
+  // has started.
+  int mStartedStatus = 0;
+  std::string mStartedType;
   // Time from the request's arrival to the first byte of its streamed answer;
   // 0 before that.
   TimeMs mFirstByteMs = 0;
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -64,6 +64,14 @@
   return text;
 }
 
+// The content type of an answer without its parameters.
+std::string
+MediaType(const Headers& aHeaders)
+{
+  const std::string* type = FindHeader(aHeaders, "Content-Type");
+  return type ? type->substr(0, type->find(';')) : std::string();
+}
+
 } // namespace
 
 void
@@ -75,24 +83,44 @@
   mAttempt->mMetadata = ParseAnswerMetadata(aHead);
   const AnswerMetadata& metadata = mAttempt->mMetadata;
   ApplyRunnerHeaders();
-  if (metadata.mNotRun) {
+  AnswerUse use = ChooseUse(aHead);
+  mAttempt->mUse = use;
+  if (use == AnswerUse::NotRun) {
     return;
   }
   mMayHaveRun = true;
-  bool success = aHead.mStatus >= 200 && aHead.mStatus < 300;
-  if (success && (!metadata.mSigned || metadata.mHasContentEncoding)) {
+  if (use == AnswerUse::Broken) {
     OnRunnerOutcome(RunnerOutcome::Broken);
-    RetryOrFail("answer is unsigned or encoded");
+    RetryOrFail(metadata.mSigned
+                  ? "answer is encoded or does not continue the stream"
+                  : "answer without signature");
     return;
   }
+  bool success = aHead.mStatus >= 200 && aHead.mStatus < 300;
   if (success && !mAnswerStarted) {
     UpdateEstimates();
   }
-  if (IsStream() && success) {
+  if (use == AnswerUse::Stream) {
     EscalateModel();
   }
 }
 
+AnswerUse
+Exchange::ChooseUse(const HttpHead& aHead) const
+{
+  const AnswerMetadata& metadata = mAttempt->mMetadata;
+  AnswerFacts facts;
+  facts.mIsStream = IsStream();
+  facts.mStatus = aHead.mStatus;
+  facts.mNotRun = metadata.mNotRun;
+  facts.mSigned = metadata.mSigned;
+  facts.mHasContentEncoding = metadata.mHasContentEncoding;
+  facts.mIsStarted = mAnswerStarted;
+  facts.mContinuesStarted = aHead.mStatus == mStartedStatus &&
+                            MediaType(aHead.mHeaders) == mStartedType;
+  return ChooseAnswerUse(facts);
+}
+
 // Drops the answer of a smaller model with low confidence and sends the request
 // to the route's largest model. Returns whether it did.
 bool
@@ -139,9 +167,7 @@
 Exchange::OnBody(std::string_view aBytes)
 {
   auto self = shared_from_this();
-  bool success =
-    mAttempt->mHead.mStatus >= 200 && mAttempt->mHead.mStatus < 300;
-  if (IsStream() && success) {
+  if (mAttempt->mUse == AnswerUse::Stream) {
     auto events = ExtractEvents(mAttempt->mStream, aBytes);
     if (IsEventTooLong(mAttempt->mStream)) {
       OnRunnerOutcome(RunnerOutcome::Broken);
@@ -180,6 +206,8 @@
     return;
   }
   mAnswerStarted = true;
+  mStartedStatus = mAttempt->mHead.mStatus;
+  mStartedType = MediaType(mAttempt->mHead.mHeaders);
   mFirstByteMs = Now() - mArrivedMs;
   mCaller->Start(
     mAttempt->mHead.mStatus, MakeCallerHeaders(mAttempt->mHead), std::nullopt);
@@ -290,8 +318,8 @@
     mAttempt->mLink = nullptr;
   }
   int status = mAttempt->mHead.mStatus;
-  const AnswerMetadata& metadata = mAttempt->mMetadata;
-  if (metadata.mNotRun) {
+  AnswerUse use = mAttempt->mUse;
+  if (use == AnswerUse::NotRun) {
     OnRunnerOutcome(RunnerOutcome::Refused);
     auto& runners = mShared.mState.mRunners.mRunners;
     auto found = runners.find(mAttempt->mRunner);
@@ -303,12 +331,7 @@
     RetryOrFail("runner refused with " + std::to_string(status));
     return;
   }
-  if (!metadata.mSigned) {
-    OnRunnerOutcome(RunnerOutcome::Broken);
-    RetryOrFail("answer without signature");
-    return;
-  }
-  if (status >= 500) {
+  if (use == AnswerUse::Failure) {
     OnRunnerOutcome(RunnerOutcome::Failure);
     OnVersionAnswer(AnswerResult::Failed);
     mShared.mBufferedBytes -= mAttempt->mBody.size();
@@ -316,8 +339,7 @@
     RetryOrFail("runner failed with " + std::to_string(status));
     return;
   }
-  bool success = status >= 200 && status < 300;
-  if (IsStream() && success) {
+  if (use == AnswerUse::Stream) {
     if (HasPartialEvent(mAttempt->mStream)) {
       OnRunnerOutcome(RunnerOutcome::Broken);
       RetryOrFail("stream ends inside an event");
@@ -334,7 +356,7 @@
     End(ExchangeEnd::Served, status, "");
     return;
   }
-  if (success) {
+  if (status < 300) {
     OnRunnerAnswered();
   }
   OnRunnerOutcome(RunnerOutcome::Success);
@@ -409,12 +431,7 @@
   bool sent = mAttempt != nullptr;
   EndAttempt();
   mMayHaveRun = mMayHaveRun || sent;
-  if (mAnswerStarted || mRunnerFailure || !mMayHaveRun) {
-    FailRequest("time is up");
-    return;
-  }
-  mCaller->Respond(504, MakeRouterHeaders(mMetadata.mId, std::nullopt), {});
-  End(ExchangeEnd::Failed, 504, "time is up");
+  FailRequest("time is up", true);
 }
 
 void
@@ -493,20 +510,32 @@
 }
 
 void
-Exchange::FailRequest(std::string_view aReason)
+Exchange::FailRequest(std::string_view aReason, bool aIsTimeUp)
 {
   auto self = shared_from_this();
   EndAttempt();
-  if (mAnswerStarted) {
-    mCaller->Abort();
-    End(ExchangeEnd::BrokenOff, 0, aReason);
-  } else if (mRunnerFailure) {
-    ForwardFailure();
-  } else if (mMayHaveRun) {
-    mCaller->Respond(502, MakeRouterHeaders(mMetadata.mId, std::nullopt), {});
-    End(ExchangeEnd::Failed, 502, aReason);
-  } else {
-    Refuse(aReason, mIsBlocked ? std::nullopt : std::optional(RetryAfterMs()));
+  RequestEnd end = ChooseRequestEnd(
+    { mAnswerStarted, mRunnerFailure.has_value(), mMayHaveRun, aIsTimeUp });
+  switch (end) {
+    case RequestEnd::BreakOff:
+      mCaller->Abort();
+      End(ExchangeEnd::BrokenOff, 0, aReason);
+      break;
+    case RequestEnd::ForwardFailure:
+      ForwardFailure();
+      break;
+    case RequestEnd::TimedOut:
+    case RequestEnd::Failed: {
+      int status = end == RequestEnd::TimedOut ? 504 : 502;
+      mCaller->Respond(
+        status, MakeRouterHeaders(mMetadata.mId, std::nullopt), {});
+      End(ExchangeEnd::Failed, status, aReason);
+      break;
+    }
+    case RequestEnd::Refuse:
+      Refuse(aReason,
+             mIsBlocked ? std::nullopt : std::optional(RetryAfterMs()));
+      break;
   }
 }
 
--- /dev/null
+++ b/tests/process/test_resumed_stream.py
@@ -0,0 +1,105 @@
+"""Streams that break off and go on at a runner that answers with something else
+than their next events.
+
+Guards against callers that find an error's text or head in the middle of their
+stream, that take a stream for complete which is not, or that wait without an
+end."""
+
+import http.client
+import time
+
+from fleet_platform import Runner, write_response
+from gateway_fixture import event_ids, run_checks
+
+# The route's timeout, and what the platform's rules allow beyond it.
+MAX_SECONDS = 8.5
+ERROR_TEXT = b"id: 4\ndata: an error's text\n\n"
+SIGNED = [("Runner-Signature", "sig")]
+
+
+class OtherAnswerRunner(Runner):
+    """A runner that tears the streams that begin at it, and answers those that go
+    on at it by its `answer`."""
+
+    answer = None
+
+    async def handle(self, writer, method, target, headers, body):
+        self.mode = "tear"
+        if "last-event-id" not in headers:
+            return await super().handle(writer, method, target, headers, body)
+        self.runs.append((headers, method, target, body))
+        identity = SIGNED + [("Attempt-Id", headers["attempt-id"])]
+        return self.answer(writer, identity)
+
+
+def with_status(status):
+    def answer(writer, identity):
+        write_response(writer, status, ERROR_TEXT, identity)
+        return True
+    return answer
+
+
+def without_body(writer, identity):
+    lines = ["HTTP/1.1 204 X"] + ["%s: %s" % row for row in identity]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+    return True
+
+
+def of_another_type(writer, identity):
+    write_response(writer, 200, ERROR_TEXT,
+                   identity + [("Content-Type", "application/json")])
+    return True
+
+
+def broken_head(writer, _identity):
+    writer.write(b"HTTP/1.1 200 OK\r\nRunner-Sig")
+    writer.transport.abort()
+    return False
+
+
+def unsigned(writer, identity):
+    write_response(writer, 200, ERROR_TEXT, identity[1:])
+    return True
+
+
+ANSWERS = {"400": with_status(400), "302": with_status(302),
+           "409": with_status(409), "500": with_status(500),
+           "201": with_status(201), "204": without_body,
+           "type": of_another_type, "head": broken_head,
+           "unsigned": unsigned}
+
+
+def broken_stream_is_seen_as_broken(platform):
+    """Guards against an answer to a resumption that is taken for the rest of the
+    stream, or that leaves it open."""
+    for runner in platform.llm:
+        runner.crash()
+        platform.store.delete("servers/" + runner.name)
+    runners = [OtherAnswerRunner(platform.store, "other-%d" % number, "llm")
+               for number in range(2)]
+    for runner in runners:
+        runner.register()
+    for name, answer in ANSWERS.items():
+        # A new process: earlier answers block the runners for a while.
+        gateway = platform.gateway("resumed-" + name)
+        for runner in runners:
+            runner.answer = answer
+            runner.runs.clear()
+        body = None
+        begin = time.monotonic()
+        try:
+            body = gateway.stream(attempt="r" + name)[1]
+        except http.client.IncompleteRead as error:
+            body = error.partial
+            elapsed = time.monotonic() - begin
+            assert elapsed < MAX_SECONDS, (name, elapsed)
+            assert event_ids(body) == [1, 2], (name, body)
+            assert b"error" not in body and b"HTTP" not in body, (name, body)
+            resumed = [run for runner in runners for run in runner.runs
+                       if "last-event-id" in run[0]]
+            assert resumed, name
+            continue
+        raise AssertionError("%s: looks complete: %r" % (name, body))
+
+
+run_checks([broken_stream_is_seen_as_broken])
