Withdraw a request that is given up

Cause: ClientLink::Close closed the connection regularly, and the kernel goes on sending what the path had held back.

Change: a connection whose request has no complete answer is reset. Others end in order as before.

--- a/net/src/client_link.cpp
+++ b/net/src/client_link.cpp
@@ -281,6 +281,9 @@
   }
 }
 
+// A connection with an outstanding request is reset: the kernel would otherwise
+// go on sending what a broken path holds back, so that a request that was given
+// up would run when the path is back.
 void
 ClientLink::Close()
 {
@@ -288,6 +291,14 @@
   ClearCallbacks();
   mFailed = true;
   if (mBuffer) {
+    if (mBusy) {
+      linger reset{ 1, 0 };
+      setsockopt(bufferevent_getfd(mBuffer),
+                 SOL_SOCKET,
+                 SO_LINGER,
+                 &reset,
+                 sizeof reset);
+    }
     bufferevent* buffer = std::exchange(mBuffer, nullptr);
     if (mReading) {
       // The reader still uses the input; Read frees the buffer afterwards.
--- a/tests/platform/test_http_link.cpp
+++ b/tests/platform/test_http_link.cpp
@@ -58,6 +58,17 @@
       close(std::exchange(mSocket, -1));
     }
   }
+  // Reads until the client has ended the connection; returns whether it did so
+  // by a reset.
+  bool IsResetByClient() const
+  {
+    char request[4096];
+    ssize_t size = 0;
+    do {
+      size = recv(mSocket, request, sizeof request, MSG_DONTWAIT);
+    } while (size > 0);
+    return size < 0 && errno == ECONNRESET;
+  }
   void Reset()
   {
     linger now{ 1, 0 };
@@ -256,6 +267,27 @@
   BOOST_TEST(!mReusable.has_value());
 }
 
+// Guards against a request that was given up and reaches the server later, when
+// the path is back: the kernel goes on sending after a regular close.
+BOOST_AUTO_TEST_CASE(link_with_an_outstanding_request_is_reset)
+{
+  SendRequest();
+  mServer.Write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo");
+  RunFor(10);
+  mLink->Close();
+  RunFor(10);
+  BOOST_TEST(mServer.IsResetByClient());
+  // Without one the connection ends in order.
+  mServer.End();
+  mLink = nullptr;
+  SendRequest();
+  mServer.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  BOOST_REQUIRE(RunUntilEnded());
+  mLink->Close();
+  RunFor(10);
+  BOOST_TEST(!mServer.IsResetByClient());
+}
+
 // Guards against a crash when a connection ends before its answer begins: the
 // parser asserts that it has received at least one byte.
 BOOST_AUTO_TEST_CASE(connection_end_before_the_answer_is_a_failure)
