Refuse messages whose end does not follow from their headers

Cause: Boost.Beast leaves codings other than chunked to its user and goes on as if the header were missing, and HttpReader did not check it. CallerLink framed the answer to a stream in chunks whatever its status.

Change: a request with a transfer coding other than exactly chunked, with two, or with one before HTTP/1.1 is malformed (400, the connection is closed). So is an answer, but for identity, which ends with its connection. Answers that have no body get no framing, one to HEAD is read without a body, and one empty line before a request is passed over (RFC 9112, 2.2).

--- a/net/include/savory/net/http_link.h
+++ b/net/include/savory/net/http_link.h
@@ -226,6 +226,7 @@
   Timer mConnectTimer;
   bool mConnected = false;
   bool mBusy = false;
+  bool mAsksForHead = false;
   bool mReading = false;
   bool mFailed = false;
   // Set by Close when it runs from a callback of the reader, which still uses
--- a/net/include/savory/net/http_reader.h
+++ b/net/include/savory/net/http_reader.h
@@ -58,10 +58,11 @@
   std::uint64_t mMaxBodyBytes = 64 * 1024 * 1024;
 };
 
-// Parses one HTTP/1.1 message from a connection's input with Boost.Beast, which
-// rejects ambiguous framing. evhttp is not used where answers are relayed: it
-// cannot distinguish the regular end of an answer without a length from a
-// connection reset, and it does not read while a reply is outstanding.
+// Parses one HTTP/1.1 message from a connection's input with Boost.Beast. A
+// message whose end does not follow from its headers is malformed. evhttp is
+// not used where answers are relayed: it cannot distinguish the regular end of
+// an answer without a length from a connection reset, and it does not read
+// while a reply is outstanding.
 class HttpReader
 {
 public:
@@ -69,6 +70,8 @@
   {
     Request,
     Response,
+    // A response without a body, whatever its headers say.
+    ResponseToHead,
   };
 
   HttpReader(Kind aKind, HttpReaderLimits aLimits);
--- a/net/src/client_link.cpp
+++ b/net/src/client_link.cpp
@@ -144,8 +144,10 @@
 void
 ClientLink::ResetReader()
 {
-  mReader = std::make_unique<HttpReader>(HttpReader::Kind::Response,
-                                         HttpReaderLimits{});
+  mReader =
+    std::make_unique<HttpReader>(mAsksForHead ? HttpReader::Kind::ResponseToHead
+                                              : HttpReader::Kind::Response,
+                                 HttpReaderLimits{});
   mSkipsAnswer = false;
   mReader->mOnHead = [this](const HttpHead& aHead) {
     mSkipsAnswer =
@@ -189,6 +191,7 @@
   text += "\r\n";
   text += aBody;
   mBusy = true;
+  mAsksForHead = aHead.mMethod == "HEAD";
   mSkippedCount = 0;
   ResetReader();
   bufferevent_write(mBuffer, text.data(), text.size());
--- a/net/src/http_frontend.cpp
+++ b/net/src/http_frontend.cpp
@@ -1,5 +1,6 @@
 #include "savory/net/http_link.h"
 
+#include "savory/core/answer_use.h"
 #include "savory/net/socket_address.h"
 
 #include <arpa/inet.h>
@@ -206,7 +207,9 @@
     text += "Connection: close\r\n";
   }
   mAnswerChunked = !aLength;
-  if (aLength) {
+  if (HasNoBody(aStatus)) {
+    mAnswerHasNoBody = true;
+  } else if (aLength) {
     text += "Content-Length: " + std::to_string(*aLength) + "\r\n";
   } else {
     text += "Transfer-Encoding: chunked\r\n";
--- a/net/src/http_reader.cpp
+++ b/net/src/http_reader.cpp
@@ -80,10 +80,13 @@
   using Error = boost::system::error_code;
   using Text = boost::beast::string_view;
 
-  BeastParser(HttpReader& aReader, const HttpReaderLimits& aLimits)
+  BeastParser(HttpReader& aReader,
+              const HttpReaderLimits& aLimits,
+              bool aAnswersHead)
     : mReader(aReader)
     , mMaxLineBytes(aLimits.mMaxHeaderBytes)
   {
+    Base::skip(aAnswersHead);
     Base::eager(true);
     Base::header_limit(aLimits.mMaxHeaderBytes);
     Base::body_limit(aLimits.mMaxBodyBytes);
@@ -91,6 +94,9 @@
 
   tl::expected<void, HttpReadError> Feed(evbuffer* aInput) override
   {
+    if (IsRequest && !Base::got_some() && !SkipEmptyLine(aInput)) {
+      return {};
+    }
     while (!Base::is_done()) {
       std::size_t size = evbuffer_get_length(aInput);
       if (size == 0 || (mAwaitsChunkHeader && size < kMinLastChunkBytes)) {
@@ -142,15 +148,17 @@
   void on_request_impl(http::verb,
                        Text aMethod,
                        Text aTarget,
-                       int,
+                       int aVersion,
                        Error&) override
   {
+    mVersion = aVersion;
     mHead.mMethod = ToText(aMethod);
     mHead.mTarget = ToText(aTarget);
   }
 
-  void on_response_impl(int aStatus, Text, int, Error&) override
+  void on_response_impl(int aStatus, Text, int aVersion, Error&) override
   {
+    mVersion = aVersion;
     mHead.mStatus = aStatus;
   }
 
@@ -162,8 +170,12 @@
     }
   }
 
-  void on_header_impl(Error&) override
+  void on_header_impl(Error& aError) override
   {
+    if (!IsFramingKnown()) {
+      aError = http::error::bad_transfer_encoding;
+      return;
+    }
     mHead.mKeepAlive = Base::keep_alive();
     mHead.mChunked = Base::chunked();
     if (auto length = Base::content_length()) {
@@ -192,6 +204,49 @@
 
   void on_finish_impl(Error&) override {}
 
+  // Whether the end of the body follows from the headers (RFC 9112, 6.3). The
+  // parser leaves codings other than chunked to its user and goes on as if the
+  // header were missing.
+  bool IsFramingKnown() const
+  {
+    constexpr int kVersion11 = 11;
+    int codings = 0;
+    bool isIdentity = false;
+    for (const auto& [name, value] : mHead.mHeaders) {
+      if (EqualHeaderNames(name, "Transfer-Encoding")) {
+        ++codings;
+        isIdentity = EqualHeaderNames(value, "identity");
+        if (!isIdentity && !EqualHeaderNames(value, "chunked")) {
+          return false;
+        }
+      }
+    }
+    if (codings == 0) {
+      return true;
+    }
+    // An answer may end with its connection.
+    bool isWithoutFraming = !IsRequest && isIdentity && !Base::content_length();
+    return codings == 1 && mVersion >= kVersion11 &&
+           (Base::chunked() || isWithoutFraming);
+  }
+
+  // Passes over one empty line before a request (RFC 9112, 2.2). Returns
+  // whether it is known that none follows.
+  bool SkipEmptyLine(evbuffer* aInput)
+  {
+    char line[2];
+    ev_ssize_t size = evbuffer_copyout(aInput, line, sizeof line);
+    if (mEmptyLineSkipped || size <= 0 || line[0] != '\r') {
+      return size > 0;
+    }
+    if (size == 2 && line[1] == '\n') {
+      evbuffer_drain(aInput, sizeof line);
+      mEmptyLineSkipped = true;
+      return evbuffer_get_length(aInput) > 0;
+    }
+    return size == 2;
+  }
+
   std::size_t OnBodyBytes(Text aBody)
   {
     if (mReader.mOnBody) {
@@ -205,15 +260,18 @@
   // Whether the input begins with a part of a chunk's header. In every message
   // that is framed correctly, at least the last chunk follows.
   bool mAwaitsChunkHeader = false;
+  bool mEmptyLineSkipped = false;
+  int mVersion = 0;
   HttpHead mHead;
 };
 
 HttpReader::HttpReader(Kind aKind, HttpReaderLimits aLimits)
 {
   if (aKind == Kind::Request) {
-    mParser = std::make_unique<BeastParser<true>>(*this, aLimits);
+    mParser = std::make_unique<BeastParser<true>>(*this, aLimits, false);
   } else {
-    mParser = std::make_unique<BeastParser<false>>(*this, aLimits);
+    mParser = std::make_unique<BeastParser<false>>(
+      *this, aLimits, aKind == Kind::ResponseToHead);
   }
 }
 
--- a/tests/process/test_resumed_stream.py
+++ b/tests/process/test_resumed_stream.py
@@ -6,10 +6,11 @@
 end."""
 
 import http.client
+import socket
 import time
 
 from fleet_platform import Runner, write_response
-from gateway_fixture import event_ids, run_checks
+from gateway_fixture import event_ids, run_checks, wait_until
 
 # The route's timeout, and what the platform's rules allow beyond it.
 MAX_SECONDS = 8.5
@@ -102,4 +103,34 @@
         raise AssertionError("%s: looks complete: %r" % (name, body))
 
 
-run_checks([broken_stream_is_seen_as_broken])
+def answer_without_body_leaves_the_connection_sound(platform):
+    """Guards against bytes of a body after an answer that has none, which precede
+    the next answer on the connection."""
+    gateway = platform.gateway("no-body")
+
+    class NoBodyRunner(Runner):
+        async def handle(self, writer, method, target, headers, body):
+            return without_body(
+                writer, SIGNED + [("Attempt-Id", headers["attempt-id"])])
+    for runner in platform.llm:
+        runner.crash()
+        platform.store.delete("servers/" + runner.name)
+    NoBodyRunner(platform.store, "no-body", "llm").register()
+    wait_until(lambda: gateway.stream(attempt="first")[0] == 204,
+               what="the new runner")
+    prompt = (b"POST /s/x HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
+              b"Model: *\r\nToken-Usage: 100,20\r\nPrefix-Hash: a1:50,b2:50\r\n"
+              b"Attempt-Id: n1\r\nContent-Length: 1\r\n\r\np")
+    lookup = (b"GET /g/x HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
+              b"Attempt-Id: g1\r\nConnection: close\r\n\r\n")
+    with socket.create_connection((gateway.address, gateway.frontend_port),
+                                  timeout=4) as link:
+        link.sendall(prompt + lookup)
+        received = b"".join(iter(lambda: link.recv(4096), b""))
+    first, _, rest = received.partition(b"\r\n\r\n")
+    assert first.startswith(b"HTTP/1.1 204"), received
+    assert rest.startswith(b"HTTP/1.1 200"), received
+
+
+run_checks([broken_stream_is_seen_as_broken,
+            answer_without_body_leaves_the_connection_sound])
