Take no default for a needed field of a registration

Cause: ParseRegistration put defaults in the place of fields that were missing or of another type, and a runner without version may serve while no roll-out is under way.

Only born may be missing. The test's valid entry now has a sequence, as the platform's page demands of each.

--- a/tests/platform/test_fleet.cpp
+++ b/tests/platform/test_fleet.cpp
@@ -4,6 +4,7 @@
 #include "savory/platform/fleet_watcher.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 using namespace savory;
@@ -12,7 +13,8 @@
 
 const std::string kRegistration =
   R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
-  R"("slots":64,"state":"ready","coldRemainingMs":0,"born":1780000000000})";
+  R"("slots":64,"state":"ready","coldRemainingMs":0,"sequence":4,)"
+  R"("born":1780000000000})";
 
 const std::string kConfiguration =
   R"({"version":7,"routeTable":[{"name":"r","host":"h","prefix":"/a/",)"
@@ -107,6 +109,40 @@
   }
 }
 
+// Guards against an entry of another writer that gets requests: a field that it
+// lacks, or has in another type, is no default.
+BOOST_AUTO_TEST_CASE(registration_without_a_needed_field_names_no_runner)
+{
+  auto complete = nlohmann::json::parse(kRegistration);
+  for (const char* field : { "service",
+                             "address",
+                             "zone",
+                             "version",
+                             "slots",
+                             "state",
+                             "coldRemainingMs",
+                             "sequence" }) {
+    auto document = complete;
+    document.erase(field);
+    BOOST_TEST(!ParseRegistration("i", document.dump()), field << " missing");
+    for (nlohmann::json value :
+         { nlohmann::json(nullptr),
+           nlohmann::json(true),
+           nlohmann::json::array({ "v1" }),
+           nlohmann::json::object(),
+           complete[field].is_string() ? nlohmann::json(1)
+                                       : nlohmann::json("1") }) {
+      document[field] = value;
+      BOOST_TEST(!ParseRegistration("i", document.dump()),
+                 field << " is " << value.dump());
+    }
+  }
+  complete["born"] = "1";
+  BOOST_TEST(!ParseRegistration("i", complete.dump()));
+  complete.erase("born");
+  BOOST_TEST(ParseRegistration("i", complete.dump()).has_value());
+}
+
 // Guards against numbers beyond their type, whose conversion is undefined, and
 // against sums that overflow.
 BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_limited)
