Refuse frames that are nested too deeply for the stack

What callers would see: an entry or an agent ends with all requests in hand when a frame of the inner transport holds an array that is nested 60,000 deep (frames may take 1 MiB). Datagrams of gateways are too short for it.

Evidence: a program that calls DecodeDocument on such bytes ends with a segmentation fault on the parent commit with 60,000 and 1,000,000 levels, and survives 16,000.

Cause: the JSON library decodes CBOR recursively, also strings in pieces of strings.

Change: core/cbor checks the structure first, without recursion: depth, lengths within the message, no tags and no items without a stated length. Frames and datagrams are decoded through it.

Measured: deeply_nested_messages_are_refused and documents_survive_a_round_trip pass, with the wire and peer_message suites.

--- a/core/src/peer_message.cpp
+++ b/core/src/peer_message.cpp
@@ -1,5 +1,7 @@
 #include "savory/core/peer_message.h"
 
+#include "cbor.h"
+
 #include <nlohmann/json.hpp>
 
 namespace savory {
@@ -64,8 +66,8 @@
   return { bytes.begin(), bytes.end() };
 }
 
-// Decodes a datagram with aConvert. The library reports missing fields, wrong
-// types and lengths out of range by exceptions, also where it is asked not to.
+// Decodes a datagram with aConvert. The library reports missing fields and
+// wrong types by exceptions.
 template<class Message>
 std::optional<Message>
 DecodeDatagram(std::string_view aBytes, Message (*aConvert)(const Json&))
@@ -73,9 +75,12 @@
   if (aBytes.size() < kHeaderBytes) {
     return std::nullopt;
   }
-  aBytes.remove_prefix(kHeaderBytes);
+  auto document = DecodeCbor(aBytes.substr(kHeaderBytes));
+  if (!document) {
+    return std::nullopt;
+  }
   try {
-    return aConvert(Json::from_cbor(aBytes.begin(), aBytes.end()));
+    return aConvert(*document);
   } catch (const Json::exception&) {
     return std::nullopt;
   }
--- a/core/src/wire.cpp
+++ b/core/src/wire.cpp
@@ -1,5 +1,7 @@
 #include "savory/core/wire.h"
 
+#include "cbor.h"
+
 #include <nlohmann/json.hpp>
 
 namespace savory {
@@ -210,19 +212,16 @@
 tl::expected<json, WireError>
 DecodeDocument(std::string_view aBytes)
 {
-  // The library throws on an object size beyond its limit, even in its mode
-  // without exceptions.
-  try {
-    json document = json::from_cbor(aBytes.begin(), aBytes.end());
-    if (document.is_object()) {
-      return document;
-    }
+  auto document = DecodeCbor(aBytes);
+  if (!document) {
     return tl::unexpected(
-      WireError{ WireErrorCode::BadEncoding, "message is not a CBOR map" });
-  } catch (const json::exception& error) {
+      WireError{ WireErrorCode::BadEncoding, document.error() });
+  }
+  if (!document->is_object()) {
     return tl::unexpected(
-      WireError{ WireErrorCode::BadEncoding, error.what() });
+      WireError{ WireErrorCode::BadEncoding, "message is not a CBOR map" });
   }
+  return std::move(*document);
 }
 
 std::string
--- a/tests/core/test_wire.cpp
+++ b/tests/core/test_wire.cpp
@@ -56,6 +56,44 @@
                 .has_value());
 }
 
+// Guards against a stack overflow, which ended the process: the library decodes
+// nested arrays, maps and strings without a stated length recursively.
+BOOST_AUTO_TEST_CASE(deeply_nested_messages_are_refused)
+{
+  constexpr std::size_t kDepth = 300000;
+  for (std::string_view head :
+       { "\x81", "\xa1\x61k", "\x9f", "\xbf\x61k", "\x5f", "\x7f", "\xc1" }) {
+    std::string bytes;
+    for (std::size_t i = 0; i < kDepth; ++i) {
+      bytes += head;
+    }
+    BOOST_TEST(!DecodeDocument(bytes).has_value());
+    BOOST_TEST(!DecodeDocument("\xa1\x61k" + bytes).has_value());
+  }
+}
+
+// Guards against a document of the router that is refused: every type of item,
+// and lengths of one to five bytes.
+BOOST_AUTO_TEST_CASE(documents_survive_a_round_trip)
+{
+  nlohmann::json document;
+  for (std::size_t size : { 0, 1, 23, 24, 255, 256, 70000 }) {
+    std::string name = std::to_string(size);
+    document["text"][name] = std::string(size, 'x');
+    document["bytes"][name] =
+      nlohmann::json::binary(std::vector<std::uint8_t>(size, 7));
+    document["list"][name] = std::vector<int>(size, -5);
+  }
+  for (std::int64_t number : { 0LL, 23LL, 24LL, 70000LL, 1LL << 40 }) {
+    document["numbers"].push_back(number);
+    document["numbers"].push_back(-number);
+  }
+  document["others"] = { 1.5, 1e300, true, false, nullptr };
+  auto decoded = DecodeDocument(EncodeDocument(document));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST((*decoded == document));
+}
+
 // Guards against a truncated message that is decoded as a valid one.
 BOOST_AUTO_TEST_CASE(truncated_messages_are_refused)
 {
