Answer 400 to a body that is nested too deeply to be written anew

What callers saw: the entry ended with all requests in hand when one caller sent a chat request with a field nested 400,000 deep.

Cause: the entry writes the body anew for the chosen model, and the JSON library writes documents recursively.

Change: core/json_depth finds the depth of a JSON text without parsing it, and ParseChatRequest refuses more than 128 levels.

--- a/router/src/caller_api.cpp
+++ b/router/src/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "caller_api.h"
 
 #include "savory/core/identity.h"
+#include "savory/core/json_depth.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -18,6 +19,10 @@
 constexpr TimeMs kMaxDeadlineMs = 3600000;
 constexpr std::size_t kMaxIdempotencyKeyBytes = 256;
 
+// Bodies are passed on with another model's name, for which they are written
+// anew.
+constexpr std::size_t kMaxBodyDepth = 128;
+
 json
 MakeErrorDocument(const CallerError& aError, const std::string& aRequestId)
 {
@@ -183,6 +188,9 @@
 tl::expected<ChatRequest, CallerError>
 ParseChatRequest(const std::string& aBody)
 {
+  if (IsNestedDeeper(aBody, kMaxBodyDepth)) {
+    return BadRequest("the body is nested too deeply");
+  }
   json document = json::parse(aBody, nullptr, false);
   if (!document.is_object()) {
     return BadRequest("the body is not a JSON object");
--- a/tests/process/test_path.py
+++ b/tests/process/test_path.py
@@ -49,6 +49,9 @@
         ("no key", 401, target, valid_body, {}),
         ("broken JSON", 400, target, "{", bearer),
         ("no messages", 400, target, {"messages": []}, bearer),
+        ("deep nesting", 400, target,
+         json.dumps(valid_body)[:-1] + ', "x": ' + "[" * 400000 + "]" * 400000 +
+         "}", bearer),
         ("unknown model", 404, target, {**valid_body, "model": "nope"}, bearer),
         ("negative deadline", 400, target, valid_body,
          {**bearer, "x-deadline-ms": "-5"}),
