Delete what the sender of a difference to a list never saw

Cause: a host that reads a whole list of the store passes on the difference to its own copy. A key that was written and deleted since that copy is in neither; a restarted host begins with an empty copy. Hosts that had seen the write took the list's revision over and kept the key. The log of changes had the same hole.

Change: the copy moves from StoreWatcher to core/store_copy, without I/O. A difference to a list says so (a field that earlier releases skip), and a host then deletes its own keys from after the difference's first revision that are not in it. The log gives nothing from within such a span, so that a peer fetches the whole copy.

--- a/core/include/savory/core/peer_message.h
+++ b/core/include/savory/core/peer_message.h
@@ -87,6 +87,8 @@
   std::string mAddress;
   std::int64_t mFromRevision = 0;
   std::int64_t mToRevision = 0;
+  // The changes are those of a whole list; see StoreChanges.
+  bool mIsFromList = false;
   std::vector<ChangeRow> mRows;
 };
 
--- a/core/src/peer_message.cpp
+++ b/core/src/peer_message.cpp
@@ -139,6 +139,9 @@
   message.mAddress = aDocument.at("a").get<std::string>();
   message.mFromRevision = aDocument.at("f").get<std::int64_t>();
   message.mToRevision = aDocument.at("r").get<std::int64_t>();
+  // Earlier releases do not send it.
+  message.mIsFromList =
+    aDocument.contains("s") && aDocument.at("s").get<bool>();
   for (const Json& row : aDocument.at("c")) {
     ChangeRow change;
     change.mKey = row.at(0).get<std::string>();
@@ -225,6 +228,7 @@
                                      { { "a", aMessage.mAddress },
                                        { "f", aMessage.mFromRevision },
                                        { "r", aMessage.mToRevision },
+                                       { "s", aMessage.mIsFromList },
                                        { "c", rows } });
   return bytes.size() <= kMaxPeerDatagramBytes ? bytes : std::string();
 }
--- /dev/null
+++ b/core/src/store_copy.cpp
@@ -0,0 +1,144 @@
+#include "savory/core/store_copy.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+namespace savory {
+
+namespace {
+
+// Changes that are kept for peers that missed some.
+constexpr std::size_t kMaxLogEntries = 512;
+
+// Returns whether the entry was new.
+bool
+ApplyEntry(StoreCopy& aCopy, const StoreEntry& aEntry)
+{
+  auto found = aCopy.mEntries.find(aEntry.mKey);
+  bool isKnown = found != aCopy.mEntries.end();
+  if (isKnown && found->second.mModRevision >= aEntry.mModRevision) {
+    return false;
+  }
+  if (!aEntry.mDeleted) {
+    aCopy.mEntries[aEntry.mKey] = aEntry;
+  } else if (isKnown) {
+    aCopy.mEntries.erase(found);
+  }
+  return !aEntry.mDeleted || isKnown;
+}
+
+void
+AddToLog(StoreCopy& aCopy, const std::vector<StoreEntry>& aEntries)
+{
+  aCopy.mLog.insert(aCopy.mLog.end(), aEntries.begin(), aEntries.end());
+  while (aCopy.mLog.size() > kMaxLogEntries) {
+    aCopy.mLogRevision =
+      std::max(aCopy.mLogRevision, aCopy.mLog.front().mModRevision);
+    aCopy.mLog.pop_front();
+  }
+  while (!aCopy.mListed.empty() &&
+         aCopy.mListed.front().second <= aCopy.mLogRevision) {
+    aCopy.mListed.pop_front();
+  }
+}
+
+// Moves the copy to a revision that a list has.
+void
+AdvanceByList(StoreCopy& aCopy, std::int64_t aRevision)
+{
+  if (aRevision > aCopy.mRevision) {
+    aCopy.mListed.emplace_back(aCopy.mRevision, aRevision);
+    aCopy.mRevision = aRevision;
+  }
+}
+
+// Adds the deletions of keys that were written after aFromRevision and that
+// aEntries, from a list, lacks.
+void
+AddDeletions(const StoreCopy& aCopy,
+             std::int64_t aFromRevision,
+             std::int64_t aListRevision,
+             std::int64_t aDeletionRevision,
+             std::vector<StoreEntry>& aEntries)
+{
+  std::set<std::string> listed;
+  for (const StoreEntry& entry : aEntries) {
+    listed.insert(entry.mKey);
+  }
+  for (const auto& [key, entry] : aCopy.mEntries) {
+    if (!listed.contains(key) && entry.mModRevision > aFromRevision &&
+        entry.mModRevision <= aListRevision) {
+      aEntries.push_back({ key, {}, aDeletionRevision, true });
+    }
+  }
+}
+
+} // namespace
+
+StoreChanges
+ApplyList(StoreCopy& aCopy, const StoreEntries& aList)
+{
+  StoreChanges changes;
+  changes.mIsFromList = true;
+  changes.mFromRevision = aCopy.mRevision;
+  std::int64_t revision = std::max(aCopy.mRevision, aList.mRevision);
+  std::vector<StoreEntry> entries = aList.mEntries;
+  AddDeletions(aCopy, 0, aList.mRevision, revision, entries);
+  std::erase_if(entries, [&aCopy](const StoreEntry& aEntry) {
+    return !ApplyEntry(aCopy, aEntry);
+  });
+  bool isFirst = aCopy.mRevision == 0;
+  if (isFirst) {
+    aCopy.mRevision = revision;
+    aCopy.mLogRevision = revision;
+  } else {
+    AdvanceByList(aCopy, revision);
+    AddToLog(aCopy, entries);
+  }
+  changes.mEntries = { revision, std::move(entries) };
+  return changes;
+}
+
+std::vector<StoreEntry>
+ApplyChanges(StoreCopy& aCopy, const StoreChanges& aChanges)
+{
+  std::int64_t revision = aChanges.mEntries.mRevision;
+  std::vector<StoreEntry> entries = aChanges.mEntries.mEntries;
+  std::int64_t known = aCopy.mRevision;
+  if (aChanges.mIsFromList && aCopy.mRevision < revision) {
+    AddDeletions(aCopy, aChanges.mFromRevision, revision, revision, entries);
+    AdvanceByList(aCopy, revision);
+  }
+  // The first ones may have arrived before; a key may have been deleted since.
+  std::erase_if(entries, [&aCopy, known](const StoreEntry& aEntry) {
+    return aEntry.mModRevision <= known || !ApplyEntry(aCopy, aEntry);
+  });
+  aCopy.mRevision = std::max(aCopy.mRevision, revision);
+  AddToLog(aCopy, entries);
+  return entries;
+}
+
+std::optional<StoreChanges>
+ChangesAfter(const StoreCopy& aCopy, std::int64_t aRevision)
+{
+  bool isListed = std::any_of(
+    aCopy.mListed.begin(), aCopy.mListed.end(), [aRevision](const auto& aSpan) {
+      return aRevision > aSpan.first && aRevision < aSpan.second;
+    });
+  if (aRevision < aCopy.mLogRevision || aCopy.mLogRevision == 0 || isListed) {
+    return std::nullopt;
+  }
+  StoreChanges changes;
+  changes.mFromRevision = aRevision;
+  changes.mEntries.mRevision = aCopy.mRevision;
+  std::copy_if(aCopy.mLog.begin(),
+               aCopy.mLog.end(),
+               std::back_inserter(changes.mEntries.mEntries),
+               [aRevision](const StoreEntry& aEntry) {
+                 return aEntry.mModRevision > aRevision;
+               });
+  return changes;
+}
+
+} // namespace savory
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -429,9 +429,10 @@
 void
 Gateway::ReloadStoredProgress(const std::string& aService)
 {
-  auto stored = mWatcher.Entries().find(RolloutProgressKey(aService));
+  const auto& entries = mWatcher.Copy().mEntries;
+  auto stored = entries.find(RolloutProgressKey(aService));
   VersionShift& shift = mShared.mState.mShifts.mShifts[aService];
-  if (stored == mWatcher.Entries().end()) {
+  if (stored == entries.end()) {
     shift.mProgressRevision = 0;
   } else if (stored->second.mModRevision != shift.mProgressRevision) {
     shift.mProgressRevision = 0;
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -38,12 +38,13 @@
   return row;
 }
 
-FleetChanges
-ToFleetChanges(const ChangeMessage& aMessage)
+StoreChanges
+ToStoreChanges(const ChangeMessage& aMessage)
 {
-  FleetChanges changes;
+  StoreChanges changes;
   changes.mFromRevision = aMessage.mFromRevision;
   changes.mEntries.mRevision = aMessage.mToRevision;
+  changes.mIsFromList = aMessage.mIsFromList;
   for (const ChangeRow& row : aMessage.mRows) {
     changes.mEntries.mEntries.push_back(
       { row.mKey, row.mValue.value_or(""), row.mRevision, !row.mValue });
@@ -65,7 +66,7 @@
   mDutyOptions.mHost = aSettings.mHost;
   mDutyOptions.mZone = aSettings.mZone;
   mDutyOptions.mChangeBoundMs = aSettings.mChangeBoundMs;
-  mWatcher.mOnWatchedChanges = [this](const FleetChanges& aChanges) {
+  mWatcher.mOnWatchedChanges = [this](const StoreChanges& aChanges) {
     Share(aChanges);
   };
 }
@@ -119,12 +120,13 @@
 // Passes changes on to the zone. Those that do not fit into a datagram are
 // fetched by the peers once they hear of the new revision.
 void
-StoreSharing::Share(const FleetChanges& aChanges)
+StoreSharing::Share(const StoreChanges& aChanges)
 {
   ChangeMessage message;
   message.mAddress = mSettings.mAddress;
   message.mFromRevision = aChanges.mFromRevision;
   message.mToRevision = aChanges.mEntries.mRevision;
+  message.mIsFromList = aChanges.mIsFromList;
   for (const StoreEntry& entry : aChanges.mEntries.mEntries) {
     ChangeRow row{ entry.mKey, entry.mValue, entry.mModRevision };
     if (entry.mDeleted) {
@@ -143,7 +145,7 @@
 void
 StoreSharing::OnChangeMessage(const ChangeMessage& aMessage)
 {
-  if (!mWatcher.MergePeerChanges(ToFleetChanges(aMessage)) &&
+  if (!mWatcher.MergePeerChanges(ToStoreChanges(aMessage)) &&
       mPeers.contains(aMessage.mAddress)) {
     Pull(aMessage.mAddress, mWatcher.HasState());
   }
@@ -199,7 +201,7 @@
     Pull(std::string(mPullAddress), false);
     return;
   }
-  tl::expected<FleetEntries, StoreError> entries =
+  tl::expected<StoreEntries, StoreError> entries =
     aResult && aResult->mStatus == 200
       ? ParseFleetEntries(aResult->mBody)
       : tl::unexpected(
@@ -231,14 +233,14 @@
   std::string_view target = aRequest.mHead.mTarget;
   Json rows = Json::array();
   if (target == kItemsTarget && mWatcher.HasState()) {
-    for (const auto& [key, entry] : mWatcher.Entries()) {
+    for (const auto& [key, entry] : mWatcher.Copy().mEntries) {
       rows.push_back(FormatEntry(entry));
     }
   } else if (target.starts_with(kChangesTarget)) {
     target.remove_prefix(kChangesTarget.size());
     std::int64_t after = 0;
     std::from_chars(target.data(), target.data() + target.size(), after);
-    auto changes = mWatcher.ChangesAfter(after);
+    auto changes = ChangesAfter(mWatcher.Copy(), after);
     if (!changes) {
       aCaller->Respond(410, {}, {});
       return;
--- a/router/gateway/store_sharing.h
+++ b/router/gateway/store_sharing.h
@@ -39,7 +39,7 @@
   sigc::slot<void()> mAnnounceRevision;
 
 private:
-  void Share(const FleetChanges& aChanges);
+  void Share(const StoreChanges& aChanges);
   void PullIfBehind();
   void Pull(const std::string& aAddress, bool aOnlyChanges);
   void OnPulled(bool aOnlyChanges,
--- a/tests/core/test_peer_message.cpp
+++ b/tests/core/test_peer_message.cpp
@@ -38,6 +38,7 @@
   return { "10.0.0.1",
            410,
            412,
+           true,
            { { "servers/i-1", std::string("\x00\xff{}", 4), 411 },
              { "op/evacuate/z1", std::nullopt, 412 } } };
 }
--- a/tests/platform/test_fleet.cpp
+++ b/tests/platform/test_fleet.cpp
@@ -385,15 +385,15 @@
 {
   WatcherFixture fixture;
   StoreWatcher& watcher = fixture.mWatcher;
-  FleetChanges early{ 10, { 11, { { "a", "2", 11 } } } };
+  StoreChanges early{ 10, { 11, { { "a", "2", 11 } } } };
   BOOST_TEST(!watcher.MergePeerChanges(early));
   watcher.MergePeerEntries({ 10, { { "a", "1", 5 }, { "b", "1", 9 } } });
   fixture.mApplied.clear();
   BOOST_TEST(watcher.MergePeerChanges(early));
   BOOST_TEST(watcher.MergePeerChanges(early));
-  FleetChanges later{ 14, { 15, { { "a", "3", 15 } } } };
+  StoreChanges later{ 14, { 15, { { "a", "3", 15 } } } };
   BOOST_TEST(!watcher.MergePeerChanges(later));
-  FleetChanges overlapping{
+  StoreChanges overlapping{
     9, { 14, { { "a", "2", 11 }, { "b", "", 13, true } } }
   };
   BOOST_TEST(watcher.MergePeerChanges(overlapping));
@@ -411,11 +411,11 @@
 {
   WatcherFixture fixture;
   StoreWatcher& watcher = fixture.mWatcher;
-  BOOST_TEST(!watcher.ChangesAfter(0));
+  BOOST_TEST(!ChangesAfter(watcher.Copy(), 0));
   watcher.MergePeerEntries({ 10, { { "a", "1", 5 }, { "b", "1", 9 } } });
-  BOOST_TEST(!watcher.ChangesAfter(9));
+  BOOST_TEST(!ChangesAfter(watcher.Copy(), 9));
   watcher.MergePeerEntries({ 20, { { "a", "2", 15 }, { "c", "1", 20 } } });
-  auto changes = watcher.ChangesAfter(10);
+  auto changes = ChangesAfter(watcher.Copy(), 10);
   BOOST_REQUIRE(changes);
   std::map<std::string, bool> deleted;
   for (const StoreEntry& entry : changes->mEntries.mEntries) {
@@ -429,9 +429,10 @@
     watcher.MergePeerChanges(
       { revision - 1, { revision, { { "a", "x", revision } } } });
   }
-  BOOST_TEST(!watcher.ChangesAfter(20));
-  BOOST_REQUIRE(watcher.ChangesAfter(1990));
-  BOOST_TEST(watcher.ChangesAfter(1990)->mEntries.mEntries.size() == 9U);
+  BOOST_TEST(!ChangesAfter(watcher.Copy(), 20));
+  BOOST_REQUIRE(ChangesAfter(watcher.Copy(), 1990));
+  BOOST_TEST(ChangesAfter(watcher.Copy(), 1990)->mEntries.mEntries.size() ==
+             9U);
 }
 
 // Guards against values of Server-Leaving other than 1, or two different ones,
