Watch the store where a watcher leaves requests unanswered

Evidence: configuration_is_in_force_at_103_hosts, 103 hosts of five zones in one process with a clock of the test.

Cause: a host that had lost one datagram asked the watcher for the changes, waited 1.5 s for nothing and asked again, and went on to rely on it, as its messages said that it reaches the store.

Change: a peer that leaves a request for changes unanswered gets none for 3 s, and this host relies on no watcher of its zone meanwhile but watches the store itself.

Ruled out: trying the next watcher first.

--- a/core/include/savory/core/peer_table.h
+++ b/core/include/savory/core/peer_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace savory {
 
@@ -27,6 +28,9 @@
   TimeMs mReachableSinceMs = 0;
   // Number of live hosts that the peer counts.
   int mLiveHosts = 0;
+  // The peer has left a request for changes unanswered, though its messages
+  // arrive, and gets none before this time.
+  TimeMs mAvoidedUntilMs = -1'000'000;
 };
 
 // Keyed by address.
@@ -35,6 +39,20 @@
 bool
 IsLive(const Peer& aPeer, TimeMs aNowMs);
 
+// Live hosts of a zone that were heard since aSinceMs, on which this host may
+// rely to watch the store. None while one of them leaves requests for changes
+// unanswered: this host then watches the store itself, as it has no time left
+// to try the others in turn.
+std::vector<ZonePeer>
+ReliablePeers(const PeerTable& aPeers,
+              const std::string& aZone,
+              TimeMs aSinceMs,
+              TimeMs aNowMs);
+
+// The peer has left a request for changes unanswered.
+void
+OnPullFailed(Peer& aPeer, TimeMs aNowMs);
+
 int
 CountLivePeers(const PeerTable& aPeers, TimeMs aNowMs);
 
@@ -71,8 +89,8 @@
 
 // Address of the peer from which a host fetches what it lacks of the store
 // while it does not reach the store itself: the one with the newest revision
-// above aStoreRevision, or nothing if there is none. A host that follows its
-// zone's watchers fetches only from them.
+// above aStoreRevision that answers, or nothing if there is none. A host that
+// follows its zone's watchers fetches only from them.
 std::optional<std::string>
 ChoosePullSource(const PeerTable& aPeers,
                  const WatchDutyOptions& aOptions,
--- a/core/src/peer_table.cpp
+++ b/core/src/peer_table.cpp
@@ -22,6 +22,16 @@
 // reach it. It covers the wait and the pause of its watch.
 constexpr TimeMs kMaxContactAgeMs = 4000;
 
+// How long a peer that left a request unanswered gets none, and its zone is not
+// relied upon.
+constexpr TimeMs kAvoidMs = 3000;
+
+bool
+IsAvoided(const Peer& aPeer, TimeMs aNowMs)
+{
+  return aNowMs < aPeer.mAvoidedUntilMs;
+}
+
 bool
 HasContact(const Peer& aPeer, TimeMs aNowMs)
 {
@@ -37,6 +47,12 @@
   return aNowMs - aPeer.mLastHeardMs < kPeerTimeoutMs;
 }
 
+void
+OnPullFailed(Peer& aPeer, TimeMs aNowMs)
+{
+  aPeer.mAvoidedUntilMs = aNowMs + kAvoidMs;
+}
+
 int
 CountLivePeers(const PeerTable& aPeers, TimeMs aNowMs)
 {
@@ -116,8 +132,8 @@
   for (const auto& [address, peer] : aPeers) {
     bool isWatcher = peer.mZone == aOptions.mZone &&
                      IsInContact(ToZonePeer(peer), aOptions, aNowMs);
-    if (IsLive(peer, aNowMs) && peer.mStoreRevision > newestRevision &&
-        (isWatcher || !aIsFollowing)) {
+    if (IsLive(peer, aNowMs) && !IsAvoided(peer, aNowMs) &&
+        peer.mStoreRevision > newestRevision && (isWatcher || !aIsFollowing)) {
       newestRevision = peer.mStoreRevision;
       source = address;
     }
@@ -125,6 +141,26 @@
   return source;
 }
 
+std::vector<ZonePeer>
+ReliablePeers(const PeerTable& aPeers,
+              const std::string& aZone,
+              TimeMs aSinceMs,
+              TimeMs aNowMs)
+{
+  std::vector<ZonePeer> reliable;
+  for (const auto& [address, peer] : aPeers) {
+    if (peer.mZone != aZone || !IsLive(peer, aNowMs) ||
+        peer.mLastHeardMs < aSinceMs) {
+      continue;
+    }
+    if (IsAvoided(peer, aNowMs)) {
+      return {};
+    }
+    reliable.push_back(ToZonePeer(peer));
+  }
+  return reliable;
+}
+
 ZonePeer
 ToZonePeer(const Peer& aPeer)
 {
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -56,7 +56,7 @@
 
 StoreSharing::StoreSharing(EventLoop& aLoop,
                            const FleetSettings& aSettings,
-                           const PeerTable& aPeers,
+                           PeerTable& aPeers,
                            StoreWatcher& aWatcher)
   : mLoop(aLoop)
   , mSettings(aSettings)
@@ -75,17 +75,12 @@
 StoreSharing::Update()
 {
   TimeMs now = mLoop.NowMs();
-  std::vector<ZonePeer> zonePeers;
+  std::vector<ZonePeer> zonePeers =
+    ReliablePeers(mPeers, mSettings.mZone, mResumedMs, now);
   // Live hosts by zone, this one included.
   std::map<std::string, int> hosts{ { mSettings.mZone, 1 } };
   for (const auto& [address, peer] : mPeers) {
-    if (!IsLive(peer, now) || peer.mLastHeardMs < mResumedMs) {
-      continue;
-    }
-    ++hosts[peer.mZone];
-    if (peer.mZone == mSettings.mZone) {
-      zonePeers.push_back(ToZonePeer(peer));
-    }
+    hosts[peer.mZone] += IsLive(peer, now) && peer.mLastHeardMs >= mResumedMs;
   }
   int watchers = 0;
   for (const auto& [zone, count] : hosts) {
@@ -145,8 +140,10 @@
 void
 StoreSharing::OnChangeMessage(const ChangeMessage& aMessage)
 {
+  auto sender = mPeers.find(aMessage.mAddress);
   if (!mWatcher.MergePeerChanges(ToStoreChanges(aMessage)) &&
-      mPeers.contains(aMessage.mAddress)) {
+      sender != mPeers.end() &&
+      mLoop.NowMs() >= sender->second.mAvoidedUntilMs) {
     Pull(aMessage.mAddress, mWatcher.HasState());
   }
 }
@@ -209,6 +206,10 @@
                                 "status " + std::to_string(aResult->mStatus) }
                   : aResult.error());
   if (!entries) {
+    auto peer = mPeers.find(mPullAddress);
+    if (peer != mPeers.end()) {
+      OnPullFailed(peer->second, mLoop.NowMs());
+    }
     LogEvent(
       Event::PeerPullFailed,
       { { "peer", mPullAddress }, { "reason", entries.error().mReason } });
--- a/router/gateway/store_sharing.h
+++ b/router/gateway/store_sharing.h
@@ -19,7 +19,7 @@
 public:
   StoreSharing(EventLoop& aLoop,
                const FleetSettings& aSettings,
-               const PeerTable& aPeers,
+               PeerTable& aPeers,
                StoreWatcher& aWatcher);
 
   // Updates the duty and the watcher. To be called several times a second.
@@ -47,7 +47,7 @@
 
   EventLoop& mLoop;
   const FleetSettings& mSettings;
-  const PeerTable& mPeers;
+  PeerTable& mPeers;
   StoreWatcher& mWatcher;
   WatchDutyOptions mDutyOptions;
   WatchDuty mDuty;
