Refuse requests to entry and agent whose body has no known end

What callers saw, at entry and agent: the body of a request with an unknown transfer coding was run as a request of its own; the same goes for a request with two lengths, or with chunks and a length.

Cause: evhttp takes a body in any coding but chunked for the next request, prefers chunks to a length, and the first of several lengths to the others.

Change: HttpServer answers such a request 400 and closes the connection.

--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -52,6 +52,46 @@
   return "?";
 }
 
+// Whether the end of the request's body follows from its headers (RFC
+// 9112, 6.3). evhttp takes a body in any coding but chunked for the next
+// request, prefers chunks to a length, and the first of several lengths to the
+// others.
+bool
+IsFramingKnown(const evhttp_request* aRequest, const evkeyvalq* aHeaders)
+{
+  int codings = 0;
+  std::string_view length;
+  for (const evkeyval* header = aHeaders->tqh_first; header;
+       header = header->next.tqe_next) {
+    std::string_view value = header->value;
+    if (evutil_ascii_strcasecmp(header->key, "Transfer-Encoding") == 0) {
+      ++codings;
+      if (evutil_ascii_strcasecmp(header->value, "chunked") != 0) {
+        return false;
+      }
+    } else if (evutil_ascii_strcasecmp(header->key, "Content-Length") == 0) {
+      if (value.empty() || (!length.empty() && value != length) ||
+          value.find_first_not_of("0123456789") != std::string_view::npos) {
+        return false;
+      }
+      length = value;
+    }
+  }
+  bool isVersion11 =
+    aRequest->major > 1 || (aRequest->major == 1 && aRequest->minor >= 1);
+  return codings == 0 || (codings == 1 && length.empty() && isVersion11);
+}
+
+// Answers 400 and closes the connection, as the start of the next request is
+// unknown.
+void
+Reject(evhttp_request* aRequest)
+{
+  evhttp_add_header(
+    evhttp_request_get_output_headers(aRequest), "Connection", "close");
+  evhttp_send_reply(aRequest, HTTP_BADREQUEST, nullptr, nullptr);
+}
+
 HttpRequest
 ReadRequest(evhttp_request* aRequest)
 {
@@ -288,6 +328,11 @@
     mServer,
     [](evhttp_request* aRequest, void* aSelf) {
       auto* self = static_cast<HttpServer*>(aSelf);
+      if (!IsFramingKnown(aRequest,
+                          evhttp_request_get_input_headers(aRequest))) {
+        Reject(aRequest);
+        return;
+      }
       int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(
         evhttp_request_get_connection(aRequest)));
       int on = 1;
--- a/tests/platform/test_http.cpp
+++ b/tests/platform/test_http.cpp
@@ -105,6 +105,47 @@
   }
 }
 
+// Guards against a request that is run although it was sent as the body of
+// another, whose framing leaves open where it ends.
+BOOST_AUTO_TEST_CASE(body_of_unknown_length_is_not_the_next_request)
+{
+  std::vector<std::string> handled;
+  Serve([&](const HttpRequest& aRequest, auto aReply) {
+    handled.push_back(aRequest.mPath);
+    aReply->Send(200, {}, "");
+  });
+  const std::string inner = "POST /inner HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 0\r\n\r\n";
+  for (const char* headers : {
+         "HTTP/1.1\r\nTransfer-Encoding: gzip",
+         "HTTP/1.1\r\nTransfer-Encoding: identity",
+         "HTTP/1.1\r\nTransfer-Encoding: chunked, gzip",
+         "HTTP/1.1\r\nTransfer-Encoding: gzip, chunked",
+         "HTTP/1.1\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+         "HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5",
+         "HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 74",
+         "HTTP/1.1\r\nContent-Length: +0",
+         "HTTP/1.0\r\nTransfer-Encoding: chunked",
+       }) {
+    BOOST_TEST_CONTEXT(headers)
+    {
+      handled.clear();
+      int client = ConnectSocket(mAddress.mPort);
+      std::string text = std::string("POST /outer ") + headers +
+                         "\r\nHost: h\r\n\r\n0\r\n\r\n" + inner;
+      BOOST_REQUIRE(write(client, text.data(), text.size()) ==
+                    static_cast<ssize_t>(text.size()));
+      RunFor(50);
+      std::string answer(4096, '\0');
+      ssize_t size = recv(client, answer.data(), answer.size(), MSG_DONTWAIT);
+      answer.resize(static_cast<std::size_t>(std::max<ssize_t>(0, size)));
+      BOOST_TEST((answer.size() > 8 && answer.substr(8, 5) == " 400 "), answer);
+      BOOST_TEST(handled.empty());
+      close(client);
+    }
+  }
+}
+
 // Guards against "not connected" for a request that the server may have read,
 // and against any other error for a request that it cannot have read.
 BOOST_AUTO_TEST_CASE(errors_say_whether_the_request_may_have_run)
