Break off a stream whose next runner begins it again

Cause: events up to the last one were skipped wherever they came from.

Change: a resumed attempt whose first event is one that the caller has counts as broken, before anything of it is passed on.

--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -404,6 +404,7 @@
   if (IsStream()) {
     details.mPriority = PrefillPriority(aPlacement.mPrefillMs);
     details.mLastEventId = mLastEventId;
+    mAttempt->mIsResumed = mLastEventId.has_value();
   }
   bool isNonIdempotent = !IsRepeatable();
   bool isFirstSend =
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -118,6 +118,8 @@
   Placement mPlacement;
   std::shared_ptr<ClientLink> mLink;
   TimeMs mSentMs = 0;
+  // A stream that was asked to go on after an event.
+  bool mIsResumed = false;
   bool mHeadReceived = false;
   // The runner has answered beyond the head, so that the request does not crash
   // it.
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -231,6 +231,13 @@
   for (StreamEvent& event : aEvents) {
     isAlive |= !event.mIsComment;
     EventOrder order = ClassifyEvent(event, mLastEventId);
+    if (order == EventOrder::Repeated && mAttempt->mIsResumed &&
+        mAttempt->mProgress.mEvents == 0 && progress == 0) {
+      // The runner does not go on but runs the request anew.
+      OnRunnerOutcome(RunnerOutcome::Broken);
+      RetryOrFail("stream begins again");
+      return;
+    }
     if (order == EventOrder::Repeated) {
       continue;
     }
--- a/tests/process/test_resumed_stream.py
+++ b/tests/process/test_resumed_stream.py
@@ -63,7 +63,14 @@
     return True
 
 
-ANSWERS = {"400": with_status(400), "302": with_status(302),
+def begun_again(writer, identity):
+    body = b"".join(b"id: %d\ndata: again\n\n" % number
+                    for number in range(1, 6))
+    write_response(writer, 200, body, identity)
+    return True
+
+
+ANSWERS = {"again": begun_again, "400": with_status(400), "302": with_status(302),
            "409": with_status(409), "500": with_status(500),
            "201": with_status(201), "204": without_body,
            "type": of_another_type, "head": broken_head,
@@ -95,7 +102,8 @@
             elapsed = time.monotonic() - begin
             assert elapsed < MAX_SECONDS, (name, elapsed)
             assert event_ids(body) == [1, 2], (name, body)
-            assert b"error" not in body and b"HTTP" not in body, (name, body)
+            for text in (b"error", b"HTTP", b"again"):
+                assert text not in body, (name, body)
             resumed = [run for runner in runners for run in runner.runs
                        if "last-event-id" in run[0]]
             assert resumed, name
