End a stream to a caller of HTTP/1.0 with its connection

Change: such an answer has neither length nor chunks and ends with its connection, which is reset where the answer is broken off. ResetOnClose serves both this and the requests that are given up.

--- a/net/include/savory/net/http_link.h
+++ b/net/include/savory/net/http_link.h
@@ -54,7 +54,8 @@
              std::optional<std::uint64_t> aLength);
   void Write(std::string_view aBytes);
   void Finish();
-  // Closes the connection, so that the caller sees an incomplete answer.
+  // Closes the connection, so that the caller sees an incomplete answer; resets
+  // it where a regular close would complete the answer.
   void Abort();
   // Makes the connection close after the current answer.
   void CloseAfterAnswer() { mCloseAfterAnswer = true; }
@@ -91,7 +92,9 @@
   bool mBusy = false;
   bool mReading = false;
   bool mAnswerStarted = false;
+  bool mKnowsChunks = true;
   bool mAnswerChunked = false;
+  bool mEndsWithConnection = false;
   bool mAnswerHasNoBody = false;
   bool mCloseAfterAnswer = false;
   bool mCloseWhenDrained = false;
--- a/net/include/savory/net/http_reader.h
+++ b/net/include/savory/net/http_reader.h
@@ -24,6 +24,8 @@
   // Whether the sender keeps the connection open after this message.
   bool mKeepAlive = false;
   bool mChunked = false;
+  // The sender speaks HTTP/1.0 and knows no chunks.
+  bool mIsHttp10 = false;
   std::optional<std::uint64_t> mLength;
 };
 
--- a/net/include/savory/net/socket_address.h
+++ b/net/include/savory/net/socket_address.h
@@ -22,6 +22,11 @@
 int
 LocalPort(evutil_socket_t aSocket);
 
+// Makes the close of a connection reset it: bytes that have not arrived are
+// withdrawn, and the peer sees no regular end.
+void
+ResetOnClose(evutil_socket_t aSocket);
+
 // Creates a listener; port 0 lets the kernel choose a port. Returns null if the
 // address cannot be used. The listener is owned by whoever calls this.
 evconnlistener*
--- a/net/src/client_link.cpp
+++ b/net/src/client_link.cpp
@@ -295,12 +295,7 @@
   mFailed = true;
   if (mBuffer) {
     if (mBusy) {
-      linger reset{ 1, 0 };
-      setsockopt(bufferevent_getfd(mBuffer),
-                 SOL_SOCKET,
-                 SO_LINGER,
-                 &reset,
-                 sizeof reset);
+      ResetOnClose(bufferevent_getfd(mBuffer));
     }
     bufferevent* buffer = std::exchange(mBuffer, nullptr);
     if (mReading) {
--- a/net/src/http_frontend.cpp
+++ b/net/src/http_frontend.cpp
@@ -168,6 +168,7 @@
   mBusy = true;
   mAnswerStarted = false;
   mAnswerHasNoBody = mRequest.mHead.mMethod == "HEAD";
+  mKnowsChunks = !mRequest.mHead.mIsHttp10;
   if (!mRequest.mHead.mKeepAlive) {
     mCloseAfterAnswer = true;
   }
@@ -202,16 +203,18 @@
     text += value;
     text += "\r\n";
   }
-  if (mCloseAfterAnswer || mFrontend.mDraining) {
+  // Without a length or chunks the end of the connection is that of the answer.
+  mEndsWithConnection = !aLength && !mKnowsChunks;
+  if (mCloseAfterAnswer || mEndsWithConnection || mFrontend.mDraining) {
     mCloseAfterAnswer = true;
     text += "Connection: close\r\n";
   }
-  mAnswerChunked = !aLength;
+  mAnswerChunked = !aLength && mKnowsChunks;
   if (HasNoBody(aStatus)) {
     mAnswerHasNoBody = true;
   } else if (aLength) {
     text += "Content-Length: " + std::to_string(*aLength) + "\r\n";
-  } else {
+  } else if (mAnswerChunked) {
     text += "Transfer-Encoding: chunked\r\n";
   }
   text += "\r\n";
@@ -299,6 +302,9 @@
 CallerLink::Abort()
 {
   mOnClosed = {};
+  if (mBuffer && mAnswerStarted && mEndsWithConnection) {
+    ResetOnClose(bufferevent_getfd(mBuffer));
+  }
   Close();
 }
 
--- a/net/src/http_reader.cpp
+++ b/net/src/http_reader.cpp
@@ -80,6 +80,9 @@
   using Error = boost::system::error_code;
   using Text = boost::beast::string_view;
 
+  // HTTP/1.1, as the parser numbers versions.
+  static constexpr int kVersion11 = 11;
+
   BeastParser(HttpReader& aReader,
               const HttpReaderLimits& aLimits,
               bool aAnswersHead)
@@ -178,6 +181,7 @@
     }
     mHead.mKeepAlive = Base::keep_alive();
     mHead.mChunked = Base::chunked();
+    mHead.mIsHttp10 = mVersion < kVersion11;
     if (auto length = Base::content_length()) {
       mHead.mLength = *length;
     }
@@ -209,7 +213,6 @@
   // header were missing.
   bool IsFramingKnown() const
   {
-    constexpr int kVersion11 = 11;
     int codings = 0;
     bool isIdentity = false;
     for (const auto& [name, value] : mHead.mHeaders) {
--- a/net/src/socket_address.cpp
+++ b/net/src/socket_address.cpp
@@ -37,6 +37,13 @@
   return ntohs(address.sin_port);
 }
 
+void
+ResetOnClose(evutil_socket_t aSocket)
+{
+  linger reset{ 1, 0 };
+  setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
 evconnlistener*
 ListenOn(EventLoop& aLoop,
          const std::string& aAddress,
--- a/tests/platform/test_http_link.cpp
+++ b/tests/platform/test_http_link.cpp
@@ -353,6 +353,32 @@
   }
 }
 
+// Guards against chunks that a caller of HTTP/1.0 takes for the body, and
+// against a stream that was broken off and looks complete to it.
+BOOST_AUTO_TEST_CASE(stream_to_an_older_caller_ends_with_its_connection)
+{
+  for (bool isBrokenOff : { false, true }) {
+    FrontendFixture frontend;
+    frontend.Connect();
+    frontend.SendBytes("GET /a HTTP/1.0\r\nHost: h\r\n"
+                       "Connection: keep-alive\r\n\r\n");
+    BOOST_REQUIRE(frontend.RunUntilRequests(1));
+    auto caller = frontend.mRequests[0].second;
+    caller->Start(200, {}, std::nullopt);
+    caller->Write("one");
+    std::string received = frontend.ReceivedBytes();
+    BOOST_TEST(received.ends_with("\r\nConnection: close\r\n\r\none"),
+               received);
+    BOOST_TEST(received.find("chunked") == std::string::npos);
+    isBrokenOff ? caller->Abort() : caller->Finish();
+    frontend.RunFor(10);
+    char byte = 0;
+    ssize_t size = recv(frontend.mCaller, &byte, 1, MSG_DONTWAIT);
+    BOOST_TEST((size < 0 && errno == ECONNRESET) == isBrokenOff);
+    BOOST_TEST((size == 0) == !isBrokenOff);
+  }
+}
+
 // Guards against unbounded memory for the headers or body of a caller.
 BOOST_AUTO_TEST_CASE(limits_are_enforced)
 {
