Log deletions of keys that a copy never had

What operators would see: a host keeps a key that was deleted, when the host that it asks for changes never had that key.

Cause: the log took only what was new to the copy itself.

Measured: log_keeps_deletions_of_unknown_keys fails on the parent and passes; the fleet of 103 hosts passes.

--- a/core/src/store_copy.cpp
+++ b/core/src/store_copy.cpp
@@ -111,11 +111,15 @@
     AdvanceByList(aCopy, revision);
   }
   // The first ones may have arrived before; a key may have been deleted since.
-  std::erase_if(entries, [&aCopy, known](const StoreEntry& aEntry) {
-    return aEntry.mModRevision <= known || !ApplyEntry(aCopy, aEntry);
+  std::erase_if(entries, [known](const StoreEntry& aEntry) {
+    return aEntry.mModRevision <= known;
   });
-  aCopy.mRevision = std::max(aCopy.mRevision, revision);
+  // Peers may have keys that this copy never had.
   AddToLog(aCopy, entries);
+  std::erase_if(entries, [&aCopy](const StoreEntry& aEntry) {
+    return !ApplyEntry(aCopy, aEntry);
+  });
+  aCopy.mRevision = std::max(aCopy.mRevision, revision);
   return entries;
 }
 
--- a/tests/core/test_store_copy.cpp
+++ b/tests/core/test_store_copy.cpp
@@ -513,6 +513,29 @@
   BOOST_TEST(ChangesAfter(copy, copy.mRevision).has_value());
 }
 
+// Guards against a peer that keeps a key, since the host that it asks never had
+// that key and left the deletion out of its log.
+BOOST_AUTO_TEST_CASE(log_keeps_deletions_of_unknown_keys)
+{
+  SimStore store;
+  store.Write("a", false);
+  StoreCopy copy;
+  StoreCopy peer;
+  ApplyList(copy, store.List());
+  ApplyList(peer, store.List());
+  store.Write("b", false);
+  ApplyChanges(peer, *store.ChangesAfter(peer.mRevision));
+  store.Write("b", true);
+  // A store that reports the last change of each key only.
+  StoreChanges last = *store.ChangesAfter(copy.mRevision);
+  last.mEntries.mEntries.erase(last.mEntries.mEntries.begin());
+  ApplyChanges(copy, last);
+  auto changes = ChangesAfter(copy, peer.mRevision);
+  BOOST_REQUIRE(changes);
+  ApplyChanges(peer, *changes);
+  BOOST_TEST((KeysOf(peer) == KeysOf(copy)));
+}
+
 // Load: 103 hosts in five zones, ten changes a second. Guards against a
 // configuration that is not in force within its bound at a host in touch, or
 // that goes back, and against copies that differ from the store in calm, while
