--- a/tests/platform/test_fleet.cpp
+++ b/tests/platform/test_fleet.cpp
@@ -125,7 +125,7 @@
     auto document = complete;
     document.erase(field);
     BOOST_TEST(!ParseRegistration("i", document.dump()), field << " missing");
-    for (nlohmann::json value :
+    for (const nlohmann::json& value :
          { nlohmann::json(nullptr),
            nlohmann::json(true),
            nlohmann::json::array({ "v1" }),
