Let each malformed entry of a test differ in one field only

Cause: since a registration needs all of its fields, rows of malformed_registrations_are_refused and the odd addresses of test_gateway were refused for a field that they lacked, and no longer for the one that they are about: numbers out of range, and addresses with a port out of range.

Change: each row is a valid entry with one field changed; the process test waits for the five refusals of the address. A zone that is missing, a wrong type and a state without name stay as they were, and slots of 0 are new.

--- a/tests/platform/test_fleet.cpp
+++ b/tests/platform/test_fleet.cpp
@@ -85,26 +85,28 @@
 BOOST_AUTO_TEST_CASE(malformed_registrations_are_refused)
 {
   BOOST_TEST(ParseRegistration("i", kRegistration).has_value());
-  for (const char* text :
-       { "",
-         "\xff\xfe",
-         "null",
-         R"({"service":5,"address":"a","zone":"z","slots":1,"state":"ready"})",
-         R"({"service":"s","address":"a","zone":"z","slots":1,"state":"odd"})",
-         R"({"service":"s","address":"a","zone":"z","state":"ready"})",
-         R"({"service":"s","address":"a","slots":1,"state":"ready"})",
-         R"({"service":"s","address":"a","zone":"z","slots":1,)"
-         R"("state":"ready","born":1.5})",
-         R"({"service":"s","address":"a","zone":"z","slots":1,)"
-         R"("state":"ready","coldRemainingMs":"long"})",
-         R"({"service":"s","address":"a","zone":"z","slots":1e300,)"
-         R"("state":"ready"})",
-         R"({"service":"s","address":"a","zone":"z","slots":1,)"
-         R"("state":"ready","coldRemainingMs":9e99})",
-         R"({"service":"s","address":"a","zone":"z","slots":1,)"
-         R"("state":"ready","coldRemainingMs":-9223372036854775808})",
-         R"({"service":"s","address":"a","zone":"z","slots":1e999,)"
-         R"("state":"ready"})" }) {
+  for (const char* text : { "", "\xff\xfe", "null" }) {
+    BOOST_TEST(!ParseRegistration("i", text), text);
+  }
+  // Each row differs from a valid entry in one field.
+  for (auto [valid, malformed] :
+       std::initializer_list<std::pair<const char*, const char*>>{
+         { R"("service":"s")", R"("service":5)" },
+         { R"("state":"ready")", R"("state":"odd")" },
+         { R"("slots":64,)", "" },
+         { R"("zone":"z",)", "" },
+         { R"("born":1780000000000)", R"("born":1.5)" },
+         { R"("coldRemainingMs":0)", R"("coldRemainingMs":"long")" },
+         { R"("coldRemainingMs":0)", R"("coldRemainingMs":9e99)" },
+         { R"("coldRemainingMs":0)",
+           R"("coldRemainingMs":-9223372036854775808)" },
+         { R"("slots":64)", R"("slots":1e300)" },
+         { R"("slots":64)", R"("slots":1e999)" },
+         { R"("slots":64)", R"("slots":0)" } }) {
+    std::string text = kRegistration;
+    std::size_t at = text.find(valid);
+    BOOST_REQUIRE(at != std::string::npos);
+    text.replace(at, std::string_view(valid).size(), malformed);
     BOOST_TEST(!ParseRegistration("i", text), text);
   }
 }
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -144,6 +144,13 @@
     wait_until(lambda: gateway.call("GET", "/g/x")[0] == 200, what="return")
 
 
+def odd_address(address):
+    """An entry of a runner that is valid but for its address."""
+    return (b'{"service":"desk","address":"%s","zone":"z1","version":"v1",'
+            b'"slots":8,"state":"ready","coldRemainingMs":0,"sequence":1}' %
+            address)
+
+
 ODD_ENTRIES = {
     "deep": b"[" * 200000 + b"]" * 200000,
     "deep-object": b'{"service":' * 100000 + b"1" + b"}" * 100000,
@@ -158,16 +165,11 @@
     "slots": b'{"service":"llm","address":"127.0.0.1:9","zone":"z1",'
              b'"version":"v1","slots":-5,"state":"draining",'
              b'"coldRemainingMs":1e308,"born":1.5}',
-    "port": b'{"service":"llm","address":"127.0.0.1:70000","zone":"z1",'
-            b'"version":"v1","slots":8,"state":"ready","coldRemainingMs":0}',
-    "port-negative": b'{"service":"llm","address":"127.0.0.1:-1","zone":"z1",'
-                     b'"version":"v1","slots":8,"state":"ready"}',
-    "port-long": b'{"service":"desk","address":"127.0.0.1:' + b"9" * 5000 +
-                 b'","zone":"z1","version":"v1","slots":8,"state":"ready"}',
-    "address": b'{"service":"desk","address":"999.0.0.1:80","zone":"z1",'
-               b'"version":"v1","slots":8,"state":"ready"}',
-    "address-v6": b'{"service":"desk","address":"[::1]:80","zone":"z1",'
-                  b'"version":"v1","slots":8,"state":"ready"}',
+    "port": odd_address(b"127.0.0.1:70000"),
+    "port-negative": odd_address(b"127.0.0.1:-1"),
+    "port-long": odd_address(b"127.0.0.1:" + b"9" * 5000),
+    "address": odd_address(b"999.0.0.1:80"),
+    "address-v6": odd_address(b"[::1]:80"),
     "types": b'{"service":["llm"],"address":{"a":1},"zone":null,"version":7,'
              b'"slots":"8","state":1,"coldRemainingMs":[]}',
     "no-text": bytes(range(128, 256)) * 10,
@@ -200,6 +202,8 @@
     platform.store.put("op/config", changed)
     wait_until(lambda: gateway.call("GET", "/g/x", key="k2")[0] == 401, 3,
                "the gateway to follow the store")
+    wait_until(lambda: gateway.read_log().count("expected IP:PORT") >= 5,
+               what="the odd addresses to be refused for what they are")
     # One that starts now reads them all in its first list.
     serves(platform.gateway("odd-new"))
     assert gateway.process.poll() is None
