Count a caller's own last event against no runner

What callers would see: one caller that states last events that no stream has (Last-Event-Id: -7) makes the gateway take each runner for broken, so that the requests of others are placed by an error rate that he sets.

Cause: a stream that does not go on after the stated event counted as broken wherever that event came from.

Change: only a runner that was asked to go on after an event of this answer, or that leaves a gap in its own events, is to blame. Whether a resumption goes on is decided in core/event_stream, with a test: its first event must be the next one by its id; one without id no longer passes. The comparison of ids no longer overflows with Last-Event-Id of 2^63 - 1, and comments of a resumed attempt wait for its first event. AdmitDuringShutdown is named CheckForShutdown, as it refuses the request itself.

--- a/core/include/savory/core/event_stream.h
+++ b/core/include/savory/core/event_stream.h
@@ -49,11 +49,17 @@
   Next,
   Repeated,
   Gap,
+  // The server does not go on after the last event but runs the request anew.
+  Restart,
 };
 
 // Event ids of a stream increase by one. An event without an id counts as the
-// next one.
+// next one. aIsResumption: the event is the first of a server that was asked to
+// go on after an event that the caller has got; it must be the next one by its
+// id.
 EventOrder
-ClassifyEvent(const StreamEvent& aEvent, std::optional<std::int64_t> aLastId);
+ClassifyEvent(const StreamEvent& aEvent,
+              std::optional<std::int64_t> aLastId,
+              bool aIsResumption);
 
 } // namespace savory
--- a/core/src/event_stream.cpp
+++ b/core/src/event_stream.cpp
@@ -97,12 +97,23 @@
 }
 
 EventOrder
-ClassifyEvent(const StreamEvent& aEvent, std::optional<std::int64_t> aLastId)
+ClassifyEvent(const StreamEvent& aEvent,
+              std::optional<std::int64_t> aLastId,
+              bool aIsResumption)
 {
-  if (!aEvent.mId || !aLastId || *aEvent.mId == *aLastId + 1) {
+  if (!aLastId || aEvent.mIsComment) {
     return EventOrder::Next;
   }
-  return *aEvent.mId <= *aLastId ? EventOrder::Repeated : EventOrder::Gap;
+  if (!aEvent.mId) {
+    return aIsResumption ? EventOrder::Restart : EventOrder::Next;
+  }
+  if (*aEvent.mId <= *aLastId) {
+    return aIsResumption ? EventOrder::Restart : EventOrder::Repeated;
+  }
+  // The difference of any two ids fits the unsigned type.
+  auto distance = static_cast<std::uint64_t>(*aEvent.mId) -
+                  static_cast<std::uint64_t>(*aLastId);
+  return distance == 1 ? EventOrder::Next : EventOrder::Gap;
 }
 
 } // namespace savory
--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -95,7 +95,7 @@
   if (mRoute->mTimeoutMs > 0) {
     limit = std::min(limit, mRoute->mTimeoutMs);
   }
-  if (!AdmitDuringShutdown(limit)) {
+  if (!CheckForShutdown(limit)) {
     return;
   }
   mCaller->mOnClosed = [this] { OnCallerClosed(); };
@@ -147,7 +147,7 @@
 // Refuses a request that might not be answered before this process is killed,
 // and returns false. Its caller is served at once by another host.
 bool
-Exchange::AdmitDuringShutdown(TimeMs aLimitMs)
+Exchange::CheckForShutdown(TimeMs aLimitMs)
 {
   if (!mShared.mShutdown) {
     return true;
@@ -404,7 +404,7 @@
   if (IsStream()) {
     details.mPriority = PrefillPriority(aPlacement.mPrefillMs);
     details.mLastEventId = mLastEventId;
-    mAttempt->mIsResumed = mLastEventId.has_value();
+    mAttempt->mIsResumed = mAnswerStarted && mLastEventId.has_value();
   }
   bool isNonIdempotent = !IsRepeatable();
   bool isFirstSend =
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -118,7 +118,8 @@
   Placement mPlacement;
   std::shared_ptr<ClientLink> mLink;
   TimeMs mSentMs = 0;
-  // A stream that was asked to go on after an event.
+  // The runner was asked to go on after an event that the caller has got in
+  // this answer.
   bool mIsResumed = false;
   bool mHeadReceived = false;
   // The runner has answered beyond the head, so that the request does not crash
@@ -170,7 +171,7 @@
 
 private:
   bool Admit();
-  bool AdmitDuringShutdown(TimeMs aLimitMs);
+  bool CheckForShutdown(TimeMs aLimitMs);
   bool CheckForSuspects();
   void FailAsBlocked();
   void ChooseInitialModel();
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -230,10 +230,10 @@
   bool gap = false;
   for (StreamEvent& event : aEvents) {
     isAlive |= !event.mIsComment;
-    EventOrder order = ClassifyEvent(event, mLastEventId);
-    if (order == EventOrder::Repeated && mAttempt->mIsResumed &&
-        mAttempt->mProgress.mEvents == 0 && progress == 0) {
-      // The runner does not go on but runs the request anew.
+    bool isFirst = mAttempt->mProgress.mEvents == 0 && progress == 0;
+    EventOrder order =
+      ClassifyEvent(event, mLastEventId, mAttempt->mIsResumed && isFirst);
+    if (order == EventOrder::Restart) {
       OnRunnerOutcome(RunnerOutcome::Broken);
       RetryOrFail("stream begins again");
       return;
@@ -251,7 +251,8 @@
     bytes += event.mBytes;
     progress += !event.mIsComment;
   }
-  if (progress == 0 && !mAnswerStarted && bytes.size() <= kMaxEventBytes) {
+  if (progress == 0 && mAttempt->mProgress.mEvents == 0 &&
+      bytes.size() <= kMaxEventBytes) {
     mAttempt->mEarlyComments = std::move(bytes);
     bytes.clear();
   }
@@ -266,7 +267,11 @@
     }
   }
   if (gap) {
-    OnRunnerOutcome(RunnerOutcome::Broken);
+    // A caller may state any last event. That the stream does not go on after
+    // it says nothing of the runner.
+    if (mAttempt->mIsResumed || mAttempt->mProgress.mEvents > 0) {
+      OnRunnerOutcome(RunnerOutcome::Broken);
+    }
     RetryOrFail("an event is missing");
     return;
   }
--- a/tests/core/test_event_stream.cpp
+++ b/tests/core/test_event_stream.cpp
@@ -1,6 +1,7 @@
 #include "savory/core/event_stream.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace savory;
 
@@ -43,7 +44,7 @@
 {
   auto order = [](std::optional<std::int64_t> aId,
                   std::optional<std::int64_t> aLast) {
-    return ClassifyEvent({ "", aId }, aLast);
+    return ClassifyEvent({ "", aId }, aLast, false);
   };
   BOOST_TEST((order(3, 2) == EventOrder::Next));
   BOOST_TEST((order(2, 2) == EventOrder::Repeated));
@@ -53,6 +54,38 @@
   BOOST_TEST((order(std::nullopt, 2) == EventOrder::Next));
 }
 
+// Guards against events of another run in the midst of a stream: the first
+// event of a server that goes on must be the next one by its id.
+BOOST_AUTO_TEST_CASE(resumption_that_begins_again_is_told)
+{
+  auto order = [](std::optional<std::int64_t> aId,
+                  std::optional<std::int64_t> aLast) {
+    return ClassifyEvent({ "", aId }, aLast, true);
+  };
+  BOOST_TEST((order(3, 2) == EventOrder::Next));
+  BOOST_TEST((order(2, 2) == EventOrder::Restart));
+  BOOST_TEST((order(1, 2) == EventOrder::Restart));
+  BOOST_TEST((order(std::nullopt, 2) == EventOrder::Restart));
+  BOOST_TEST((order(4, 2) == EventOrder::Gap));
+  BOOST_TEST(
+    (ClassifyEvent({ "", std::nullopt, true }, 2, true) == EventOrder::Next));
+}
+
+// Guards against ids of a caller or a server whose sum overflows.
+BOOST_AUTO_TEST_CASE(extreme_event_ids_are_compared)
+{
+  constexpr std::int64_t kLeast = std::numeric_limits<std::int64_t>::min();
+  constexpr std::int64_t kMost = std::numeric_limits<std::int64_t>::max();
+  auto order = [](std::int64_t aId, std::int64_t aLast) {
+    return ClassifyEvent({ "", aId }, aLast, false);
+  };
+  BOOST_TEST((order(1, kMost) == EventOrder::Repeated));
+  BOOST_TEST((order(kLeast, kMost) == EventOrder::Repeated));
+  BOOST_TEST((order(kMost, kLeast) == EventOrder::Gap));
+  BOOST_TEST((order(kMost, kMost - 1) == EventOrder::Next));
+  BOOST_TEST((order(kLeast + 1, kLeast) == EventOrder::Next));
+}
+
 // Guards against a stalled stream that counts as alive because it sends a
 // comment now and then.
 BOOST_AUTO_TEST_CASE(comments_are_told_from_events)
--- a/tests/process/test_resumed_stream.py
+++ b/tests/process/test_resumed_stream.py
@@ -6,6 +6,7 @@
 end."""
 
 import http.client
+import json
 import socket
 import time
 
@@ -140,5 +141,32 @@
     assert rest.startswith(b"HTTP/1.1 200"), received
 
 
+def last_event_of_a_caller_counts_against_no_runner(platform):
+    """Guards against a caller that turns requests of others away from runners by
+    last events that no stream has."""
+    class FromStartRunner(Runner):
+        async def handle(self, writer, method, target, headers, body):
+            headers.pop("last-event-id", None)
+            return await super().handle(writer, method, target, headers, body)
+    for runner in platform.llm:
+        runner.crash()
+        platform.store.delete("servers/" + runner.name)
+    for number in range(2):
+        FromStartRunner(platform.store, "start-%d" % number, "llm").register()
+    gateway = platform.gateway("crafted")
+    for number in range(12):
+        last = ("-7", "3", str(2**63 - 1), str(-2**63))[number % 4]
+        try:
+            gateway.stream(attempt="c%d" % number, Last_Event_Id=last)
+        except http.client.HTTPException:
+            pass
+    runners = json.loads(gateway.get_admin("/state")[1])["runners"]
+    shares = [runners["start-%d" % number]["error_share"] for number in range(2)]
+    assert shares == [0, 0], shares
+    status, body, _ = gateway.stream(attempt="sound")
+    assert status == 200 and event_ids(body) == [1, 2, 3, 4, 5], (status, body)
+
+
 run_checks([broken_stream_is_seen_as_broken,
+            last_event_of_a_caller_counts_against_no_runner,
             answer_without_body_leaves_the_connection_sound])
