Bound the spans of whole lists and ask for the goal of late requests

Found in reading the change once more. A store that loses its history while keys are written and deleted again added a span to a host's copy at each list, without a bound; the log now begins after all but the newest 64. In a planned stop a repeatable request of a route without latency goal was taken however long it may last; it is now judged by its longest time. A divisor is named as one, and an unused table of names is gone.

Measured: spans_of_lists_are_bounded and routed_requests_are_served, which fail without the changes by their new rows, and the suites of core concerned pass.

--- a/core/include/savory/core/answer_use.h
+++ b/core/include/savory/core/answer_use.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "savory/core/types.h"
-
 namespace savory {
 
 // Decides what becomes of a backend server's answer and how a request ends. A
@@ -40,14 +38,6 @@
   Whole,
 };
 
-inline constexpr std::array<EnumName<AnswerUse>, 5> kAnswerUseNames{ {
-  { AnswerUse::NotRun, "not-run" },
-  { AnswerUse::Broken, "broken" },
-  { AnswerUse::Failure, "failure" },
-  { AnswerUse::Stream, "stream" },
-  { AnswerUse::Whole, "whole" },
-} };
-
 AnswerUse
 ChooseAnswerUse(const AnswerFacts& aFacts);
 
--- a/core/include/savory/core/shutdown.h
+++ b/core/include/savory/core/shutdown.h
@@ -33,7 +33,7 @@
   TimeMs mArrivalMs = 0;
   // How long its answer may take, by its deadline and its route.
   TimeMs mLimitMs = 0;
-  // The route's latency goal.
+  // The route's latency goal; 0 if it has none.
   TimeMs mGoalMs = 0;
   // Its caller, or this host, may send it to another server if it breaks off.
   bool mIsRepeatable = false;
--- a/core/src/shutdown.cpp
+++ b/core/src/shutdown.cpp
@@ -14,11 +14,12 @@
 constexpr TimeMs kLastAdmissionMs = 2800;
 
 // Callers of requests that are left are told this long before the process is
-// killed, in a short grace within its last sixth.
+// killed; in a short grace, when this part of it is left.
 constexpr TimeMs kAbandonMarginMs = 500;
-constexpr TimeMs kAbandonShare = 6;
+constexpr TimeMs kAbandonGraceDivisor = 6;
 
-// A repeatable request is taken if this many times its latency goal is left.
+// A repeatable request is taken if this many times its latency goal is left;
+// one without a goal, if its longest time is.
 constexpr TimeMs kGoalsLeft = 2;
 
 } // namespace
@@ -27,7 +28,7 @@
 MakeShutdownPlan(TimeMs aGraceMs)
 {
   ShutdownPlan plan;
-  TimeMs margin = std::min(kAbandonMarginMs, aGraceMs / kAbandonShare);
+  TimeMs margin = std::min(kAbandonMarginMs, aGraceMs / kAbandonGraceDivisor);
   plan.mAbandonMs = aGraceMs - margin;
   plan.mExitMs = aGraceMs - margin / 2;
   plan.mCloseIdleMs = std::min(kRoutedMs, plan.mAbandonMs);
@@ -43,7 +44,8 @@
   }
   TimeMs leftMs = aPlan.mAbandonMs - aRequest.mArrivalMs;
   return aRequest.mLimitMs <= leftMs ||
-         (aRequest.mIsRepeatable && kGoalsLeft * aRequest.mGoalMs <= leftMs);
+         (aRequest.mIsRepeatable && aRequest.mGoalMs > 0 &&
+          kGoalsLeft * aRequest.mGoalMs <= leftMs);
 }
 
 } // namespace savory
--- a/core/src/store_copy.cpp
+++ b/core/src/store_copy.cpp
@@ -11,6 +11,9 @@
 // Changes that are kept for peers that missed some.
 constexpr std::size_t kMaxLogEntries = 512;
 
+// Spans of whole lists that are kept; the log begins after those that are not.
+constexpr std::size_t kMaxListedSpans = 64;
+
 // Returns whether the entry was new.
 bool
 ApplyEntry(StoreCopy& aCopy, const StoreEntry& aEntry)
@@ -37,6 +40,11 @@
       std::max(aCopy.mLogRevision, aCopy.mLog.front().mModRevision);
     aCopy.mLog.pop_front();
   }
+  if (aCopy.mListed.size() > kMaxListedSpans) {
+    std::size_t oldest = aCopy.mListed.size() - kMaxListedSpans - 1;
+    aCopy.mLogRevision =
+      std::max(aCopy.mLogRevision, aCopy.mListed[oldest].second);
+  }
   while (!aCopy.mListed.empty() &&
          aCopy.mListed.front().second <= aCopy.mLogRevision) {
     aCopy.mListed.pop_front();
--- a/tests/core/test_shutdown.cpp
+++ b/tests/core/test_shutdown.cpp
@@ -47,6 +47,9 @@
     BOOST_TEST(AdmitsDuringShutdown(plan, { arrivalMs, 10000, 2000, true }));
   }
   BOOST_TEST(!AdmitsDuringShutdown(plan, { 0, 10000, 2000, false }));
+  // A route without a latency goal.
+  BOOST_TEST(!AdmitsDuringShutdown(plan, { 0, 10000, 0, true }));
+  BOOST_TEST(AdmitsDuringShutdown(plan, { 0, 2000, 0, true }));
   BOOST_TEST(!AdmitsDuringShutdown(plan, { 3000, 60, 30, false }));
 }
 
--- a/tests/core/test_store_copy.cpp
+++ b/tests/core/test_store_copy.cpp
@@ -513,6 +513,26 @@
   BOOST_TEST(ChangesAfter(copy, copy.mRevision).has_value());
 }
 
+// Guards against spans that grow without end while lists change the revision
+// only, as where a key is written and deleted between two of them.
+BOOST_AUTO_TEST_CASE(spans_of_lists_are_bounded)
+{
+  SimStore store;
+  store.Write("a", false);
+  StoreCopy copy;
+  ApplyList(copy, store.List());
+  std::int64_t first = copy.mRevision;
+  for (int i = 0; i < 1000; ++i) {
+    store.Write("b", false);
+    store.Write("b", true);
+    ApplyList(copy, store.List());
+    BOOST_REQUIRE(copy.mListed.size() <= 64);
+  }
+  BOOST_TEST(!ChangesAfter(copy, first).has_value());
+  BOOST_TEST(ChangesAfter(copy, copy.mListed.front().first).has_value());
+  BOOST_TEST(ChangesAfter(copy, copy.mRevision).has_value());
+}
+
 // Guards against a peer that keeps a key, since the host that it asks never had
 // that key and left the deletion out of its log.
 BOOST_AUTO_TEST_CASE(log_keeps_deletions_of_unknown_keys)
