Decide in one place whether a body's end is known

Found in reading the change once more: HttpReader and HttpServer each had their own rule, told apart by the headers' type only, and neither could be tested without a reader or a socket.

Change: net/http_framing decides for both from the headers. A list of lengths ("3, 3") is now refused by the reader, too.

--- a/net/src/http_reader.cpp
+++ b/net/src/http_reader.cpp
@@ -1,5 +1,7 @@
 #include "savory/net/http_reader.h"
 
+#include "savory/net/http_framing.h"
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -175,13 +177,13 @@
 
   void on_header_impl(Error& aError) override
   {
-    if (!IsFramingKnown()) {
+    mHead.mIsHttp10 = mVersion < kVersion11;
+    if (!IsBodyEndKnown(mHead.mHeaders, { IsRequest, mHead.mIsHttp10 })) {
       aError = http::error::bad_transfer_encoding;
       return;
     }
     mHead.mKeepAlive = Base::keep_alive();
     mHead.mChunked = Base::chunked();
-    mHead.mIsHttp10 = mVersion < kVersion11;
     if (auto length = Base::content_length()) {
       mHead.mLength = *length;
     }
@@ -208,33 +210,8 @@
 
   void on_finish_impl(Error&) override {}
 
-  // Whether the end of the body follows from the headers (RFC 9112, 6.3). The
-  // parser leaves codings other than chunked to its user and goes on as if the
-  // header were missing.
-  bool IsFramingKnown() const
-  {
-    int codings = 0;
-    bool isIdentity = false;
-    for (const auto& [name, value] : mHead.mHeaders) {
-      if (EqualHeaderNames(name, "Transfer-Encoding")) {
-        ++codings;
-        isIdentity = EqualHeaderNames(value, "identity");
-        if (!isIdentity && !EqualHeaderNames(value, "chunked")) {
-          return false;
-        }
-      }
-    }
-    if (codings == 0) {
-      return true;
-    }
-    // An answer may end with its connection.
-    bool isWithoutFraming = !IsRequest && isIdentity && !Base::content_length();
-    return codings == 1 && mVersion >= kVersion11 &&
-           (Base::chunked() || isWithoutFraming);
-  }
-
-  // Passes over one empty line before a request (RFC 9112, 2.2). Returns
-  // whether it is known that none follows.
+  // Passes over one empty line before a request (RFC 9112, 2.2). Returns false
+  // while there is no input to parse, or only what may be a part of that line.
   bool SkipEmptyLine(evbuffer* aInput)
   {
     char line[2];
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include "savory/net/http_server.h"
 
+#include "savory/net/http_framing.h"
 #include "savory/net/socket_address.h"
 
 #include <algorithm>
@@ -52,34 +53,22 @@
   return "?";
 }
 
-// Whether the end of the request's body follows from its headers (RFC
-// 9112, 6.3). evhttp takes a body in any coding but chunked for the next
-// request, prefers chunks to a length, and the first of several lengths to the
-// others.
-bool
-IsFramingKnown(const evhttp_request* aRequest, const evkeyvalq* aHeaders)
+// Header names are in lower case.
+Headers
+ReadHeaders(evhttp_request* aRequest)
 {
-  int codings = 0;
-  std::string_view length;
-  for (const evkeyval* header = aHeaders->tqh_first; header;
+  Headers headers;
+  evkeyvalq* rows = evhttp_request_get_input_headers(aRequest);
+  for (evkeyval* header = rows->tqh_first; header;
        header = header->next.tqe_next) {
-    std::string_view value = header->value;
-    if (evutil_ascii_strcasecmp(header->key, "Transfer-Encoding") == 0) {
-      ++codings;
-      if (evutil_ascii_strcasecmp(header->value, "chunked") != 0) {
-        return false;
-      }
-    } else if (evutil_ascii_strcasecmp(header->key, "Content-Length") == 0) {
-      if (value.empty() || (!length.empty() && value != length) ||
-          value.find_first_not_of("0123456789") != std::string_view::npos) {
-        return false;
-      }
-      length = value;
-    }
+    std::string name = header->key;
+    std::transform(name.begin(),
+                   name.end(),
+                   name.begin(),
+                   [](unsigned char aChar) { return std::tolower(aChar); });
+    headers.emplace_back(std::move(name), header->value);
   }
-  bool isVersion11 =
-    aRequest->major > 1 || (aRequest->major == 1 && aRequest->minor >= 1);
-  return codings == 0 || (codings == 1 && length.empty() && isVersion11);
+  return headers;
 }
 
 // Answers 400 and closes the connection, as the start of the next request is
@@ -102,16 +91,7 @@
   const char* query = uri ? evhttp_uri_get_query(uri) : nullptr;
   request.mPath = path ? path : "/";
   request.mQuery = query ? query : "";
-  evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-  for (evkeyval* header = headers->tqh_first; header;
-       header = header->next.tqe_next) {
-    std::string name = header->key;
-    std::transform(name.begin(),
-                   name.end(),
-                   name.begin(),
-                   [](unsigned char aChar) { return std::tolower(aChar); });
-    request.mHeaders.emplace_back(std::move(name), header->value);
-  }
+  request.mHeaders = ReadHeaders(aRequest);
   evbuffer* body = evhttp_request_get_input_buffer(aRequest);
   request.mBody.resize(evbuffer_get_length(body));
   evbuffer_remove(body, request.mBody.data(), request.mBody.size());
@@ -328,8 +308,10 @@
     mServer,
     [](evhttp_request* aRequest, void* aSelf) {
       auto* self = static_cast<HttpServer*>(aSelf);
-      if (!IsFramingKnown(aRequest,
-                          evhttp_request_get_input_headers(aRequest))) {
+      HttpRequest request = ReadRequest(aRequest);
+      bool isHttp10 =
+        aRequest->major < 1 || (aRequest->major == 1 && aRequest->minor < 1);
+      if (!IsBodyEndKnown(request.mHeaders, { true, isHttp10 })) {
         Reject(aRequest);
         return;
       }
@@ -337,7 +319,6 @@
         evhttp_request_get_connection(aRequest)));
       int on = 1;
       setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      HttpRequest request = ReadRequest(aRequest);
       self->mHandler(request, std::make_shared<HttpReply>(aRequest));
     },
     this);
--- a/tests/platform/test_http_reader.cpp
+++ b/tests/platform/test_http_reader.cpp
@@ -1,3 +1,4 @@
+#include "savory/net/http_framing.h"
 #include "savory/net/http_reader.h"
 
 #include <boost/test/unit_test.hpp>
@@ -248,6 +249,51 @@
 
 BOOST_AUTO_TEST_SUITE(http_reader)
 
+// Guards against a reader that takes a body for the next message, or the next
+// message for a body, in whatever library it uses.
+BOOST_AUTO_TEST_CASE(body_end_follows_from_one_header_only)
+{
+  using Values = std::vector<std::string>;
+  for (const Values& lengths : { Values{},
+                                 Values{ "3" },
+                                 Values{ "3", "3" },
+                                 Values{ "3", "4" },
+                                 Values{ "" },
+                                 Values{ "+3" },
+                                 Values{ "3, 3" },
+                                 Values{ "0x3" } }) {
+    for (const Values& codings : { Values{},
+                                   Values{ "chunked" },
+                                   Values{ "Chunked" },
+                                   Values{ "gzip" },
+                                   Values{ "identity" },
+                                   Values{ "gzip, chunked" },
+                                   Values{ "chunked", "chunked" },
+                                   Values{ "gzip", "chunked" } }) {
+      Headers headers;
+      for (const std::string& value : lengths) {
+        headers.emplace_back("content-length", value);
+      }
+      for (const std::string& value : codings) {
+        headers.emplace_back("TRANSFER-ENCODING", value);
+      }
+      bool isLengthKnown = lengths.empty() || lengths == Values{ "3" } ||
+                           lengths == Values{ "3", "3" };
+      bool isChunked =
+        codings == Values{ "chunked" } || codings == Values{ "Chunked" };
+      for (unsigned bits = 0; bits < 4; ++bits) {
+        FramingFacts facts{ (bits & 1) != 0, (bits & 2) != 0 };
+        bool isCodingKnown =
+          !facts.mIsHttp10 &&
+          (isChunked || (!facts.mIsRequest && codings == Values{ "identity" }));
+        bool expected =
+          codings.empty() ? isLengthKnown : lengths.empty() && isCodingKnown;
+        BOOST_TEST(IsBodyEndKnown(headers, facts) == expected);
+      }
+    }
+  }
+}
+
 // Guards against an abort of the process, and against another result, when a
 // message arrives in pieces.
 BOOST_AUTO_TEST_CASE(messages_in_pieces_read_as_at_once)
