--- a/core/include/savory/core/routes.h
+++ b/core/include/savory/core/routes.h
@@ -45,6 +45,9 @@
   TimeMs mTimeoutMs = 0;
   // An answer within this time meets the route's latency goal.
   TimeMs mLatencyGoalMs = 0;
+  // The longest pause between two events of a stream that is still in time; 0
+  // if the operators set none.
+  TimeMs mMaxEventGapMs = 0;
   // 0 is the most urgent.
   int mPriority = 5;
   // The number of backend servers that one request may be sent to.
@@ -77,6 +80,12 @@
   // service.
   std::int64_t mCacheTokens = 0;
   int mSlots = 0;
+  // Output tokens in one event of a stream.
+  int mTokensPerEvent = 1;
+  // Bytes of KV cache for each token, and megabits per second at which engines
+  // transfer it; 0 if they do not.
+  std::int64_t mCacheBytesPerToken = 0;
+  double mTransferMbps = 0;
   std::vector<ModelPrice> mModels;
 };
 
--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -72,6 +72,10 @@
   int mReportedRunning = 0;
   int mReportedWaiting = 0;
   TimeMs mReportedMs = 0;
+  // The runner's last statement of how long work takes at that moment over how
+  // long it usually takes, and the time it arrived.
+  double mSlowdown = 1;
+  TimeMs mSlowdownMs = 0;
 
   TimeMs mColdUntilMs = 0;
   TimeMs mColdSinceMs = 0;
@@ -102,6 +106,9 @@
   std::map<std::string, RunnerState> mRunners;
   std::set<std::string> mEvacuatedZones;
   DrainNotices mDrainNotices;
+  // Until when each service counts as paced: its runners state how fast they
+  // work at the moment.
+  std::map<std::string, TimeMs> mPacedUntilMs;
   // Number of entry hosts that share the allowance of a cold runner, and the
   // name of this host, whose hash staggers their first requests.
   int mEntryHosts = 1;
@@ -177,6 +184,19 @@
 void
 OnLoadReport(RunnerState& aRunner, int aRunning, int aWaiting, TimeMs aNowMs);
 
+// A runner stated how long work takes at this moment over how long it usually
+// takes; its service counts as paced for some time.
+void
+OnSlowdownReport(RunnerSet& aSet,
+                 RunnerState& aRunner,
+                 double aSlowdown,
+                 TimeMs aNowMs);
+
+// Whether the runners of a service state how fast they work at the moment. Only
+// then do placement and admission predict whole answers.
+bool
+IsPaced(const RunnerSet& aSet, const std::string& aService, TimeMs aNowMs);
+
 // The runner may have restarted: clears what is known of its prefix cache and
 // treats it as cold for aColdStartMs.
 void
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -29,6 +29,10 @@
 // Load reports older than this are ignored.
 constexpr TimeMs kMaxReportAgeMs = 1000;
 
+// How long after a runner's last statement of its slowdown its service counts
+// as paced.
+constexpr TimeMs kPacedMs = 30000;
+
 // Cost of a request to another availability zone in milliseconds of waiting:
 // per KiB of its body, and a fixed part.
 constexpr double kCrossZoneMsPerKiB = 1.0;
@@ -298,6 +302,24 @@
   aRunner.mReportedMs = aNowMs;
 }
 
+void
+OnSlowdownReport(RunnerSet& aSet,
+                 RunnerState& aRunner,
+                 double aSlowdown,
+                 TimeMs aNowMs)
+{
+  aRunner.mSlowdown = aSlowdown;
+  aRunner.mSlowdownMs = aNowMs;
+  aSet.mPacedUntilMs[aRunner.mRegistration.mService] = aNowMs + kPacedMs;
+}
+
+bool
+IsPaced(const RunnerSet& aSet, const std::string& aService, TimeMs aNowMs)
+{
+  auto found = aSet.mPacedUntilMs.find(aService);
+  return found != aSet.mPacedUntilMs.end() && aNowMs < found->second;
+}
+
 void
 OnRestart(RunnerState& aRunner, TimeMs aColdStartMs, TimeMs aNowMs)
 {
--- a/router/gateway/exchange_evidence.cpp
+++ b/router/gateway/exchange_evidence.cpp
@@ -55,6 +55,9 @@
   if (metadata.mLoad) {
     OnLoadReport(
       runner, metadata.mLoad->mRunning, metadata.mLoad->mWaiting, now);
+    if (metadata.mLoad->mSlowdown) {
+      OnSlowdownReport(set, runner, *metadata.mLoad->mSlowdown, now);
+    }
   }
   if (metadata.mColdRemainingMs && *metadata.mColdRemainingMs > 0) {
     runner.mColdUntilMs =
--- a/tests/core/test_runners.cpp
+++ b/tests/core/test_runners.cpp
@@ -99,6 +99,20 @@
 
 BOOST_AUTO_TEST_SUITE(runners)
 
+// Guards against a service that is paced by the report of another one, or for
+// ever.
+BOOST_FIXTURE_TEST_CASE(a_service_is_paced_while_its_runners_state_a_slowdown,
+                        RunnerFixture)
+{
+  RunnerState& runner = Add(MakeRegistration("r1"));
+  BOOST_TEST(!IsPaced(mSet, "llm", 0));
+  OnSlowdownReport(mSet, runner, 2.5, 1000);
+  BOOST_TEST(runner.mSlowdown == 2.5);
+  BOOST_TEST(IsPaced(mSet, "llm", 30999));
+  BOOST_TEST(!IsPaced(mSet, "desk", 1000));
+  BOOST_TEST(!IsPaced(mSet, "llm", 31000));
+}
+
 // Guards against new requests for a runner that is draining, removed, in an
 // evacuated zone, already tried, blocked after a connection failure or of a
 // version that is not allowed.
--- a/tests/platform/test_fleet.cpp
+++ b/tests/platform/test_fleet.cpp
@@ -302,6 +302,25 @@
 
 // Guards against prompt parts that are misread: the list ends at the first
 // invalid item.
+// Guards against a slowdown of another service, or one that is no number, that
+// is taken for a statement of the runner.
+BOOST_AUTO_TEST_CASE(a_slowdown_is_read_where_it_is_stated)
+{
+  auto slowdown = [](const std::string& aLoad) {
+    HttpHead head;
+    head.mStatus = 200;
+    head.mHeaders = { { "Runner-Load", aLoad } };
+    auto load = ParseAnswerMetadata(head).mLoad;
+    return load ? load->mSlowdown : std::nullopt;
+  };
+  BOOST_TEST(slowdown("3,1,8,250").value_or(0) == 2.5);
+  BOOST_TEST(slowdown("3,1,8, 100").value_or(0) == 1);
+  for (const char* text :
+       { "3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,-100", "3,1,8,nan" }) {
+    BOOST_TEST(!slowdown(text).has_value(), text);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(prompt_parts_are_read)
 {
   RequestMetadata metadata = ParseRequestMetadata(
