--- a/core/include/savory/core/events.h
+++ b/core/include/savory/core/events.h
@@ -66,6 +66,7 @@
   PeerPullFailed = 508,
   PeerMessageDropped = 509,
   WatchDutyChanged = 510,
+  StoreRestored = 511,
   SlotTaken = 601,
   SlotLost = 602,
   BillsWritten = 603,
@@ -79,7 +80,7 @@
   Severity mSeverity;
 };
 
-inline constexpr std::array<EventRow, 52> kEventTable{ {
+inline constexpr std::array<EventRow, 53> kEventTable{ {
   { Event::ProcessStarted, "process-started", Severity::Info },
   { Event::DrainStarted, "drain-started", Severity::Info },
   { Event::ProcessStopped, "process-stopped", Severity::Info },
@@ -128,6 +129,7 @@
   { Event::PeerPullFailed, "peer-pull-failed", Severity::Warning },
   { Event::PeerMessageDropped, "peer-message-dropped", Severity::Warning },
   { Event::WatchDutyChanged, "watch-duty-changed", Severity::Info },
+  { Event::StoreRestored, "store-restored", Severity::Warning },
   { Event::SlotTaken, "slot-taken", Severity::Info },
   { Event::SlotLost, "slot-lost", Severity::Warning },
   { Event::BillsWritten, "bills-written", Severity::Info },
--- a/core/include/savory/core/peer_message.h
+++ b/core/include/savory/core/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "savory/core/crash_suspects.h"
+#include "savory/core/store_revision.h"
 #include "savory/core/version_shift.h"
 
 #include <cstdint>
@@ -38,7 +39,7 @@
   std::string mAddress;
   std::string mZone;
   // The store's revision that the sender has applied.
-  std::int64_t mStoreRevision = 0;
+  StoreRevision mStoreRevision;
   bool mLeaving = false;
   // The sender can call the store, as far as it knows.
   bool mMayWatch = false;
@@ -51,7 +52,7 @@
   int mLiveHosts = 1;
   struct Shift
   {
-    std::int64_t mOrderRevision = 0;
+    StoreRevision mOrderRevision;
     TimeMs mOrderAgeMs = 0;
     ShiftCounts mCounts;
   };
@@ -85,6 +86,8 @@
 struct ChangeMessage
 {
   std::string mAddress;
+  // The store's epoch, which all revisions of the message have.
+  std::int64_t mEpoch = 0;
   std::int64_t mFromRevision = 0;
   std::int64_t mToRevision = 0;
   // The changes are those of a whole list; see StoreChanges.
--- a/core/include/savory/core/peer_table.h
+++ b/core/include/savory/core/peer_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "savory/core/store_revision.h"
 #include "savory/core/types.h"
 #include "savory/core/watch_duty.h"
 
@@ -20,7 +21,7 @@
   // Empty until the first message of the peer.
   std::string mZone;
   TimeMs mLastHeardMs = -1'000'000;
-  std::int64_t mStoreRevision = 0;
+  StoreRevision mStoreRevision;
   bool mLeaving = false;
   bool mMayWatch = false;
   // Last answer that the peer received from the store itself.
@@ -72,11 +73,12 @@
 IsStoreServingPeers(const PeerTable& aPeers, TimeMs aNowMs);
 
 // Whether no peer precedes aHost as coordinator: a live one with a lower name
-// that reaches the store and is not far behind aStoreRevision.
+// that reaches the store, in no older epoch of it, and is not far behind
+// aStoreRevision.
 bool
 IsFirstCoordinator(const PeerTable& aPeers,
                    const std::string& aHost,
-                   std::int64_t aStoreRevision,
+                   const StoreRevision& aStoreRevision,
                    TimeMs aNowMs);
 
 // Whether aHost has the highest rendezvous hash for a key of the live hosts
@@ -95,9 +97,13 @@
 ChoosePullSource(const PeerTable& aPeers,
                  const WatchDutyOptions& aOptions,
                  bool aIsFollowing,
-                 std::int64_t aStoreRevision,
+                 const StoreRevision& aStoreRevision,
                  TimeMs aNowMs);
 
+// The newest epoch of the store that live peers have.
+std::int64_t
+NewestEpoch(const PeerTable& aPeers, TimeMs aNowMs);
+
 // The part of a peer's state that decides who watches the store.
 ZonePeer
 ToZonePeer(const Peer& aPeer);
--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -4,6 +4,7 @@
 #include "savory/core/drain_notices.h"
 #include "savory/core/prefill_queue.h"
 #include "savory/core/routes.h"
+#include "savory/core/store_revision.h"
 #include "savory/core/types.h"
 
 #include <cstdint>
@@ -47,7 +48,7 @@
 {
   Registration mRegistration;
   // Revision of the registration in the store.
-  std::int64_t mRevision = 0;
+  StoreRevision mRevision;
   // The registration was removed: requests in flight may finish, and no new
   // ones are sent.
   bool mRemoved = false;
@@ -122,7 +123,7 @@
 bool
 ApplyRegistration(RunnerSet& aSet,
                   const Registration& aRegistration,
-                  std::int64_t aRevision,
+                  const StoreRevision& aRevision,
                   TimeMs aNowMs);
 
 // Removes a registration. Around a store outage, aGraceUntilMs gives the runner
--- a/core/include/savory/core/store_copy.h
+++ b/core/include/savory/core/store_copy.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "savory/core/store_revision.h"
+#include "savory/core/types.h"
+
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,8 +22,13 @@
   std::int64_t mModRevision = 0;
   // Set only in changes: the key was deleted and has no value.
   bool mDeleted = false;
+  // The epoch in which mModRevision was assigned. Copies set it.
+  std::int64_t mEpoch = 0;
 };
 
+StoreRevision
+RevisionOf(const StoreEntry& aEntry);
+
 // Entries of the store with a common prefix, or changes to them.
 struct StoreEntries
 {
@@ -28,6 +37,8 @@
   std::vector<StoreEntry> mEntries;
   // The store has more entries after the last one.
   bool mHasMore = false;
+  // The epoch of all revisions above.
+  std::int64_t mEpoch = 0;
 };
 
 // Changes of the store after mFromRevision, up to and including the revision of
@@ -42,33 +53,83 @@
   bool mIsFromList = false;
 };
 
+// After a restore of the store from an older snapshot: what was in force under
+// a key before, which stays in force for a while although the store has lost
+// it.
+struct HeldEntry
+{
+  // mDeleted if there was no entry.
+  StoreEntry mInForce;
+  TimeMs mUntilMs = 0;
+};
+
 // A host's copy of all entries of the store. It grows by changes, or by whole
 // lists where the store no longer has the history.
 struct StoreCopy
 {
   std::map<std::string, StoreEntry> mEntries;
   std::int64_t mRevision = 0;
+  // The epoch of all revisions of the copy.
+  std::int64_t mEpoch = 0;
   // The latest changes, complete after mLogRevision but for mListed.
   std::deque<StoreEntry> mLog;
   std::int64_t mLogRevision = 0;
   // Spans of revisions that a whole list took the copy over, without the
   // changes between their ends: first and last revision.
   std::deque<std::pair<std::int64_t, std::int64_t>> mListed;
+  // Keyed by key. mEntries has what the store has instead.
+  std::map<std::string, HeldEntry> mHeld;
+  // Hashes of the latest entries that were replaced or deleted, by which they
+  // are recognized when a restore brings them back.
+  std::deque<std::uint64_t> mReplaced;
 };
 
+// How long what a restore has lost stays in force: long enough for the operator
+// to write again what it wrote since the snapshot.
+inline constexpr TimeMs kRestoreHoldMs = 10000;
+
+struct RestoreOptions
+{
+  TimeMs mNowMs = 0;
+  // How long an entry that the new epoch lacks stays in force; kRestoreHoldMs
+  // without a function.
+  std::function<TimeMs(const std::string& aKey)> mLostHoldMs;
+};
+
+StoreRevision
+RevisionOf(const StoreCopy& aCopy);
+
 // Applies a whole list and returns what it changed, which other hosts need: the
 // list is too large to send to each. Keys that the list lacks have been
-// deleted, unless they were written after it.
+// deleted, unless they were written after it. A list of an older epoch changes
+// nothing. One of a newer epoch replaces the copy: the result then has the
+// entries of the new epoch that are put in force, which are no changes to any
+// other copy. What the list lacks, and what it has in a state that is known to
+// have been replaced before, is held as it was; it is decided by values, as
+// revisions of two epochs can't be compared.
 StoreChanges
-ApplyList(StoreCopy& aCopy, const StoreEntries& aList);
+ApplyList(StoreCopy& aCopy,
+          const StoreEntries& aList,
+          const RestoreOptions& aRestore = {});
+
+// Ends what is held no longer. Returns the store's entries, or deletions, that
+// are in force from now on.
+std::vector<StoreEntry>
+ReleaseHeld(StoreCopy& aCopy, TimeMs aNowMs);
 
 // Applies changes that begin at the copy's revision or before it, and returns
-// those that were new to the copy.
+// those that were new to the copy. Changes of another epoch change nothing.
 std::vector<StoreEntry>
 ApplyChanges(StoreCopy& aCopy, const StoreChanges& aChanges);
 
-// The changes after a revision; empty if the copy does not know them all.
+// The changes after a revision; empty if the copy does not know them all, as
+// for a revision of another epoch.
 std::optional<StoreChanges>
-ChangesAfter(const StoreCopy& aCopy, std::int64_t aRevision);
+ChangesAfter(const StoreCopy& aCopy, const StoreRevision& aRevision);
+
+// How long a host waits with its first calls after a change of the epoch. All
+// hosts learn of it within a second; the hash of their names spreads them.
+TimeMs
+RestoreDelayMs(std::string_view aHost);
 
 } // namespace savory
--- a/core/include/savory/core/store_revision.h
+++ b/core/include/savory/core/store_revision.h
@@ -16,4 +16,8 @@
   auto operator<=>(const StoreRevision&) const = default;
 };
 
+// The largest epoch that is taken from other processes; a larger one is not
+// plausible, and would hide all epochs below it.
+inline constexpr std::int64_t kMaxStoreEpoch = (1 << 23) - 1;
+
 } // namespace savory
--- a/core/include/savory/core/version_shift.h
+++ b/core/include/savory/core/version_shift.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "savory/core/runners.h"
+#include "savory/core/store_revision.h"
 #include "savory/core/types.h"
 
 #include <cstdint>
@@ -36,7 +37,7 @@
   std::string mService;
   std::string mTarget;
   TimeMs mDurationMs = 0;
-  std::int64_t mRevision = 0;
+  StoreRevision mRevision;
 };
 
 // The progress of a shift as stored.
@@ -47,7 +48,7 @@
   // Share of the sessions that use the target, 0 to 1.
   double mShare = 0;
   // Revision of the order that the progress belongs to.
-  std::int64_t mOrderRevision = 0;
+  StoreRevision mOrderRevision;
   // When the order was first seen, by the wall clock of the host that wrote the
   // first progress; 0 when unknown. Only hosts that start later use it.
   std::int64_t mOrderedWallMs = 0;
@@ -101,7 +102,10 @@
   TimeMs mOrderSeenMs = 0;
   std::optional<ShiftProgress> mProgress;
   // Revision of the progress in the store, for compare-and-swap.
-  std::int64_t mProgressRevision = 0;
+  StoreRevision mProgressRevision;
+  // The store has lost the progress, or has an earlier one: it was restored
+  // from an older snapshot.
+  bool mIsProgressLost = false;
   TimeMs mStageSeenMs = 0;
   ShiftCounts mLocalCounts;
   std::map<std::string, ShiftCounts> mPeerCounts;
@@ -159,7 +163,9 @@
 bool
 IsActive(const VersionShift& aShift);
 
-// Applies an order. A newer order for the same service starts a new shift.
+// Applies an order. A newer order for the same service starts a new shift. The
+// first order of a newer epoch with the same target and duration is the same
+// order, which the restored store still has or the operator has written again.
 void
 ApplyOrder(VersionShifts& aShifts, const ShiftOrder& aOrder, TimeMs aNowMs);
 
@@ -169,14 +175,23 @@
 void
 ApplyOrderAge(VersionShift& aShift, TimeMs aAgeMs, TimeMs aNowMs);
 
-// Applies progress from the store; an older revision is ignored.
+// Applies progress from the store; an older revision is ignored. Progress of a
+// newer epoch that is behind what this host knows changes nothing but the
+// revision for compare-and-swap, and is to be written again.
 void
 ApplyProgress(VersionShifts& aShifts,
               const std::string& aService,
               const ShiftProgress& aProgress,
-              std::int64_t aRevision,
+              const StoreRevision& aRevision,
               TimeMs aNowMs);
 
+// The store was restored from an older snapshot. aStored is the progress that
+// it has now, with its revision; without one, aRevision states the epoch.
+void
+OnProgressRestored(VersionShift& aShift,
+                   const std::optional<ShiftProgress>& aStored,
+                   const StoreRevision& aRevision);
+
 // A backend server of the target version answered.
 void
 OnTargetAnswer(VersionShift& aShift, AnswerResult aResult);
@@ -204,7 +219,8 @@
                 const std::string& aPeer,
                 const ShiftCounts& aCounts);
 
-// The next progress to write to the store, or nothing. A bad target is rolled
+// The next progress to write to the store, or nothing. Progress that the store
+// has lost is written again first. A bad target is rolled
 // back as soon as the evidence suffices. A good one takes over in stages, and
 // the shift is completed when the baseline has no requests in flight or most of
 // the order's duration has passed.
--- a/core/src/peer_message.cpp
+++ b/core/src/peer_message.cpp
@@ -11,6 +11,9 @@
 using Json = nlohmann::json;
 
 constexpr std::uint8_t kFormatVersion = 2;
+// The version of changes that state an epoch. Releases that know no epochs drop
+// them; they would apply them to a copy of another epoch.
+constexpr std::uint8_t kEpochFormatVersion = 3;
 constexpr std::size_t kHeaderBytes = 2;
 
 // Largest size in CBOR of an unsigned 64-bit integer or a double, and of the
@@ -58,10 +61,11 @@
 }
 
 std::string
-EncodeDatagram(PeerDatagramKind aKind, const Json& aDocument)
+EncodeDatagram(PeerDatagramKind aKind,
+               const Json& aDocument,
+               std::uint8_t aVersion = kFormatVersion)
 {
-  std::vector<std::uint8_t> bytes{ kFormatVersion,
-                                   static_cast<std::uint8_t>(aKind) };
+  std::vector<std::uint8_t> bytes{ aVersion, static_cast<std::uint8_t>(aKind) };
   Json::to_cbor(aDocument, bytes);
   return { bytes.begin(), bytes.end() };
 }
@@ -86,6 +90,24 @@
   }
 }
 
+// Reads an epoch, which is left out where it is 0. An epoch out of range makes
+// the datagram malformed.
+std::int64_t
+ToEpoch(const Json& aEpoch)
+{
+  auto epoch = aEpoch.get<std::int64_t>();
+  if (epoch < 0 || epoch > kMaxStoreEpoch) {
+    throw Json::out_of_range::create(401, "epoch out of range", &aEpoch);
+  }
+  return epoch;
+}
+
+std::int64_t
+EpochField(const Json& aDocument)
+{
+  return aDocument.contains("e") ? ToEpoch(aDocument.at("e")) : 0;
+}
+
 PeerMessage
 ToPeerMessage(const Json& aDocument)
 {
@@ -93,7 +115,8 @@
   message.mHost = aDocument.at("h").get<std::string>();
   message.mAddress = aDocument.at("a").get<std::string>();
   message.mZone = aDocument.at("z").get<std::string>();
-  message.mStoreRevision = aDocument.at("r").get<std::int64_t>();
+  message.mStoreRevision = { EpochField(aDocument),
+                             aDocument.at("r").get<std::int64_t>() };
   message.mLeaving = aDocument.at("l").get<bool>();
   message.mMayWatch = aDocument.at("u").get<bool>();
   if (aDocument.contains("g")) {
@@ -103,7 +126,8 @@
   message.mLiveHosts = aDocument.at("n").get<int>();
   for (const Json& row : aDocument.at("s")) {
     message.mShifts[row.at(0).get<std::string>()] = {
-      row.at(1).get<std::int64_t>(),
+      { row.size() > 9 ? ToEpoch(row.at(9)) : 0,
+        row.at(1).get<std::int64_t>() },
       row.at(2).get<TimeMs>(),
       { row.at(3).get<std::int64_t>(),
         row.at(4).get<std::int64_t>(),
@@ -137,6 +161,7 @@
 {
   ChangeMessage message;
   message.mAddress = aDocument.at("a").get<std::string>();
+  message.mEpoch = EpochField(aDocument);
   message.mFromRevision = aDocument.at("f").get<std::int64_t>();
   message.mToRevision = aDocument.at("r").get<std::int64_t>();
   // Earlier releases do not send it.
@@ -163,7 +188,7 @@
   Json shifts = Json::array();
   for (const auto& [service, row] : aMessage.mShifts) {
     shifts.push_back({ service,
-                       row.mOrderRevision,
+                       row.mOrderRevision.mRevision,
                        row.mOrderAgeMs,
                        row.mCounts.mGood,
                        row.mCounts.mFailed,
@@ -171,6 +196,9 @@
                        row.mCounts.mBaselineInFlight,
                        row.mCounts.mPrompt,
                        row.mCounts.mDelayed });
+    if (row.mOrderRevision.mEpoch > 0) {
+      shifts.back().push_back(row.mOrderRevision.mEpoch);
+    }
   }
   Json suspects = Json::array();
   for (const CrashSuspectRow& row : aMessage.mCrashes.mSuspects) {
@@ -187,7 +215,7 @@
   Json document{ { "h", aMessage.mHost },
                  { "a", aMessage.mAddress },
                  { "z", aMessage.mZone },
-                 { "r", aMessage.mStoreRevision },
+                 { "r", aMessage.mStoreRevision.mRevision },
                  { "l", aMessage.mLeaving },
                  { "u", aMessage.mMayWatch },
                  { "o", aMessage.mReachableForMs },
@@ -204,6 +232,9 @@
   if (aMessage.mContactAgeMs) {
     document["g"] = *aMessage.mContactAgeMs;
   }
+  if (aMessage.mStoreRevision.mEpoch > 0) {
+    document["e"] = aMessage.mStoreRevision.mEpoch;
+  }
   return EncodeDatagram(PeerDatagramKind::Beacon, document);
 }
 
@@ -224,12 +255,19 @@
     }
     rows.push_back(std::move(fields));
   }
-  std::string bytes = EncodeDatagram(PeerDatagramKind::Changes,
-                                     { { "a", aMessage.mAddress },
-                                       { "f", aMessage.mFromRevision },
-                                       { "r", aMessage.mToRevision },
-                                       { "s", aMessage.mIsFromList },
-                                       { "c", rows } });
+  Json document{ { "a", aMessage.mAddress },
+                 { "f", aMessage.mFromRevision },
+                 { "r", aMessage.mToRevision },
+                 { "s", aMessage.mIsFromList },
+                 { "c", rows } };
+  bool hasEpoch = aMessage.mEpoch > 0;
+  if (hasEpoch) {
+    document["e"] = aMessage.mEpoch;
+  }
+  std::string bytes =
+    EncodeDatagram(PeerDatagramKind::Changes,
+                   document,
+                   hasEpoch ? kEpochFormatVersion : kFormatVersion);
   return bytes.size() <= kMaxPeerDatagramBytes ? bytes : std::string();
 }
 
@@ -240,7 +278,7 @@
     return tl::unexpected(std::string("shorter than its header"));
   }
   auto version = static_cast<std::uint8_t>(aBytes[0]);
-  if (version != kFormatVersion) {
+  if (version != kFormatVersion && version != kEpochFormatVersion) {
     return tl::unexpected("format version " + std::to_string(version));
   }
   auto kind = static_cast<std::uint8_t>(aBytes[1]);
--- a/core/src/peer_table.cpp
+++ b/core/src/peer_table.cpp
@@ -92,15 +92,15 @@
 bool
 IsFirstCoordinator(const PeerTable& aPeers,
                    const std::string& aHost,
-                   std::int64_t aStoreRevision,
+                   const StoreRevision& aStoreRevision,
                    TimeMs aNowMs)
 {
+  StoreRevision least = aStoreRevision;
+  least.mRevision -= kMaxCoordinatorLagRevisions;
   return std::none_of(aPeers.begin(), aPeers.end(), [&](const auto& aRow) {
     const Peer& peer = aRow.second;
     return HasContact(peer, aNowMs) && !peer.mLeaving &&
-           peer.mStoreRevision >=
-             aStoreRevision - kMaxCoordinatorLagRevisions &&
-           peer.mHost < aHost;
+           peer.mStoreRevision >= least && peer.mHost < aHost;
   });
 }
 
@@ -124,11 +124,11 @@
 ChoosePullSource(const PeerTable& aPeers,
                  const WatchDutyOptions& aOptions,
                  bool aIsFollowing,
-                 std::int64_t aStoreRevision,
+                 const StoreRevision& aStoreRevision,
                  TimeMs aNowMs)
 {
   std::optional<std::string> source;
-  std::int64_t newestRevision = aStoreRevision;
+  StoreRevision newestRevision = aStoreRevision;
   for (const auto& [address, peer] : aPeers) {
     bool isWatcher = peer.mZone == aOptions.mZone &&
                      IsInContact(ToZonePeer(peer), aOptions, aNowMs);
@@ -141,6 +141,18 @@
   return source;
 }
 
+std::int64_t
+NewestEpoch(const PeerTable& aPeers, TimeMs aNowMs)
+{
+  std::int64_t newest = 0;
+  for (const auto& [address, peer] : aPeers) {
+    if (IsLive(peer, aNowMs)) {
+      newest = std::max(newest, peer.mStoreRevision.mEpoch);
+    }
+  }
+  return newest;
+}
+
 std::vector<ZonePeer>
 ReliablePeers(const PeerTable& aPeers,
               const std::string& aZone,
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -162,7 +162,7 @@
 bool
 ApplyRegistration(RunnerSet& aSet,
                   const Registration& aRegistration,
-                  std::int64_t aRevision,
+                  const StoreRevision& aRevision,
                   TimeMs aNowMs)
 {
   auto [found, isNew] = aSet.mRunners.try_emplace(aRegistration.mId);
--- a/core/src/version_shift.cpp
+++ b/core/src/version_shift.cpp
@@ -166,6 +166,33 @@
   }
 }
 
+// Whether progress is of an order, also where a restored store has kept both:
+// the order then has its revision in the new epoch, the progress names it by
+// the old one.
+bool
+IsProgressOf(const ShiftProgress& aProgress, const ShiftOrder& aOrder)
+{
+  return aProgress.mOrderRevision == aOrder.mRevision ||
+         (aProgress.mTarget == aOrder.mTarget &&
+          aProgress.mOrderRevision.mRevision == aOrder.mRevision.mRevision &&
+          aProgress.mOrderRevision.mEpoch < aOrder.mRevision.mEpoch);
+}
+
+// How far a shift is. A rollback is final.
+double
+ProgressRank(const ShiftProgress& aProgress)
+{
+  switch (aProgress.mState) {
+    case ShiftState::InProgress:
+      return aProgress.mShare;
+    case ShiftState::Completed:
+      return 2;
+    case ShiftState::RolledBack:
+      return 3;
+  }
+  return 0;
+}
+
 std::size_t
 StageIndex(double aShare)
 {
@@ -211,14 +238,27 @@
   if (shift.mOrder.mRevision >= aOrder.mRevision) {
     return;
   }
+  if (aOrder.mRevision.mEpoch > shift.mOrder.mRevision.mEpoch &&
+      aOrder.mTarget == shift.mOrder.mTarget &&
+      aOrder.mDurationMs == shift.mOrder.mDurationMs) {
+    if (shift.mProgress &&
+        shift.mProgress->mOrderRevision == shift.mOrder.mRevision) {
+      shift.mProgress->mOrderRevision = aOrder.mRevision;
+      shift.mIsProgressLost = true;
+    }
+    shift.mOrder = aOrder;
+    return;
+  }
   std::optional<ShiftProgress> progress = shift.mProgress;
-  std::int64_t revision = shift.mProgressRevision;
+  StoreRevision revision = shift.mProgressRevision;
   shift = {};
   shift.mOrder = aOrder;
   shift.mOrderSeenMs = aNowMs;
   shift.mProgressRevision = revision;
-  if (progress && progress->mOrderRevision == aOrder.mRevision) {
+  if (progress && IsProgressOf(*progress, aOrder)) {
+    shift.mIsProgressLost = progress->mOrderRevision != aOrder.mRevision;
     shift.mProgress = progress;
+    shift.mProgress->mOrderRevision = aOrder.mRevision;
     shift.mStageSeenMs = aNowMs;
   }
 }
@@ -234,7 +274,7 @@
 ApplyProgress(VersionShifts& aShifts,
               const std::string& aService,
               const ShiftProgress& aProgress,
-              std::int64_t aRevision,
+              const StoreRevision& aRevision,
               TimeMs aNowMs)
 {
   VersionShift& shift = aShifts.mShifts[aService];
@@ -242,13 +282,31 @@
     return;
   }
   shift.mProgressRevision = aRevision;
-  if (shift.mOrder.mRevision > aProgress.mOrderRevision) {
+  // Progress of the order that the operator wrote again may arrive before it.
+  bool isOfOrder =
+    IsProgressOf(aProgress, shift.mOrder) ||
+    (aProgress.mTarget == shift.mOrder.mTarget &&
+     aProgress.mOrderRevision.mEpoch > shift.mOrder.mRevision.mEpoch);
+  if (shift.mOrder.mRevision > aProgress.mOrderRevision && !isOfOrder) {
     return;
   }
+  shift.mIsProgressLost = false;
+  if (aRevision.mEpoch > 0 && shift.mProgress && isOfOrder &&
+      shift.mProgress->mOrderRevision == shift.mOrder.mRevision) {
+    shift.mIsProgressLost =
+      aProgress.mOrderRevision != shift.mOrder.mRevision ||
+      ProgressRank(aProgress) < ProgressRank(*shift.mProgress);
+    if (ProgressRank(aProgress) <= ProgressRank(*shift.mProgress)) {
+      return;
+    }
+  }
   bool newStage = !shift.mProgress ||
                   shift.mProgress->mShare != aProgress.mShare ||
                   shift.mProgress->mOrderRevision != aProgress.mOrderRevision;
   shift.mProgress = aProgress;
+  if (isOfOrder) {
+    shift.mProgress->mOrderRevision = shift.mOrder.mRevision;
+  }
   if (newStage) {
     shift.mStageSeenMs = aNowMs;
     shift.mStageStartCounts = TotalCounts(shift);
@@ -263,6 +321,19 @@
   }
 }
 
+void
+OnProgressRestored(VersionShift& aShift,
+                   const std::optional<ShiftProgress>& aStored,
+                   const StoreRevision& aRevision)
+{
+  aShift.mProgressRevision = aRevision;
+  if (aShift.mProgress) {
+    aShift.mIsProgressLost =
+      !aStored || aStored->mOrderRevision != aShift.mProgress->mOrderRevision ||
+      ProgressRank(*aStored) < ProgressRank(*aShift.mProgress);
+  }
+}
+
 void
 OnTargetAnswer(VersionShift& aShift, AnswerResult aResult)
 {
@@ -310,7 +381,14 @@
 std::optional<ShiftProgress>
 AdvanceShift(VersionShift& aShift, TimeMs aNowMs)
 {
-  if (aShift.mOrder.mTarget.empty() || !IsActive(aShift)) {
+  if (aShift.mOrder.mTarget.empty()) {
+    return std::nullopt;
+  }
+  bool isRolledBack = aShift.mTargetRejected && IsActive(aShift);
+  if (aShift.mIsProgressLost && aShift.mProgress && !isRolledBack) {
+    return aShift.mProgress;
+  }
+  if (!IsActive(aShift)) {
     return std::nullopt;
   }
   ShiftProgress next;
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -32,6 +32,10 @@
 // the runner is alive.
 constexpr TimeMs kPeerDeletionGraceMs = 1200;
 
+// After a restore of the store, other hosts leave it to the coordinator for
+// this long to write again what was lost of roll-outs.
+constexpr TimeMs kCoordinatorHeadStartMs = 1000;
+
 // Returns how long the host has been suspended since it booted.
 TimeMs
 TotalSuspendedMs()
@@ -73,6 +77,16 @@
                                            const std::string& aReason) {
     OnStoreReachability(aReachable, aReason);
   };
+  mWatcher.SetRestoreDelay(RestoreDelayMs(mShared.mSettings.mHost));
+  mWatcher.mLostHoldMs = [this](const std::string& aKey) {
+    return ParseFleetKey(aKey).mKind == FleetKeyKind::Registration
+             ? mShared.mSettings.mRegistrationReturnMs +
+                 kRegistrationReturnSlackMs
+             : kRestoreHoldMs;
+  };
+  mWatcher.mOnRestored = [this](const StoreRevision& aBefore) {
+    OnRestored(aBefore);
+  };
   mShared.mOnConnectionLost = [this](const std::string& aRunner,
                                      const LostAttempt& aAttempt) {
     OnConnectionLost(aRunner, aAttempt);
@@ -174,6 +188,23 @@
   ApplyDeletion(mShared.mState, aKey, graceUntilMs);
 }
 
+void
+Gateway::OnRestored(const StoreRevision& aBefore)
+{
+  const StoreCopy& copy = mWatcher.Copy();
+  LogEvent(Event::StoreRestored,
+           { { "epoch", std::to_string(copy.mEpoch) },
+             { "revision", std::to_string(copy.mRevision) },
+             { "epoch_before", std::to_string(aBefore.mEpoch) },
+             { "revision_before", std::to_string(aBefore.mRevision) },
+             { "held", std::to_string(copy.mHeld.size()) } });
+  OnStoreRestored(mShared.mState, copy);
+  TimeMs now = mLoop.NowMs();
+  mNextAdvanceMs = now + RestoreDelayMs(mShared.mSettings.mHost) +
+                   (mPeers.IsCoordinator(now) ? 0 : kCoordinatorHeadStartMs);
+  mPeers.ScheduleSend();
+}
+
 void
 Gateway::OnStoreReachability(bool aReachable, const std::string& aReason)
 {
@@ -301,6 +332,7 @@
   TimeMs now = mLoop.NowMs();
   CheckSuspension();
   mPeers.UpdateSharing();
+  mWatcher.ReleaseHeldEntries();
   ExpireSuspects(
     mShared.mState.mCrashSuspects, mShared.mState.mCrashSuspectOptions, now);
   for (const std::string& id : PruneRunners(mShared.mState.mRunners, now)) {
@@ -360,6 +392,9 @@
 Gateway::AdvanceShifts()
 {
   TimeMs now = mLoop.NowMs();
+  if (!mWatcher.HasNewestEpoch()) {
+    return;
+  }
   for (auto& [service, shift] : mShared.mState.mShifts.mShifts) {
     // Any host may roll a bad version back; only the coordinator advances a
     // good one.
@@ -384,7 +419,7 @@
   VersionShift& shift = mShared.mState.mShifts.mShifts[aService];
   StoreTransaction transaction;
   transaction.mConditions = { { RolloutProgressKey(aService),
-                                shift.mProgressRevision } };
+                                shift.mProgressRevision.mRevision } };
   transaction.mPuts = {
     { RolloutProgressKey(aService), FormatShiftProgress(aNext), 0 },
     { RolloutStatusKey(aService), FormatRolloutStatus(aNext), 0 },
@@ -405,7 +440,7 @@
         ApplyProgress(mShared.mState.mShifts,
                       aService,
                       aNext,
-                      aResult->mRevision,
+                      { aResult->mEpoch, aResult->mRevision },
                       mLoop.NowMs());
       }
       const ShiftCounts& counts =
@@ -433,9 +468,9 @@
   auto stored = entries.find(RolloutProgressKey(aService));
   VersionShift& shift = mShared.mState.mShifts.mShifts[aService];
   if (stored == entries.end()) {
-    shift.mProgressRevision = 0;
-  } else if (stored->second.mModRevision != shift.mProgressRevision) {
-    shift.mProgressRevision = 0;
+    shift.mProgressRevision = { mWatcher.Position().mEpoch, 0 };
+  } else if (RevisionOf(stored->second) != shift.mProgressRevision) {
+    shift.mProgressRevision = {};
     OnStoreEntry(stored->second);
   }
 }
--- a/router/gateway/gateway.h
+++ b/router/gateway/gateway.h
@@ -37,6 +37,7 @@
                          const std::shared_ptr<CallerLink>& aCaller);
   void OnStoreEntry(const StoreEntry& aEntry);
   void OnStoreDeletion(const std::string& aKey);
+  void OnRestored(const StoreRevision& aBefore);
   void OnStoreReachability(bool aReachable, const std::string& aReason);
   void OnTableChanged();
   void OnConnectionLost(const std::string& aRunner,
--- a/router/gateway/gateway_state.cpp
+++ b/router/gateway/gateway_state.cpp
@@ -69,7 +69,7 @@
     leaving = ToProcess(known->second.mRegistration);
   }
   if (!ApplyRegistration(
-        aState.mRunners, *registration, aEntry.mModRevision, aNowMs)) {
+        aState.mRunners, *registration, RevisionOf(aEntry), aNowMs)) {
     return StateChange::None;
   }
   if (leaving && *leaving != ToProcess(*registration)) {
@@ -90,7 +90,7 @@
 StateChange
 ApplyRolloutOrder(GatewayState& aState, const StoreEntry& aEntry, TimeMs aNowMs)
 {
-  auto order = ParseShiftOrder(aEntry.mValue, aEntry.mModRevision);
+  auto order = ParseShiftOrder(aEntry.mValue, RevisionOf(aEntry));
   if (!order) {
     LogBadDocument(aEntry, order.error());
     return StateChange::None;
@@ -125,7 +125,7 @@
     return StateChange::None;
   }
   ApplyProgress(
-    aState.mShifts, aService, *progress, aEntry.mModRevision, aNowMs);
+    aState.mShifts, aService, *progress, RevisionOf(aEntry), aNowMs);
   LogEvent(
     Event::RolloutChanged,
     { { "service", aService },
@@ -189,6 +189,23 @@
   return StateChange::None;
 }
 
+void
+OnStoreRestored(GatewayState& aState, const StoreCopy& aCopy)
+{
+  for (auto& [service, shift] : aState.mShifts.mShifts) {
+    std::optional<ShiftProgress> stored;
+    StoreRevision revision{ aCopy.mEpoch, 0 };
+    auto found = aCopy.mEntries.find(RolloutProgressKey(service));
+    if (found != aCopy.mEntries.end()) {
+      revision = RevisionOf(found->second);
+      if (auto progress = ParseShiftProgress(found->second.mValue)) {
+        stored = *progress;
+      }
+    }
+    OnProgressRestored(shift, stored, revision);
+  }
+}
+
 void
 MarkStableVersions(GatewayState& aState)
 {
--- a/router/gateway/gateway_state.h
+++ b/router/gateway/gateway_state.h
@@ -64,6 +64,11 @@
               const std::string& aKey,
               std::optional<TimeMs> aGraceUntilMs);
 
+// The copy was replaced by one of a newer epoch of the store. Finds the
+// progress of roll-outs that the store has lost.
+void
+OnStoreRestored(GatewayState& aState, const StoreCopy& aCopy);
+
 // Marks as stable the versions that are registered when the process first reads
 // the store, except targets of roll-outs. They are used without an order.
 void
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -132,7 +132,7 @@
 {
   return mWatcher.IsReachable() && !mWatcher.IsFollowing() && !mLeaving &&
          IsFirstCoordinator(
-           mPeers, mShared.mSettings.mHost, mWatcher.Revision(), aNowMs);
+           mPeers, mShared.mSettings.mHost, mWatcher.Position(), aNowMs);
 }
 
 int
@@ -182,7 +182,7 @@
   message.mHost = mShared.mSettings.mHost;
   message.mAddress = mShared.mSettings.mAddress;
   message.mZone = mShared.mSettings.mZone;
-  message.mStoreRevision = mWatcher.Revision();
+  message.mStoreRevision = mWatcher.Position();
   message.mLeaving = mLeaving;
   message.mMayWatch = mWatcher.MayWatch();
   message.mContactAgeMs = mWatcher.ContactAgeMs();
@@ -345,9 +345,10 @@
     ScheduleSend();
   }
   if (!IsLive(peer, now)) {
-    LogEvent(Event::PeerHeard,
-             { { "peer", aMessage.mHost },
-               { "revision", std::to_string(aMessage.mStoreRevision) } });
+    LogEvent(
+      Event::PeerHeard,
+      { { "peer", aMessage.mHost },
+        { "revision", std::to_string(aMessage.mStoreRevision.mRevision) } });
   }
   peer.mHost = aMessage.mHost;
   peer.mZone = aMessage.mZone;
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::string_view kItemsTarget = "/items";
 constexpr std::string_view kChangesTarget = "/changes?after=";
+// Left out where the epoch is 0.
+constexpr std::string_view kEpochParameter = "&epoch=";
 
 // Writes entries in the format that ParseFleetEntries reads.
 std::string
@@ -44,6 +46,7 @@
   StoreChanges changes;
   changes.mFromRevision = aMessage.mFromRevision;
   changes.mEntries.mRevision = aMessage.mToRevision;
+  changes.mEntries.mEpoch = aMessage.mEpoch;
   changes.mIsFromList = aMessage.mIsFromList;
   for (const ChangeRow& row : aMessage.mRows) {
     changes.mEntries.mEntries.push_back(
@@ -52,6 +55,21 @@
   return changes;
 }
 
+// Reads REVISION or REVISION&epoch=EPOCH. What cannot be read counts as 0.
+StoreRevision
+ParsePosition(std::string_view aText)
+{
+  StoreRevision position;
+  const char* end = aText.data() + aText.size();
+  auto read = std::from_chars(aText.data(), end, position.mRevision);
+  std::string_view rest(read.ptr, static_cast<std::size_t>(end - read.ptr));
+  if (rest.starts_with(kEpochParameter)) {
+    rest.remove_prefix(kEpochParameter.size());
+    std::from_chars(rest.data(), rest.data() + rest.size(), position.mEpoch);
+  }
+  return position;
+}
+
 } // namespace
 
 StoreSharing::StoreSharing(EventLoop& aLoop,
@@ -96,6 +114,7 @@
                { "zone_hosts", std::to_string(hosts[mSettings.mZone]) },
                { "revision", std::to_string(mWatcher.Revision()) } });
   }
+  MayPullEpoch(NewestEpoch(mPeers, now));
   if (mDuty.mCovered) {
     mWatcher.Follow(mDuty.mReachableSinceMs);
   } else if (mDuty.mWatching && mWatcher.IsFollowing()) {
@@ -119,6 +138,7 @@
 {
   ChangeMessage message;
   message.mAddress = mSettings.mAddress;
+  message.mEpoch = aChanges.mEntries.mEpoch;
   message.mFromRevision = aChanges.mFromRevision;
   message.mToRevision = aChanges.mEntries.mRevision;
   message.mIsFromList = aChanges.mIsFromList;
@@ -143,11 +163,27 @@
   auto sender = mPeers.find(aMessage.mAddress);
   if (!mWatcher.MergePeerChanges(ToStoreChanges(aMessage)) &&
       sender != mPeers.end() &&
-      mLoop.NowMs() >= sender->second.mAvoidedUntilMs) {
+      mLoop.NowMs() >= sender->second.mAvoidedUntilMs &&
+      MayPullEpoch(aMessage.mEpoch)) {
     Pull(aMessage.mAddress, mWatcher.HasState());
   }
 }
 
+// Notes an epoch of the store that a peer has. Returns whether this host may
+// fetch it from peers now: after a change of the epoch all hosts need a whole
+// list, and the few that watch the store must not have to send all at once.
+bool
+StoreSharing::MayPullEpoch(std::int64_t aEpoch)
+{
+  if (aEpoch > mHeardEpoch && aEpoch > mWatcher.Position().mEpoch) {
+    mHeardEpoch = aEpoch;
+    mPullFromMs = mLoop.NowMs() + RestoreDelayMs(mSettings.mHost);
+    mWatcher.OnPeerEpoch(aEpoch);
+  }
+  return aEpoch <= mWatcher.Position().mEpoch || !mWatcher.HasState() ||
+         mLoop.NowMs() >= mPullFromMs;
+}
+
 // Fetches what this host lacks while it does not reach the store itself.
 void
 StoreSharing::PullIfBehind()
@@ -157,8 +193,8 @@
     return;
   }
   auto source = ChoosePullSource(
-    mPeers, mDutyOptions, isFollowing, mWatcher.Revision(), mLoop.NowMs());
-  if (source) {
+    mPeers, mDutyOptions, isFollowing, mWatcher.Position(), mLoop.NowMs());
+  if (source && MayPullEpoch(mPeers.at(*source).mStoreRevision.mEpoch)) {
     Pull(*source, isFollowing && mWatcher.HasState());
   }
 }
@@ -178,6 +214,10 @@
   if (aOnlyChanges) {
     target = kChangesTarget;
     target += std::to_string(mWatcher.Revision());
+    if (mWatcher.Position().mEpoch > 0) {
+      target += kEpochParameter;
+      target += std::to_string(mWatcher.Position().mEpoch);
+    }
   }
   mPullConnection->Call(
     "GET",
@@ -205,6 +245,14 @@
           aResult ? StoreError{ StoreErrorCode::Refused,
                                 "status " + std::to_string(aResult->mStatus) }
                   : aResult.error());
+  if (entries) {
+    auto epoch = ParseStoreEpoch(aResult->mHeaders);
+    if (epoch) {
+      entries->mEpoch = *epoch;
+    } else {
+      entries = tl::unexpected(epoch.error());
+    }
+  }
   if (!entries) {
     auto peer = mPeers.find(mPullAddress);
     if (peer != mPeers.end()) {
@@ -239,9 +287,7 @@
     }
   } else if (target.starts_with(kChangesTarget)) {
     target.remove_prefix(kChangesTarget.size());
-    std::int64_t after = 0;
-    std::from_chars(target.data(), target.data() + target.size(), after);
-    auto changes = ChangesAfter(mWatcher.Copy(), after);
+    auto changes = ChangesAfter(mWatcher.Copy(), ParsePosition(target));
     if (!changes) {
       aCaller->Respond(410, {}, {});
       return;
@@ -253,9 +299,12 @@
     aCaller->Respond(404, {}, {});
     return;
   }
-  aCaller->Respond(200,
-                   { { "Content-Type", "application/json" } },
-                   FormatEntries(mWatcher.Revision(), rows));
+  Headers headers{ { "Content-Type", "application/json" } };
+  if (mWatcher.Position().mEpoch > 0) {
+    headers.emplace_back(std::string(kStoreEpochHeader),
+                         std::to_string(mWatcher.Position().mEpoch));
+  }
+  aCaller->Respond(200, headers, FormatEntries(mWatcher.Revision(), rows));
 }
 
 } // namespace savory
--- a/router/gateway/store_sharing.h
+++ b/router/gateway/store_sharing.h
@@ -41,6 +41,7 @@
 private:
   void Share(const StoreChanges& aChanges);
   void PullIfBehind();
+  bool MayPullEpoch(std::int64_t aEpoch);
   void Pull(const std::string& aAddress, bool aOnlyChanges);
   void OnPulled(bool aOnlyChanges,
                 const tl::expected<HttpResponse, StoreError>& aResult);
@@ -53,6 +54,10 @@
   WatchDuty mDuty;
   // Messages of peers before this time are not relied upon.
   TimeMs mResumedMs = -1'000'000;
+  // The newest epoch of the store that was heard of from peers, and the time
+  // from which this host fetches it from them.
+  std::int64_t mHeardEpoch = 0;
+  TimeMs mPullFromMs = 0;
   std::string mPullAddress;
   std::unique_ptr<FleetStoreConnection> mPullConnection;
 };
--- a/tests/core/test_beacon.cpp
+++ b/tests/core/test_beacon.cpp
@@ -116,6 +116,7 @@
   message.mZone = std::string(64, 'z');
   message.mAddress = "255.255.255.255";
   message.mContactAgeMs = 1'000'000;
+  message.mStoreRevision = { kMaxStoreEpoch, 1'000'000'000'000 };
   AddPrefillReports(message, set, cursor);
   CrashSuspects suspects = MakeSuspects(50);
   message.mCrashes = MakeCrashReport(suspects, 2000000);
@@ -123,7 +124,9 @@
   for (int i = 0; i < 10; ++i) {
     constexpr std::int64_t kLarge = 1'000'000'000'000;
     message.mShifts[std::string(31, 's') + std::to_string(i)] = {
-      kLarge, 100'000, { kLarge, kLarge, kLarge, 100'000, kLarge, kLarge }
+      { kMaxStoreEpoch, kLarge },
+      100'000,
+      { kLarge, kLarge, kLarge, 100'000, kLarge, kLarge }
     };
   }
   message.mLiveAddresses.assign(12, "255.255.255.255");
--- a/tests/core/test_peer_message.cpp
+++ b/tests/core/test_peer_message.cpp
@@ -14,12 +14,12 @@
   message.mHost = "edge-1";
   message.mAddress = "10.0.0.1";
   message.mZone = "z1";
-  message.mStoreRevision = 412;
+  message.mStoreRevision = { 0, 412 };
   message.mMayWatch = true;
   message.mContactAgeMs = 250;
   message.mReachableForMs = 30000;
   message.mLiveHosts = 103;
-  message.mShifts["llm"] = { 7, 1200, { 1, 2, 3, 4, 5, 6 } };
+  message.mShifts["llm"] = { { 0, 7 }, 1200, { 1, 2, 3, 4, 5, 6 } };
   message.mPrefills["i-1"] = { 812.5, { 0xffffffffffffffffU, 2 } };
   message.mCrashes.mSuspects.push_back({ { "llm", SuspectKind::PromptPart, 9 },
                                          2,
@@ -36,6 +36,7 @@
 MakeChanges()
 {
   return { "10.0.0.1",
+           0,
            410,
            412,
            true,
@@ -150,4 +151,47 @@
   (void)DecodeChangeMessage(bytes);
 }
 
+// Guards against datagrams of a store without epochs that differ from those of
+// earlier releases, which hosts of one fleet may still run, and against changes
+// with an epoch that such a release applies to a copy of another one.
+BOOST_AUTO_TEST_CASE(epochs_are_stated_only_where_the_store_has_them)
+{
+  PeerMessage beacon = MakeMessage();
+  ChangeMessage changes = MakeChanges();
+  std::string oldBeacon = EncodePeerMessage(beacon);
+  std::string oldChanges = EncodeChangeMessage(changes);
+  BOOST_TEST(oldBeacon[0] == 2);
+  BOOST_TEST(oldChanges[0] == 2);
+  beacon.mStoreRevision.mEpoch = 3;
+  beacon.mShifts["llm"].mOrderRevision.mEpoch = 2;
+  changes.mEpoch = 3;
+  std::string newBeacon = EncodePeerMessage(beacon);
+  std::string newChanges = EncodeChangeMessage(changes);
+  BOOST_TEST(newBeacon[0] == 2);
+  BOOST_TEST(newChanges[0] == 3);
+  BOOST_TEST((ParseDatagramKind(newChanges) == PeerDatagramKind::Changes));
+  // A number below 24 takes a byte; a key as short takes two.
+  BOOST_TEST(newBeacon.size() == oldBeacon.size() + 4);
+  BOOST_TEST(newChanges.size() == oldChanges.size() + 3);
+  auto read = DecodePeerMessage(newBeacon);
+  BOOST_REQUIRE(read);
+  BOOST_TEST((read->mStoreRevision == StoreRevision{ 3, 412 }));
+  BOOST_TEST((read->mShifts["llm"].mOrderRevision == StoreRevision{ 2, 7 }));
+  BOOST_TEST(DecodeChangeMessage(newChanges)->mEpoch == 3);
+  BOOST_TEST(DecodeChangeMessage(oldChanges)->mEpoch == 0);
+}
+
+// Guards against an epoch that hides all others for good.
+BOOST_AUTO_TEST_CASE(implausible_epochs_are_malformed)
+{
+  for (std::int64_t epoch : { std::int64_t(1) << 23, std::int64_t(1) << 62 }) {
+    PeerMessage beacon = MakeMessage();
+    beacon.mStoreRevision.mEpoch = epoch;
+    BOOST_TEST(!DecodePeerMessage(EncodePeerMessage(beacon)));
+    ChangeMessage changes = MakeChanges();
+    changes.mEpoch = epoch;
+    BOOST_TEST(!DecodeChangeMessage(EncodeChangeMessage(changes)));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/test_peer_table.cpp
+++ b/tests/core/test_peer_table.cpp
@@ -16,7 +16,7 @@
   peer.mHost = aHost;
   peer.mZone = "z";
   peer.mLastHeardMs = kNowMs;
-  peer.mStoreRevision = 500;
+  peer.mStoreRevision = { 0, 500 };
   peer.mContactMs = kNowMs - 1000;
   peer.mLiveHosts = 3;
   return peer;
@@ -91,16 +91,18 @@
 {
   PeerTable peers{ { "10.0.0.2", MakePeer("a") } };
   Peer& peer = peers.at("10.0.0.2");
-  auto isFirst = [&] { return IsFirstCoordinator(peers, "b", 500, kNowMs); };
+  auto isFirst = [&] {
+    return IsFirstCoordinator(peers, "b", { 0, 500 }, kNowMs);
+  };
   BOOST_TEST(!isFirst());
-  BOOST_TEST(IsFirstCoordinator(peers, "0", 500, kNowMs));
+  BOOST_TEST(IsFirstCoordinator(peers, "0", { 0, 500 }, kNowMs));
   peer.mContactMs.reset();
   BOOST_TEST(isFirst(), "a follower drives nothing");
   peer = MakePeer("a");
   peer.mContactMs = kNowMs - 4000;
   BOOST_TEST(isFirst(), "lost the store");
   peer = MakePeer("a");
-  peer.mStoreRevision = 400;
+  peer.mStoreRevision = { 0, 400 };
   BOOST_TEST(isFirst(), "far behind");
   peer = MakePeer("a");
   peer.mLeaving = true;
@@ -121,11 +123,12 @@
                    { "10.0.0.3", MakePeer("c") },
                    { "10.0.0.4", MakePeer("d") } };
   peers["10.0.0.3"].mContactMs.reset();
-  peers["10.0.0.3"].mStoreRevision = 510;
+  peers["10.0.0.3"].mStoreRevision = { 0, 510 };
   peers["10.0.0.4"].mZone = "other";
-  peers["10.0.0.4"].mStoreRevision = 520;
+  peers["10.0.0.4"].mStoreRevision = { 0, 520 };
   auto choose = [&](bool aIsFollowing, std::int64_t aRevision) {
-    return ChoosePullSource(peers, options, aIsFollowing, aRevision, kNowMs)
+    return ChoosePullSource(
+             peers, options, aIsFollowing, { 0, aRevision }, kNowMs)
       .value_or("none");
   };
   BOOST_TEST(choose(true, 490) == "10.0.0.2");
@@ -145,4 +148,24 @@
   BOOST_TEST(!IsStoreServingPeers(peers, kNowMs));
 }
 
+// Guards against a coordinator that has not heard of a restore of the store,
+// and against hosts that fetch an older epoch because its revisions are higher.
+BOOST_AUTO_TEST_CASE(newer_epoch_comes_before_higher_revisions)
+{
+  WatchDutyOptions options;
+  options.mHost = "b";
+  options.mZone = "z";
+  PeerTable peers{ { "10.0.0.2", MakePeer("a") } };
+  Peer& peer = peers.at("10.0.0.2");
+  peer.mStoreRevision = { 1, 900 };
+  BOOST_TEST(IsFirstCoordinator(peers, "b", { 2, 20 }, kNowMs));
+  BOOST_TEST(!ChoosePullSource(peers, options, false, { 2, 20 }, kNowMs));
+  BOOST_TEST(NewestEpoch(peers, kNowMs) == 1);
+  peer.mStoreRevision = { 3, 20 };
+  BOOST_TEST(!IsFirstCoordinator(peers, "b", { 2, 900 }, kNowMs));
+  BOOST_TEST(
+    ChoosePullSource(peers, options, false, { 2, 900 }, kNowMs).has_value());
+  BOOST_TEST(NewestEpoch(peers, kNowMs + kPeerTimeoutMs) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/test_runners.cpp
+++ b/tests/core/test_runners.cpp
@@ -48,7 +48,7 @@
 
   RunnerState& Add(const Registration& aRegistration, TimeMs aNowMs = 0)
   {
-    ApplyRegistration(mSet, aRegistration, ++mRevision, aNowMs);
+    ApplyRegistration(mSet, aRegistration, { 0, ++mRevision }, aNowMs);
     return mSet.mRunners.at(aRegistration.mId);
   }
 
@@ -238,10 +238,25 @@
   fixture.Add(restarted);
   BOOST_TEST(runner.mBlockedUntilMs == 0);
   BOOST_TEST(runner.mCachedParts.empty());
-  BOOST_TEST(!ApplyRegistration(fixture.mSet, MakeRegistration("a"), 1, 10));
+  BOOST_TEST(
+    !ApplyRegistration(fixture.mSet, MakeRegistration("a"), { 0, 1 }, 10));
   BOOST_TEST(runner.mRegistration.mStartedWallMs == 2000);
 }
 
+// Guards against a registration that is ignored because a restored store gives
+// out lower revisions.
+BOOST_AUTO_TEST_CASE(registration_of_a_newer_epoch_is_newer)
+{
+  RunnerFixture fixture;
+  Registration registration = MakeRegistration("a");
+  ApplyRegistration(fixture.mSet, registration, { 1, 500 }, 0);
+  registration.mDraining = true;
+  BOOST_TEST(ApplyRegistration(fixture.mSet, registration, { 2, 20 }, 10));
+  registration.mDraining = false;
+  BOOST_TEST(!ApplyRegistration(fixture.mSet, registration, { 1, 501 }, 20));
+  BOOST_TEST(fixture.mSet.mRunners.at("a").mRegistration.mDraining);
+}
+
 // Guards against runners that are removed because the store lost their
 // registrations in an outage, and against runners that are kept although they
 // did not register again.
--- a/tests/core/test_version_shift.cpp
+++ b/tests/core/test_version_shift.cpp
@@ -16,7 +16,10 @@
   VersionShifts mShifts;
   std::int64_t mRevision = 10;
 
-  ShiftFixture() { ApplyOrder(mShifts, { "llm", "v2", kDurationMs, 10 }, 0); }
+  ShiftFixture()
+  {
+    ApplyOrder(mShifts, { "llm", "v2", kDurationMs, { 0, 10 } }, 0);
+  }
 
   VersionShift& Shift() { return mShifts.mShifts.at("llm"); }
 
@@ -25,7 +28,7 @@
   {
     auto next = AdvanceShift(Shift(), aNowMs);
     if (next) {
-      ApplyProgress(mShifts, "llm", *next, ++mRevision, aNowMs);
+      ApplyProgress(mShifts, "llm", *next, { 0, ++mRevision }, aNowMs);
     }
     return next;
   }
@@ -340,8 +343,8 @@
   ShiftFixture fixture;
   ApplyProgress(fixture.mShifts,
                 "llm",
-                { "v2", ShiftState::Completed, 1, 10, 0 },
-                20,
+                { "v2", ShiftState::Completed, 1, { 0, 10 }, 0 },
+                { 0, 20 },
                 20000);
   fixture.AddAnswers(50, false);
   BOOST_TEST(!fixture.Shift().mTargetRejected);
@@ -354,10 +357,13 @@
 {
   ShiftFixture fixture;
   fixture.Advance(0);
-  ApplyOrder(fixture.mShifts, { "llm", "v2", kDurationMs, 10 }, 500);
+  ApplyOrder(fixture.mShifts, { "llm", "v2", kDurationMs, { 0, 10 } }, 500);
   BOOST_TEST(fixture.Shift().mProgress.has_value());
-  ApplyProgress(
-    fixture.mShifts, "llm", { "v2", ShiftState::RolledBack, 0, 10, 0 }, 5, 600);
+  ApplyProgress(fixture.mShifts,
+                "llm",
+                { "v2", ShiftState::RolledBack, 0, { 0, 10 }, 0 },
+                { 0, 5 },
+                600);
   BOOST_TEST((fixture.Shift().mProgress->mState == ShiftState::InProgress));
 }
 
@@ -368,7 +374,8 @@
   ShiftFixture first;
   first.Advance(0);
   ShiftFixture second;
-  ApplyProgress(second.mShifts, "llm", *first.Shift().mProgress, 11, 18000);
+  ApplyProgress(
+    second.mShifts, "llm", *first.Shift().mProgress, { 0, 11 }, 18000);
   second.Shift().mOrderSeenMs = 18000;
   ApplyOrderAge(second.Shift(), 18000, 18000);
   bool completed = false;
@@ -415,4 +422,78 @@
   BOOST_TEST(AllowsVersion(shifts, runner, 0, false, 9000));
 }
 
+// Guards against a shift that starts anew, or goes back a stage, as the store
+// was restored and has lost its progress.
+BOOST_AUTO_TEST_CASE(lost_progress_is_written_again)
+{
+  ShiftFixture fixture;
+  VersionShift& shift = fixture.Shift();
+  ShiftProgress early{ "v2", ShiftState::InProgress, 0.1, { 0, 10 }, 0 };
+  ShiftProgress late = early;
+  late.mShare = 0.6;
+  ApplyProgress(fixture.mShifts, "llm", late, { 0, 30 }, 1000);
+  OnProgressRestored(shift, early, { 1, 20 });
+  auto next = AdvanceShift(shift, 1001);
+  BOOST_REQUIRE(next);
+  BOOST_TEST(next->mShare == 0.6);
+  BOOST_TEST((shift.mProgressRevision == StoreRevision{ 1, 20 }));
+  // Another host, which knew less, was first.
+  early.mShare = 0.3;
+  ApplyProgress(fixture.mShifts, "llm", early, { 1, 21 }, 1002);
+  BOOST_TEST(shift.mProgress->mShare == 0.6);
+  BOOST_TEST((shift.mProgressRevision == StoreRevision{ 1, 21 }));
+  BOOST_TEST(AdvanceShift(shift, 1003)->mShare == 0.6);
+  ApplyProgress(fixture.mShifts, "llm", late, { 1, 22 }, 1004);
+  BOOST_TEST(!AdvanceShift(shift, 1005));
+  // An answer of the old epoch arrives late.
+  late.mShare = 1;
+  ApplyProgress(fixture.mShifts, "llm", late, { 0, 90 }, 1006);
+  BOOST_TEST(shift.mProgress->mShare == 0.6);
+}
+
+// Guards against a version that was rolled back and gets requests again when
+// the operator's order is back, with or without the stored progress.
+BOOST_AUTO_TEST_CASE(rollback_survives_a_restore)
+{
+  for (bool isOrderLost : { false, true }) {
+    ShiftFixture fixture;
+    VersionShift& shift = fixture.Shift();
+    ShiftProgress progress{ "v2", ShiftState::RolledBack, 0, { 0, 10 }, 0 };
+    ApplyProgress(fixture.mShifts, "llm", progress, { 0, 30 }, 1000);
+    OnProgressRestored(shift, std::nullopt, { 1, 0 });
+    ShiftOrder order{ "llm", "v2", kDurationMs, { 1, isOrderLost ? 17 : 10 } };
+    ApplyOrder(fixture.mShifts, order, 2000);
+    BOOST_TEST(
+      !AllowsVersion(fixture.mShifts, MakeRunner("v2"), 0, true, 2000));
+    auto next = AdvanceShift(shift, 2000);
+    BOOST_REQUIRE(next);
+    BOOST_TEST((next->mState == ShiftState::RolledBack));
+    BOOST_TEST((next->mOrderRevision == order.mRevision));
+    ApplyProgress(fixture.mShifts, "llm", *next, { 1, 18 }, 2001);
+    BOOST_TEST(!AdvanceShift(shift, 2002));
+    // A later order of the same epoch is a new one.
+    order.mRevision.mRevision = 40;
+    ApplyOrder(fixture.mShifts, order, 3000);
+    BOOST_TEST(!shift.mProgress);
+  }
+}
+
+// Guards against a host that starts after a restore and begins a completed
+// shift anew, as the progress names the order by its revision in the old epoch.
+BOOST_AUTO_TEST_CASE(progress_is_found_by_the_old_revision_of_its_order)
+{
+  VersionShifts shifts;
+  ApplyProgress(shifts,
+                "llm",
+                { "v2", ShiftState::Completed, 1, { 0, 10 }, 0 },
+                { 1, 12 },
+                0);
+  ApplyOrder(shifts, { "llm", "v2", kDurationMs, { 1, 10 } }, 0);
+  BOOST_REQUIRE(shifts.mShifts["llm"].mProgress);
+  BOOST_TEST(!IsActive(shifts.mShifts["llm"]));
+  auto next = AdvanceShift(shifts.mShifts["llm"], 1);
+  BOOST_REQUIRE(next);
+  BOOST_TEST((next->mOrderRevision == StoreRevision{ 1, 10 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/test_fleet.cpp
+++ b/tests/platform/test_fleet.cpp
@@ -168,8 +168,8 @@
   BOOST_TEST(table->mLimits.mMaxHeaderBytes ==
              std::numeric_limits<std::uint32_t>::max());
   BOOST_TEST(table->mLimits.mMaxBodyBytes == 0U);
-  auto order =
-    ParseShiftOrder(R"({"service":"s","target":"v2","durationS":1e300})", 1);
+  auto order = ParseShiftOrder(
+    R"({"service":"s","target":"v2","durationS":1e300})", { 0, 1 });
   BOOST_REQUIRE(order);
   BOOST_TEST(order->mDurationMs < kMostMs);
 }
@@ -180,7 +180,7 @@
   BOOST_TEST(rc::check("bytes", [](const std::string& aBytes) {
     (void)ParseRouteTable(aBytes);
     (void)ParseRegistration("i", aBytes);
-    (void)ParseShiftOrder(aBytes, 1);
+    (void)ParseShiftOrder(aBytes, { 0, 1 });
     (void)ParseShiftProgress(aBytes);
     (void)ParseFleetEntries(aBytes);
     (void)ParseFleetSettings(aBytes);
@@ -201,17 +201,23 @@
 BOOST_AUTO_TEST_CASE(rollout_progress_round_trip)
 {
   ShiftProgress progress{
-    "v2", ShiftState::RolledBack, 0.4, 17, 1780000000000
+    "v2", ShiftState::RolledBack, 0.4, { 0, 17 }, 1780000000000
   };
   auto read = ParseShiftProgress(FormatShiftProgress(progress));
   BOOST_REQUIRE(read);
   BOOST_TEST(read->mTarget == "v2");
   BOOST_TEST((read->mState == ShiftState::RolledBack));
   BOOST_TEST(read->mShare == 0.4);
-  BOOST_TEST(read->mOrderRevision == 17);
+  BOOST_TEST((read->mOrderRevision == StoreRevision{ 0, 17 }));
+  BOOST_TEST(FormatShiftProgress(progress).find("order_epoch") ==
+             std::string::npos);
   BOOST_TEST(read->mOrderedWallMs == 1780000000000);
   BOOST_TEST(FormatRolloutStatus(progress) ==
              R"({"state":"rolled_back","target":"v2"})");
+  progress.mOrderRevision.mEpoch = 2;
+  BOOST_TEST(
+    (ParseShiftProgress(FormatShiftProgress(progress))->mOrderRevision ==
+     StoreRevision{ 2, 17 }));
 }
 
 BOOST_AUTO_TEST_CASE(keys_are_classified)
@@ -432,11 +438,11 @@
 {
   WatcherFixture fixture;
   StoreWatcher& watcher = fixture.mWatcher;
-  BOOST_TEST(!ChangesAfter(watcher.Copy(), 0));
+  BOOST_TEST(!ChangesAfter(watcher.Copy(), { 0, 0 }));
   watcher.MergePeerEntries({ 10, { { "a", "1", 5 }, { "b", "1", 9 } } });
-  BOOST_TEST(!ChangesAfter(watcher.Copy(), 9));
+  BOOST_TEST(!ChangesAfter(watcher.Copy(), { 0, 9 }));
   watcher.MergePeerEntries({ 20, { { "a", "2", 15 }, { "c", "1", 20 } } });
-  auto changes = ChangesAfter(watcher.Copy(), 10);
+  auto changes = ChangesAfter(watcher.Copy(), { 0, 10 });
   BOOST_REQUIRE(changes);
   std::map<std::string, bool> deleted;
   for (const StoreEntry& entry : changes->mEntries.mEntries) {
@@ -450,10 +456,60 @@
     watcher.MergePeerChanges(
       { revision - 1, { revision, { { "a", "x", revision } } } });
   }
-  BOOST_TEST(!ChangesAfter(watcher.Copy(), 20));
-  BOOST_REQUIRE(ChangesAfter(watcher.Copy(), 1990));
-  BOOST_TEST(ChangesAfter(watcher.Copy(), 1990)->mEntries.mEntries.size() ==
-             9U);
+  BOOST_TEST(!ChangesAfter(watcher.Copy(), { 0, 20 }));
+  BOOST_REQUIRE(ChangesAfter(watcher.Copy(), { 0, 1990 }));
+  BOOST_TEST(
+    ChangesAfter(watcher.Copy(), { 0, 1990 })->mEntries.mEntries.size() == 9U);
+}
+
+// Guards against an epoch that is not read, or taken from a malformed header.
+BOOST_AUTO_TEST_CASE(epoch_of_an_answer_is_read_or_refused)
+{
+  BOOST_TEST(ParseStoreEpoch({}).value_or(-1) == 0);
+  BOOST_TEST(ParseStoreEpoch({ { "store-era", "7" } }).value_or(-1) == 7);
+  BOOST_TEST(ParseStoreEpoch({ { "Store-Era", "7" }, { "Store-Era", "7" } })
+               .value_or(-1) == 7);
+  BOOST_TEST(!ParseStoreEpoch({ { "Store-Era", "7" }, { "Store-Era", "8" } }));
+  for (const char* value : { "",
+                             "-1",
+                             "+1",
+                             "1.5",
+                             "0x1",
+                             "1 2",
+                             "era",
+                             "8388608",
+                             "99999999999999999999" }) {
+    BOOST_TEST(!ParseStoreEpoch({ { "Store-Era", value } }), value);
+  }
+}
+
+// Guards against a follower that mixes epochs: revisions of the new one are
+// lower, and those of the old one arrive late.
+BOOST_AUTO_TEST_CASE(newer_epoch_of_a_peer_replaces_the_copy)
+{
+  WatcherFixture fixture;
+  StoreWatcher& watcher = fixture.mWatcher;
+  std::vector<StoreRevision> restores;
+  watcher.mOnRestored = [&restores](const StoreRevision& aBefore) {
+    restores.push_back(aBefore);
+  };
+  watcher.mLostHoldMs = [](const std::string&) { return TimeMs(0); };
+  watcher.MergePeerEntries({ 40, { { "a", "1", 5 }, { "b", "1", 39 } } });
+  StoreChanges changes{ 30, { 31, { { "a", "2", 31 } }, false, 1 } };
+  BOOST_TEST(!watcher.MergePeerChanges(changes), "needs the list first");
+  fixture.mApplied.clear();
+  watcher.MergePeerEntries({ 30, { { "a", "1", 5 } }, false, 1 });
+  BOOST_REQUIRE(restores.size() == 1U);
+  BOOST_TEST((restores[0] == StoreRevision{ 0, 40 }));
+  BOOST_TEST(watcher.MergePeerChanges(changes));
+  StoreChanges late{ 40, { 41, { { "a", "0", 41 } } } };
+  BOOST_TEST(watcher.MergePeerChanges(late), "needs no list of the old epoch");
+  watcher.MergePeerEntries({ 50, { { "a", "0", 45 } } });
+  watcher.ReleaseHeldEntries();
+  std::vector<std::string> expected{ "a=1", "a=2", "-b" };
+  BOOST_TEST(fixture.mApplied == expected, boost::test_tools::per_element());
+  BOOST_TEST((watcher.Position() == StoreRevision{ 1, 31 }));
+  BOOST_TEST(fixture.mStore.Epoch() == 1);
 }
 
 // Guards against values of Server-Leaving other than 1, or two different ones,
