--- a/tests/process/fleet_platform.py
+++ b/tests/process/fleet_platform.py
@@ -77,6 +77,7 @@
 def write_response(writer, status, body=b"", headers=()):
     lines = ["HTTP/1.1 %d X" % status, "Content-Length: %d" % len(body)]
     lines += ["%s: %s" % row for row in headers]
+    lines += ["%s: %s" % row for row in getattr(writer, "extra_headers", ())]
     writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
 
 
@@ -96,8 +97,29 @@
         self.stale_items = None
         # Discards the history at once: a watch from an older revision gets 410.
         self.compacts = False
+        # The epoch that all answers state; none if None.
+        self.epoch = None
         super().__init__()
 
+    def snapshot(self):
+        return self.revision, dict(self.items), list(self.history)
+
+    def restore(self, snapshot, down_seconds=0.3):
+        """Is away for a moment and comes back with the entries and revisions of
+        an older snapshot, in a new epoch. No lease survives."""
+        self.down = True
+        time.sleep(down_seconds)
+
+        async def swap():
+            self.revision, items, history = snapshot
+            self.items = {key: dict(row, lease=0) for key, row in items.items()}
+            self.history = list(history)
+            self.epoch = (self.epoch or 0) + 1
+            for writer in list(self.writers):
+                writer.transport.abort()
+        asyncio.run_coroutine_threadsafe(swap(), self.loop).result()
+        self.down = False
+
     def put(self, key, value):
         self._change(key, json.dumps(value).encode()
                      if not isinstance(value, bytes) else value)
@@ -123,6 +145,8 @@
 
     async def handle(self, writer, method, target, headers, body):
         self.calls += 1
+        if self.epoch is not None:
+            writer.extra_headers = [("Store-Era", str(self.epoch))]
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         if self.down or self.refuses_port(writer.get_extra_info("peername")[1]):
@@ -139,7 +163,8 @@
                                 "hasMore": len(entries) > 3,
                                 "at": self.revision})
         elif url.path == "/kv-watch":
-            if self.compacts and int(query["after"]) < self.revision:
+            if int(query["after"]) > self.revision or (
+                    self.compacts and int(query["after"]) < self.revision):
                 write_response(writer, 410)
                 return True
             end = time.monotonic() + int(query["waitMs"]) / 1000
