Test the client of the store across a change of the epoch

A list whose pages belong to two epochs is read again, an answer of a newer epoch to any call leads to one list after the host's delay and is no outage, and answers of an older epoch are errors.

--- /dev/null
+++ b/tests/platform/test_fleet_watcher.cpp
@@ -0,0 +1,153 @@
+#include "fixture.h"
+#include "savory/net/http_link.h"
+#include "savory/platform/fleet_watcher.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace savory;
+
+namespace {
+
+// A watcher and the calls that it makes, which the test answers one by one.
+struct StoreFixture : LoopFixture
+{
+  std::vector<std::pair<std::string, std::shared_ptr<CallerLink>>> mCalls;
+  HttpFrontend mFrontend{ mLoop,
+                          [this](const IncomingRequest& aRequest,
+                                 const std::shared_ptr<CallerLink>& aCaller) {
+                            mCalls.emplace_back(aRequest.mHead.mTarget,
+                                                aCaller);
+                          } };
+  FleetStore mStore{ mLoop, { "127.0.0.1", mFrontend.Listen("127.0.0.1", 0) } };
+  StoreWatcher mWatcher{ mLoop, mStore, 4000 };
+  std::vector<std::string> mApplied;
+  std::vector<StoreRevision> mRestores;
+
+  StoreFixture()
+  {
+    mWatcher.mOnEntry = [this](const StoreEntry& aEntry) {
+      mApplied.push_back(aEntry.mKey);
+    };
+    mWatcher.mOnDeleted = [this](const std::string& aKey) {
+      mApplied.push_back("-" + aKey);
+    };
+    mWatcher.mOnRestored = [this](const StoreRevision& aBefore) {
+      mRestores.push_back(aBefore);
+    };
+  }
+
+  // Waits for the next call, whose target must begin so, and answers it.
+  void Answer(std::string_view aTarget,
+              int aEpoch,
+              const std::string& aBody,
+              int aStatus = 200)
+  {
+    BOOST_REQUIRE(RunUntil([&] { return !mCalls.empty(); }));
+    auto [target, caller] = mCalls.front();
+    mCalls.erase(mCalls.begin());
+    BOOST_TEST(target.starts_with(aTarget), target << ", not " << aTarget);
+    caller->Respond(
+      aStatus, { { "Store-Era", std::to_string(aEpoch) } }, aBody);
+  }
+};
+
+std::string
+MakePage(int aRevision, const std::string& aKey, bool aHasMore = false)
+{
+  return R"({"at":)" + std::to_string(aRevision) + R"(,"entries":[{"key":")" +
+         aKey + R"(","revision":2,"value":"MQ=="}],"hasMore":)" +
+         (aHasMore ? "true}" : "false}");
+}
+
+const std::string kNoChanges = R"({"at":9,"events":[]})";
+const std::string kList = "/kv-range?prefix=";
+const std::string kSecondPage = "/kv-range?prefix=&after=";
+const std::string kWatch = "/kv-watch?prefix=&after=";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(fleet_watcher, StoreFixture)
+
+// Guards against a list that mixes the entries of two epochs.
+BOOST_AUTO_TEST_CASE(list_with_pages_of_two_epochs_is_read_again)
+{
+  mWatcher.Start();
+  Answer(kList, 1, MakePage(9, "a", true));
+  Answer(kSecondPage, 2, MakePage(9, "c"));
+  Answer(kList, 2, MakePage(5, "b", true));
+  Answer(kSecondPage, 2, MakePage(5, "c"));
+  Answer(kWatch + "5", 2, kNoChanges);
+  std::vector<std::string> expected{ "b", "c" };
+  BOOST_TEST(mApplied == expected, boost::test_tools::per_element());
+  BOOST_TEST(mRestores.empty(), "nothing was in force before");
+}
+
+// Guards against a new epoch that is found only by an answer to a watch, or
+// taken for a lost history, and against a read that all hosts make at once.
+BOOST_AUTO_TEST_CASE(any_answer_of_a_newer_epoch_leads_to_a_list)
+{
+  constexpr TimeMs kDelayMs = 200;
+  mWatcher.SetRestoreDelay(kDelayMs);
+  mWatcher.Start();
+  int epoch = 1;
+  Answer(kList, epoch, MakePage(9, "a"));
+  Answer(kWatch, epoch, kNoChanges);
+  for (int status : { 200, 410, 503 }) {
+    ++epoch;
+    Answer(kWatch, epoch, kNoChanges, status);
+    BOOST_REQUIRE(RunUntil([&] { return mStore.Epoch() == epoch; }));
+    TimeMs heardMs = MonotonicMs();
+    Answer(kList, epoch, MakePage(7, "a"));
+    BOOST_TEST(MonotonicMs() - heardMs >= kDelayMs - 10);
+    BOOST_REQUIRE(RunUntil([&] {
+      return mWatcher.Position() == StoreRevision{ epoch, 7 };
+    }));
+  }
+  // The answer to a commit, while a watch is pending.
+  BOOST_REQUIRE(RunUntil([&] { return !mCalls.empty(); }));
+  mCalls.clear();
+  std::optional<StoreCommit> commit;
+  mStore.Commit({}, [&](tl::expected<StoreCommit, StoreError> aResult) {
+    commit = aResult.value();
+  });
+  ++epoch;
+  Answer("/kv-txn", epoch, R"({"revision":8})");
+  Answer(kList, epoch, MakePage(8, "a"));
+  BOOST_REQUIRE(commit);
+  BOOST_TEST(commit->mEpoch == epoch);
+  BOOST_TEST(commit->mRevision == 8);
+  BOOST_REQUIRE(RunUntil([&] { return mRestores.size() == 4U; }));
+  BOOST_TEST(mWatcher.IsReachable(), "a restore is no outage");
+}
+
+// Guards against a host that goes on with a store which is still in the old
+// epoch, and against its commits that count although they are lost.
+BOOST_AUTO_TEST_CASE(answers_of_an_older_epoch_are_errors)
+{
+  mWatcher.Start();
+  Answer(kList, 3, MakePage(9, "a"));
+  Answer(kWatch, 3, kNoChanges);
+  mWatcher.OnPeerEpoch(4);
+  BOOST_TEST(!mWatcher.HasNewestEpoch());
+  mCalls.clear();
+  mApplied.clear();
+  Answer(kList, 3, MakePage(50, "b"));
+  Answer(kList, 3, MakePage(50, "b"));
+  BOOST_REQUIRE(RunUntil([&] { return !mWatcher.IsReachable(); }));
+  bool isError = false;
+  mStore.Commit({}, [&](tl::expected<StoreCommit, StoreError> aResult) {
+    isError = !aResult && aResult.error().mCode == StoreErrorCode::Unknown;
+  });
+  BOOST_REQUIRE(RunUntil([&] { return mCalls.size() == 2U; }));
+  if (!mCalls.front().first.starts_with("/kv-txn")) {
+    std::swap(mCalls[0], mCalls[1]);
+  }
+  Answer("/kv-txn", 3, R"({"revision":60})");
+  Answer(kList, 4, MakePage(6, "a"));
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.HasNewestEpoch(); }));
+  BOOST_TEST(isError);
+  std::vector<std::string> expected{ "a" };
+  BOOST_TEST(mApplied == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
