Mend what clang-tidy found in the comparison of store revisions

modernize-use-nullptr takes the zero that a defaulted comparison inserts for a null pointer, in each file that compares revisions with < or >. The comparison is written out.

--- a/core/include/savory/core/store_revision.h
+++ b/core/include/savory/core/store_revision.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace savory {
 
@@ -13,7 +14,12 @@
   std::int64_t mEpoch = 0;
   std::int64_t mRevision = 0;
 
-  auto operator<=>(const StoreRevision&) const = default;
+  bool operator==(const StoreRevision&) const = default;
+  std::strong_ordering operator<=>(const StoreRevision& aOther) const
+  {
+    return std::tie(mEpoch, mRevision) <=>
+           std::tie(aOther.mEpoch, aOther.mRevision);
+  }
 };
 
 // The largest epoch that is taken from other processes; a larger one is not
