Report usage by window from one entry host

The platform expects one report a window with the requests that began to run, by customer. Hosts state their counts in beacons; the holder of the lease seals a window in the store and then reports it. Beacons of deployments without the duty stay as they are.

--- a/core/include/savory/core/events.h
+++ b/core/include/savory/core/events.h
@@ -66,6 +66,14 @@
   PeerPullFailed = 508,
   PeerMessageDropped = 509,
   WatchDutyChanged = 510,
+  DutyTaken = 521,
+  DutyLost = 522,
+  DutyIgnored = 523,
+  UsageSealed = 524,
+  UsageSealFailed = 525,
+  UsageReported = 526,
+  UsageReportFailed = 527,
+  UsageLost = 528,
   SlotTaken = 601,
   SlotLost = 602,
   BillsWritten = 603,
@@ -79,7 +87,7 @@
   Severity mSeverity;
 };
 
-inline constexpr std::array<EventRow, 52> kEventTable{ {
+inline constexpr std::array<EventRow, 60> kEventTable{ {
   { Event::ProcessStarted, "process-started", Severity::Info },
   { Event::DrainStarted, "drain-started", Severity::Info },
   { Event::ProcessStopped, "process-stopped", Severity::Info },
@@ -128,6 +136,14 @@
   { Event::PeerPullFailed, "peer-pull-failed", Severity::Warning },
   { Event::PeerMessageDropped, "peer-message-dropped", Severity::Warning },
   { Event::WatchDutyChanged, "watch-duty-changed", Severity::Info },
+  { Event::DutyTaken, "duty-taken", Severity::Info },
+  { Event::DutyLost, "duty-lost", Severity::Warning },
+  { Event::DutyIgnored, "duty-ignored", Severity::Warning },
+  { Event::UsageSealed, "usage-sealed", Severity::Info },
+  { Event::UsageSealFailed, "usage-seal-failed", Severity::Warning },
+  { Event::UsageReported, "usage-reported", Severity::Info },
+  { Event::UsageReportFailed, "usage-report-failed", Severity::Warning },
+  { Event::UsageLost, "usage-lost", Severity::Warning },
   { Event::SlotTaken, "slot-taken", Severity::Info },
   { Event::SlotLost, "slot-lost", Severity::Warning },
   { Event::BillsWritten, "bills-written", Severity::Info },
--- a/core/include/savory/core/peer_message.h
+++ b/core/include/savory/core/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "savory/core/crash_suspects.h"
+#include "savory/core/usage_ledger.h"
 #include "savory/core/version_shift.h"
 
 #include <cstdint>
@@ -68,6 +69,16 @@
   // Keyed by runner; only runners with prefills since the last message.
   std::map<std::string, PrefillReport> mPrefills;
   CrashReport mCrashes;
+  // Requests that began to run, where the hosts report them to the platform.
+  struct UsageReport
+  {
+    // The sender's wall clock.
+    TimeMs mWallMs = 0;
+    // Differs between the starts of the sender's process.
+    std::uint64_t mIncarnation = 0;
+    std::vector<UsageTotals> mTotals;
+  };
+  std::optional<UsageReport> mUsage;
   // Addresses of some hosts that the sender considers live, others each time.
   std::vector<std::string> mLiveAddresses;
 };
@@ -115,6 +126,9 @@
 std::optional<ChangeMessage>
 DecodeChangeMessage(std::string_view aBytes);
 
+// Largest part of a beacon that usage totals take, in bytes.
+inline constexpr std::size_t kMaxUsageBytes = kMaxPeerDatagramBytes / 4;
+
 // Bytes that a prefill report takes in a beacon, at most.
 std::size_t
 EncodedPrefillBytes(std::string_view aRunner,
--- a/core/include/savory/core/peer_table.h
+++ b/core/include/savory/core/peer_table.h
@@ -87,6 +87,14 @@
               std::uint64_t aKey,
               TimeMs aNowMs);
 
+// Place of aHost in the order by rendezvous hash for a key: the number of live
+// hosts that are not leaving, may call the store and come before it.
+int
+CandidateRank(const PeerTable& aPeers,
+              const std::string& aHost,
+              std::uint64_t aKey,
+              TimeMs aNowMs);
+
 // Address of the peer from which a host fetches what it lacks of the store
 // while it does not reach the store itself: the one with the newest revision
 // above aStoreRevision that answers, or nothing if there is none. A host that
--- a/core/src/peer_message.cpp
+++ b/core/src/peer_message.cpp
@@ -86,6 +86,29 @@
   }
 }
 
+Json
+ToJson(const PeerMessage::UsageReport& aReport)
+{
+  Json windows = Json::array();
+  for (const UsageTotals& row : aReport.mTotals) {
+    windows.push_back({ row.mWindow, row.mTotals });
+  }
+  return { aReport.mWallMs, aReport.mIncarnation, windows };
+}
+
+PeerMessage::UsageReport
+ToUsageReport(const Json& aJson)
+{
+  PeerMessage::UsageReport report;
+  report.mWallMs = aJson.at(0).get<TimeMs>();
+  report.mIncarnation = aJson.at(1).get<std::uint64_t>();
+  for (const Json& row : aJson.at(2)) {
+    report.mTotals.push_back(
+      { row.at(0).get<std::int64_t>(), row.at(1).get<UsageCounts>() });
+  }
+  return report;
+}
+
 PeerMessage
 ToPeerMessage(const Json& aDocument)
 {
@@ -128,6 +151,9 @@
     message.mPrefills[runner] = { row.at(0).get<double>(),
                                   row.at(1).get<std::vector<std::uint64_t>>() };
   }
+  if (aDocument.contains("e")) {
+    message.mUsage = ToUsageReport(aDocument.at("e"));
+  }
   message.mLiveAddresses = aDocument.at("k").get<std::vector<std::string>>();
   return message;
 }
@@ -201,6 +227,9 @@
     document["b"] = suspects;
     document["c"] = crashes;
   }
+  if (aMessage.mUsage) {
+    document["e"] = ToJson(*aMessage.mUsage);
+  }
   if (aMessage.mContactAgeMs) {
     document["g"] = *aMessage.mContactAgeMs;
   }
--- a/core/src/peer_table.cpp
+++ b/core/src/peer_table.cpp
@@ -120,6 +120,23 @@
   });
 }
 
+int
+CandidateRank(const PeerTable& aPeers,
+              const std::string& aHost,
+              std::uint64_t aKey,
+              TimeMs aNowMs)
+{
+  auto rank = [aKey](const std::string& aName) {
+    return std::pair(RendezvousRank(aKey, aName), aName);
+  };
+  return static_cast<int>(
+    std::count_if(aPeers.begin(), aPeers.end(), [&](const auto& aRow) {
+      const Peer& peer = aRow.second;
+      return IsLive(peer, aNowMs) && !peer.mLeaving && peer.mMayWatch &&
+             rank(peer.mHost) > rank(aHost);
+    }));
+}
+
 std::optional<std::string>
 ChoosePullSource(const PeerTable& aPeers,
                  const WatchDutyOptions& aOptions,
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -5,6 +5,7 @@
 #include "runner_links.h"
 #include "savory/core/answer_use.h"
 #include "savory/core/event_stream.h"
+#include "savory/core/peer_message.h"
 #include "savory/core/shutdown.h"
 #include "savory/net/http_link.h"
 #include "savory/platform/fleet_headers.h"
@@ -60,6 +61,13 @@
     return true;
   };
 
+  // Called with the customer when a request began to run.
+  sigc::slot<void(const std::string&)> mOnRequestRan = [](const std::string&) {
+  };
+  // Add what the duties state to a message to the peers, and read it.
+  sigc::slot<void(PeerMessage&)> mAddUsage = [](PeerMessage&) {};
+  sigc::slot<void(const PeerMessage&)> mOnPeerUsage = [](const PeerMessage&) {};
+
   GatewayShared(EventLoop& aLoop, FleetSettings aSettings);
 };
 
@@ -197,6 +205,7 @@
   void OnDeadline();
   void OnCallerClosed();
   bool EscalateModel();
+  void CountAsRun();
   void UpdateEstimates();
   void StartVerdictTimer();
   void OnVerdictTimer();
@@ -260,6 +269,8 @@
   // A runner may have started to execute the request.
   bool mMayHaveRun = false;
   bool mDone = false;
+  // The request was counted for the usage report.
+  bool mCountedAsRun = false;
   std::optional<std::int64_t> mLastEventId;
   bool mAnswerStarted = false;
   // Status and content type of the head that the caller got, once the answer
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -102,6 +102,20 @@
   }
   if (use == AnswerUse::Stream) {
     EscalateModel();
+  } else if (!IsStream()) {
+    CountAsRun();
+  }
+}
+
+// Counts the request for the usage report, once however often it is sent: a
+// stream begins to run with its first event, another call when its runner
+// answers it.
+void
+Exchange::CountAsRun()
+{
+  if (!mCountedAsRun && mCustomer && !mCustomer->mName.empty()) {
+    mCountedAsRun = true;
+    mShared.mOnRequestRan(mCustomer->mName);
   }
 }
 
@@ -155,6 +169,7 @@
     mTriedRunners = std::move(tried);
     return false;
   }
+  CountAsRun();
   mShared.mMetrics.CountAttempt("dropped-for-larger");
   OnRunnerOutcome(RunnerOutcome::Success);
   EndAttempt();
@@ -230,6 +245,9 @@
   bool gap = false;
   for (StreamEvent& event : aEvents) {
     isAlive |= !event.mIsComment;
+    if (!event.mIsComment) {
+      CountAsRun();
+    }
     bool isFirst = mAttempt->mProgress.mEvents == 0 && progress == 0;
     EventOrder order =
       ClassifyEvent(event, mLastEventId, mAttempt->mIsResumed && isFirst);
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -47,6 +47,7 @@
   , mStore(aLoop, mShared.mSettings.mStore)
   , mWatcher(aLoop, mStore, mShared.mSettings.mChangeBoundMs)
   , mPeers(mShared, mWatcher)
+  , mDuties(mShared, mWatcher, mPeers)
   , mCallerFrontend(aLoop,
                     [this](const IncomingRequest& aRequest,
                            const std::shared_ptr<CallerLink>& aCaller) {
@@ -100,6 +101,7 @@
       !mPeers.Start()) {
     return false;
   }
+  mDuties.Start();
   mWatcher.Start();
   mTickTimer = Timer::Every(mLoop, kTickIntervalMs, [this] { Tick(); });
   return true;
@@ -141,6 +143,7 @@
 void
 Gateway::OnStoreEntry(const StoreEntry& aEntry)
 {
+  mDuties.OnStoreEntry(aEntry);
   StateChange change = ApplyStoreEntry(mShared.mState, aEntry, mLoop.NowMs());
   if (change == StateChange::Table) {
     OnTableChanged();
@@ -451,6 +454,7 @@
     Shutdown{ mLoop.NowMs(), MakeShutdownPlan(mShared.mSettings.mGraceMs) };
   mCallerFrontend.StartDrain();
   mPeers.StartDrain();
+  mDuties.StartDrain();
   LogEvent(Event::DrainStarted,
            { { "requests", std::to_string(mShared.mExchanges.size()) } });
 }
@@ -475,8 +479,10 @@
       exchange->Abandon();
     }
   }
-  bool isIdle = mShared.mExchanges.empty() && mCallerFrontend.BusyCount() == 0;
+  bool isIdle = mShared.mExchanges.empty() &&
+                mCallerFrontend.BusyCount() == 0 && mDuties.IsReleased();
   if (isIdle || elapsed >= plan.mExitMs) {
+    mPeers.SendLast();
     mLoop.Stop();
   }
 }
--- a/router/gateway/gateway.h
+++ b/router/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "duties.h"
 #include "exchange.h"
 #include "peers.h"
 #include "savory/platform/fleet_watcher.h"
@@ -67,6 +68,7 @@
   FleetStore mStore;
   StoreWatcher mWatcher;
   Peers mPeers;
+  Duties mDuties;
   HttpFrontend mCallerFrontend;
   HttpFrontend mOperatorFrontend;
   // Keyed by runner.
--- a/router/gateway/gateway_metrics.h
+++ b/router/gateway/gateway_metrics.h
@@ -39,6 +39,45 @@
                                   {}),
                   aBackedOff);
   }
+  // The token is 0 unless this host holds the duty.
+  void SetDuty(bool aIsHolder, double aToken)
+  {
+    mRegistry.Set(mRegistry.Gauge("savory_gateway_duty_holder",
+                                  "Whether this host reports the usage.",
+                                  {}),
+                  aIsHolder ? 1 : 0);
+    mRegistry.Set(mRegistry.Gauge("savory_gateway_duty_token",
+                                  "Fencing token of the holder, or 0.",
+                                  {}),
+                  aToken);
+  }
+  void CountUsageSealed()
+  {
+    mRegistry.Add(mRegistry.Counter("savory_gateway_usage_sealed_total",
+                                    "Windows whose counts were made final.",
+                                    {}));
+  }
+  void CountUsageReport(const std::string& aResult)
+  {
+    mRegistry.Add(mRegistry.Counter("savory_gateway_usage_reports_total",
+                                    "Calls that report a window, by result.",
+                                    { { "result", aResult } }));
+  }
+  void CountUsageReportLate()
+  {
+    mRegistry.Add(
+      mRegistry.Counter("savory_gateway_usage_reports_late_total",
+                        "Windows that were accepted after they were due.",
+                        {}));
+  }
+  void CountUsageLost(std::int64_t aRequests)
+  {
+    mRegistry.Add(
+      mRegistry.Counter("savory_gateway_usage_lost_total",
+                        "Requests counted after the seal of their window.",
+                        {}),
+      static_cast<double>(aRequests));
+  }
   void ObserveFirstByte(const std::string& aRoute, double aSeconds)
   {
     mRegistry.Observe(
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -127,6 +127,12 @@
   return savory::IsStoreServingPeers(mPeers, aNowMs);
 }
 
+int
+Peers::RankFor(std::uint64_t aKey, TimeMs aNowMs) const
+{
+  return CandidateRank(mPeers, mShared.mSettings.mHost, aKey, aNowMs);
+}
+
 bool
 Peers::IsCoordinator(TimeMs aNowMs) const
 {
@@ -189,6 +195,7 @@
   message.mReachableForMs = aNowMs - mWatcher.ReachableSinceMs();
   AddShifts(message);
   AddPrefillReports(message, state.mRunners, mBeaconCursor);
+  mShared.mAddUsage(message);
   message.mCrashes = MakeCrashReport(state.mCrashSuspects, aNowMs);
   std::vector<std::string> live;
   for (const auto& [address, peer] : mPeers) {
@@ -205,6 +212,15 @@
   return message;
 }
 
+void
+Peers::SendLast()
+{
+  // Other deployments send nothing more, as before.
+  if (mSocket >= 0 && !mShared.mSettings.mDuties.empty()) {
+    Send();
+  }
+}
+
 // Traffic between zones is expensive: of each other zone, one live host, chosen
 // at random, receives the beacon and relays it. Hosts that are not live or
 // whose zone is unknown receive it directly.
@@ -366,6 +382,7 @@
       mPeers.try_emplace(address);
     }
   }
+  mShared.mOnPeerUsage(aMessage);
   GatewayState& state = mShared.mState;
   for (const auto& [id, prefills] : aMessage.mPrefills) {
     auto found = state.mRunners.mRunners.find(id);
--- a/router/gateway/peers.h
+++ b/router/gateway/peers.h
@@ -38,9 +38,13 @@
   // advancing roll-outs: it reaches the store and has the lowest name of the
   // live hosts that have applied about the same revision.
   bool IsCoordinator(TimeMs aNowMs) const;
+  // Place of this host among the live ones that may perform a task.
+  int RankFor(std::uint64_t aKey, TimeMs aNowMs) const;
   // Schedules a message ahead of the next regular one. It also covers what
   // changes until then.
   void ScheduleSend();
+  // Sends what has been counted for the usage report since the last message.
+  void SendLast();
 
 private:
   void Send();
--- a/tests/process/fleet_platform.py
+++ b/tests/process/fleet_platform.py
@@ -96,6 +96,10 @@
         self.stale_items = None
         # Discards the history at once: a watch from an older revision gets 410.
         self.compacts = False
+        # Leases by id: lifetime in seconds and monotonic end. The keys of a lease
+        # that has ended are deleted at the next call.
+        self.leases = {}
+        self.last_lease = 700
         super().__init__()
 
     def put(self, key, value):
@@ -109,13 +113,51 @@
         item = self.items.get(key)
         return json.loads(base64.b64decode(item["value"])) if item else None
 
-    def _change(self, key, value, is_new_revision=True):
+    def _end_lease(self, lease):
+        """Ends a lease and deletes its keys; returns whether it was valid."""
+        if self.leases.pop(lease, None) is None:
+            return False
+        for key in [key for key, row in self.items.items()
+                    if row["lease"] == lease]:
+            self._change(key, None)
+        return True
+
+    def _expire_leases(self):
+        now = time.monotonic()
+        for lease in [lease for lease, (_, end) in self.leases.items()
+                      if end < now]:
+            self._end_lease(lease)
+
+    def _handle_lease(self, writer, method, path, body):
+        """Handles a call on leases; returns whether it was one."""
+        name, _, number = path[1:].partition("/")
+        now = time.monotonic()
+        if (method, name) == ("POST", "kv-lease"):
+            ttl_ms = json.loads(body)["ttlMs"]
+            self.last_lease += 1
+            self.leases[self.last_lease] = (ttl_ms / 1000, now + ttl_ms / 1000)
+            self._json(writer, {"lease": self.last_lease, "ttlMs": ttl_ms})
+        elif (method, name) == ("POST", "kv-keep"):
+            if int(number) in self.leases:
+                ttl = self.leases[int(number)][0]
+                self.leases[int(number)] = (ttl, now + ttl)
+                self._json(writer, {})
+            else:
+                write_response(writer, 404)
+        elif (method, name) == ("DELETE", "kv-lease-end"):
+            write_response(
+                writer, 200 if self._end_lease(int(number)) else 404, b"{}")
+        else:
+            return False
+        return True
+
+    def _change(self, key, value, is_new_revision=True, lease=0):
         self.revision += is_new_revision
         if value is None:
             self.items.pop(key, None)
             row = {"key": key, "revision": self.revision, "tombstone": True}
         else:
-            row = {"key": key, "revision": self.revision, "lease": 0,
+            row = {"key": key, "revision": self.revision, "lease": lease,
                    "created": self.revision,
                    "value": base64.b64encode(value).decode()}
             self.items[key] = row
@@ -128,6 +170,9 @@
         if self.down or self.refuses_port(writer.get_extra_info("peername")[1]):
             write_response(writer, 503)
             return False
+        self._expire_leases()
+        if self._handle_lease(writer, method, url.path, body):
+            return True
         if url.path == "/kv-range":
             items = self.items
             if "staleOk" in query and self.stale_items is not None:
@@ -144,6 +189,7 @@
                 return True
             end = time.monotonic() + int(query["waitMs"]) / 1000
             while True:
+                self._expire_leases()
                 events = [row for row in self.history
                           if row["revision"] > int(query["after"])]
                 if events or time.monotonic() > end or self.down:
@@ -155,11 +201,14 @@
             revisions_match = all(
                 self.items.get(row["key"], {"revision": 0})["revision"]
                 == row["revision"] for row in call["expectedRevision"])
-            if revisions_match:
+            if any(row.get("lease", 0) and row["lease"] not in self.leases
+                   for row in call["puts"]):
+                write_response(writer, 404)
+            elif revisions_match:
                 # All writes of a transaction share one revision.
                 for number, row in enumerate(call["puts"]):
                     self._change(row["key"], base64.b64decode(row["value"]),
-                                 number == 0)
+                                 number == 0, row.get("lease", 0))
                 self._json(writer, {"revision": self.revision})
             else:
                 write_response(writer, 412, b'{"entries":[]}')
@@ -172,6 +221,44 @@
         write_response(writer, 200, json.dumps(value).encode())
 
 
+class CloudApi(Server):
+    """The cloud interface. Records each call that it executes as a row of window,
+    counts, holder, token and time. `mode` sets how it handles the next calls:
+    serve, lose (executes the call and resets the connection), refuse (429),
+    fail (resets the connection without executing the call)."""
+
+    def __init__(self):
+        self.mode = "serve"
+        self.reports = []
+        self.highest_token = 0
+        # Calls with a token below the highest one.
+        self.fenced = 0
+        super().__init__()
+
+    async def handle(self, writer, method, target, headers, body):
+        if self.mode == "fail":
+            writer.transport.abort()
+            return False
+        if self.mode == "refuse":
+            write_response(writer, 429)
+            return True
+        assert (method, target) == ("POST", "/usage"), target
+        token = int(headers["fencing-token"])
+        if token < self.highest_token:
+            self.fenced += 1
+            write_response(writer, 409)
+            return True
+        self.highest_token = token
+        call = json.loads(body)
+        self.reports.append((call["windowId"], call["counts"],
+                             headers["duty-holder"], token, time.time()))
+        if self.mode == "lose":
+            writer.transport.abort()
+            return False
+        write_response(writer, 200, b"{}")
+        return True
+
+
 class Runner(Server):
     """A runner. `mode` sets how it handles the next requests: serve, refuse (503,
     not run), fail (500), lose (runs the request and resets the connection),
