--- a/core/include/savory/core/duty_lease.h
+++ b/core/include/savory/core/duty_lease.h
@@ -65,6 +65,8 @@
   StoreRevision mAcquired;
   // No attempt to acquire the lease before this time.
   TimeMs mNotBeforeMs = 0;
+  // Consecutive grants that failed.
+  int mGrantFailures = 0;
   // Since when the key has been absent from the local replica.
   std::optional<TimeMs> mAbsentSinceMs;
 };
--- a/core/include/savory/core/usage_ledger.h
+++ b/core/include/savory/core/usage_ledger.h
@@ -29,7 +29,7 @@
 {
   TimeMs mWindowMs = 5000;
   // Time from the end of a window to its seal, in which peers' counts arrive.
-  TimeMs mSealDelayMs = 5000;
+  TimeMs mSealDelayMs = 3500;
 };
 
 // Keyed by customer.
@@ -75,8 +75,6 @@
   // lacks.
   std::map<std::int64_t, SealedUsage> mSealed;
   std::set<std::int64_t> mSent;
-  // The highest window known to be sealed or skipped.
-  std::int64_t mLastSealed = 0;
   // Windows up to this one that no known seal covers count as sent: the store
   // was restored from an older snapshot and may have lost their seals.
   std::int64_t mSkippedThrough = 0;
--- a/core/src/duty_lease.cpp
+++ b/core/src/duty_lease.cpp
@@ -15,8 +15,13 @@
 constexpr TimeMs kCandidateDelayMs = 1200;
 constexpr int kMaxDelayedRank = 16;
 
-// Pause after a call that failed.
+// Pause after a call that failed. It doubles with each grant that failed, a
+// bounded number of times.
 constexpr TimeMs kRetryPauseMs = 500;
+constexpr int kMaxRetryDoublings = 4;
+
+// Pause after another host acquired the lease, until the replica shows it.
+constexpr TimeMs kLostElectionPauseMs = 1500;
 
 // A host that held the lease leaves it to others for this many lifetimes of the
 // lease, so that its calls on their way are executed or refused before it acts
@@ -108,8 +113,9 @@
     case LeaseState::Granted:
       if (aView.mIsLeaving || aView.mKeyRevision != 0 ||
           aNowMs > aLease.mValidUntilMs - kMinAcquireMs) {
-        aLease.mState = LeaseState::Ending;
-        return LeaseCall::End;
+        // The lease has no key and expires.
+        aLease.mState = LeaseState::Candidate;
+        return LeaseCall::None;
       }
       return LeaseCall::Acquire;
     case LeaseState::Holder:
@@ -135,9 +141,12 @@
 {
   aLease.mCallPending = false;
   if (!aLeaseId) {
-    aLease.mNotBeforeMs = aNowMs + kRetryPauseMs;
+    aLease.mNotBeforeMs =
+      aNowMs +
+      (kRetryPauseMs << std::min(aLease.mGrantFailures++, kMaxRetryDoublings));
     return;
   }
+  aLease.mGrantFailures = 0;
   aLease.mLeaseId = *aLeaseId;
   aLease.mState = LeaseState::Granted;
   // The lease runs from the arrival of the call, which is no earlier than its
@@ -159,6 +168,12 @@
     aLease.mNextCallMs = aNowMs;
     return;
   }
+  if (aResult == LeaseResult::Refused && aLease.mState == LeaseState::Granted) {
+    aLease.mState = LeaseState::Candidate;
+    aLease.mAbsentSinceMs.reset();
+    aLease.mNotBeforeMs = aNowMs + kLostElectionPauseMs;
+    return;
+  }
   // After no answer the key may be written later. Ending the lease prevents
   // that or deletes the key.
   aLease.mState = LeaseState::Ending;
--- a/core/src/usage_ledger.cpp
+++ b/core/src/usage_ledger.cpp
@@ -9,7 +9,7 @@
 
 // Messages that state a change: one is lost now and then, and the relay to
 // another zone may be down.
-constexpr int kSendsPerChange = 4;
+constexpr int kSendsPerChange = 2;
 
 // Interval at which all totals of a window that ended are sent again, for hosts
 // that have just started or were cut off.
@@ -26,7 +26,7 @@
 constexpr std::size_t kMaxSources = 1024;
 
 // Encoded bytes of a row beside the customer's name, and of a window.
-constexpr std::size_t kRowBytes = 8;
+constexpr std::size_t kRowBytes = 12;
 constexpr std::size_t kWindowBytes = 12;
 
 // A count above this is not believed: it could make the sums overflow.
@@ -264,9 +264,12 @@
 void
 OnSealSeen(UsageLedger& aLedger, SealedUsage aSeal)
 {
-  aLedger.mLastSealed = std::max(aLedger.mLastSealed, aSeal.mWindow);
   auto [known, isNew] = aLedger.mSealed.try_emplace(aSeal.mWindow, aSeal);
-  // The first seal that was seen may have been reported; it stays.
+  if (known->second.mCounts != aSeal.mCounts) {
+    // One seal was lost with a restore of the store, and may have been reported
+    // before. Two different reports of a window are worse than none.
+    aLedger.mSent.insert(aSeal.mWindow);
+  }
   known->second.mRevision = aSeal.mRevision;
 }
 
@@ -284,20 +287,8 @@
     return seals;
   }
   std::int64_t current = WindowAt(aLedger, aTrueMs);
-  // Earlier windows belong to the time before this deployment began, unless
-  // peers counted in them or a window before them is sealed.
-  std::int64_t first = *aLedger.mFirstWindow;
-  if (!aLedger.mWindows.empty()) {
-    first = std::min(first, aLedger.mWindows.begin()->first);
-  }
-  if (aLedger.mLastSealed > 0) {
-    first = std::min(first, aLedger.mLastSealed + 1);
-  }
-  if (!aLedger.mSealed.empty()) {
-    first = std::min(first, aLedger.mSealed.begin()->first);
-  }
-  first = std::max(first, current - kRetainedWindows);
-  for (std::int64_t window = first; window < current && seals.size() < aMax;
+  for (std::int64_t window = current - kRetainedWindows;
+       window < current && seals.size() < aMax;
        ++window) {
     if (EndOf(aLedger, window) + aLedger.mOptions.mSealDelayMs > aTrueMs) {
       break;
@@ -307,7 +298,11 @@
       if (known->second.mRevision == 0 && !aLedger.mSent.contains(window)) {
         seals.push_back(known->second);
       }
-    } else if (window > aLedger.mSkippedThrough) {
+    } else if (window > aLedger.mSkippedThrough &&
+               (window >= *aLedger.mFirstWindow ||
+                aLedger.mWindows.contains(window))) {
+      // A window before the start of this process is left out unless peers
+      // counted in it: this process may not know that its seal was lost.
       seals.push_back({ window, SumCounts(aLedger, window), 0 });
     }
   }
--- a/router/gateway/duties.cpp
+++ b/router/gateway/duties.cpp
@@ -31,11 +31,23 @@
 constexpr int kMaxRetryDoublings = 3;
 
 // Consecutive reports without an answer after which another host tries: the
-// cloud interface may be out of reach of this one alone. They take about 6 s,
-// and the lease is left to others for the pause.
-constexpr int kMaxFailures = 4;
+// cloud interface may be out of reach of this one alone. The lease is left to others for the pause.
+constexpr int kMaxFailures = 3;
 constexpr TimeMs kUnreachablePauseMs = 20000;
 
+// Timeout of a report, longer for a repeated one: the interface may be slow.
+constexpr TimeMs kReportTimeoutMs = 2000;
+constexpr TimeMs kRepeatTimeoutMs = 4000;
+
+// A process that stops abandons a pending report after this time. The next
+// holder repeats it.
+constexpr TimeMs kAbandonAfterMs = 1000;
+
+// Part of the time until a report is due after which its window is sealed. The
+// rest covers the loss of the holder just before: 3 s of its lease, a watch and
+// the calls of the next one.
+constexpr double kSealShare = 0.35;
+
 LeaseResult
 ToLeaseResult(const tl::expected<bool, StoreError>& aResult)
 {
@@ -88,7 +100,8 @@
   options.mRenewIntervalMs = settings.mDutyLeaseMs / 3;
   mLease = MakeDutyLease(options, BootTimeMs());
   mLedger.mOptions.mWindowMs = settings.mUsageWindowMs;
-  mLedger.mOptions.mSealDelayMs = settings.mUsageDueMs / 2;
+  mLedger.mOptions.mSealDelayMs = static_cast<TimeMs>(
+    kSealShare * static_cast<double>(settings.mUsageDueMs));
   mLedger.mSelf = { settings.mHost, mShared.mState.mRandom() };
   mShared.mOnRequestRan = [this](const std::string& aCustomer) {
     CountUsage(mLedger, aCustomer, TrueMs());
@@ -165,13 +178,9 @@
 void
 Duties::OnStoreEpoch(std::int64_t aEpoch)
 {
-  if (aEpoch <= mStoreEpoch) {
-    return;
-  }
-  bool isFirst = mStoreEpoch == 0;
-  mStoreEpoch = aEpoch;
-  // The first epoch that is seen is not a restore.
-  if (mIsActive && !isFirst) {
+  bool isRestored = mStoreEpoch && aEpoch > *mStoreEpoch;
+  mStoreEpoch = std::max(aEpoch, mStoreEpoch.value_or(0));
+  if (mIsActive && isRestored) {
     OnUsageStoreRestored(mLedger, TrueMs());
   }
 }
@@ -189,13 +198,16 @@
   TimeMs trueMs = TrueMs();
   AdvanceLedger(mLedger, trueMs);
   TimeMs boot = BootTimeMs();
-  if (mLeaving && !mCloud.IsBusy() && !mStore.IsCommitting()) {
+  if (mLeavingSinceMs && boot - *mLeavingSinceMs > kAbandonAfterMs) {
+    mCloud.Abandon();
+  }
+  if (mLeavingSinceMs && !mCloud.IsBusy() && !mStore.IsCommitting()) {
     bool wasHolder = mLease.mState == LeaseState::Holder;
     ResignLease(mLease, 0, boot);
     OnLeaseChanged(wasHolder, "stop");
   }
   StepLease(boot);
-  if (MayAct(mLease, BootTimeMs()) && !mLeaving) {
+  if (MayAct(mLease, BootTimeMs()) && !mLeavingSinceMs) {
     if (std::int64_t late = ExtractLateCounts(mLedger); late > 0) {
       mShared.mMetrics.CountUsageLost(late);
       LogEvent(Event::UsageLost, { { "requests", std::to_string(late) } });
@@ -222,10 +234,10 @@
 {
   LeaseView view;
   view.mIsCurrent = mWatcher.HasState() && mWatcher.IsReachable();
-  view.mReplica = { mStoreEpoch, mWatcher.Revision() };
+  view.mReplica = { mStoreEpoch.value_or(0), mWatcher.Revision() };
   view.mKeyRevision = StoredRevision(DutyLeaseKey(kUsageDuty));
   view.mRank = mPeers.RankFor(Hash64(kUsageDuty), mShared.mLoop.NowMs());
-  view.mIsLeaving = mLeaving;
+  view.mIsLeaving = mLeavingSinceMs.has_value();
   bool wasHolder = mLease.mState == LeaseState::Holder;
   LeaseCall call = NextLeaseCall(mLease, view, aBootMs);
   OnLeaseChanged(wasHolder, "expired or taken");
@@ -282,7 +294,7 @@
                                                  : LeaseResult::Refused;
       OnLeaseAcquired(mLease,
                       result,
-                      { mStoreEpoch, aResult ? aResult->mRevision : 0 },
+                      { mStoreEpoch.value_or(0), aResult ? aResult->mRevision : 0 },
                       BootTimeMs());
       if (mLease.mState == LeaseState::Holder) {
         mFailures = 0;
@@ -393,7 +405,7 @@
 Duties::SendReport()
 {
   const SealedUsage* seal = NextToReport(mLedger);
-  if (!seal || mCloud.IsBusy() || mLeaving ||
+  if (!seal || mCloud.IsBusy() || mLeavingSinceMs ||
       mShared.mLoop.NowMs() < mNextSendMs || !MayAct(mLease, BootTimeMs())) {
     return;
   }
@@ -403,6 +415,7 @@
   std::int64_t window = seal->mWindow;
   mCloud.Call(
     call,
+    mFailures == 0 ? kReportTimeoutMs : kRepeatTimeoutMs,
     [this, token = call.mToken] {
       return MayAct(mLease, BootTimeMs()) && FencingToken(mLease) == token;
     },
--- a/router/gateway/duties.h
+++ b/router/gateway/duties.h
@@ -23,10 +23,12 @@
   void Start();
   // An entry of the store was added or changed.
   void OnStoreEntry(const StoreEntry& aEntry);
-  // The store was restored from an older snapshot and is in a new epoch.
+  // To be called with the store's epoch when it is first seen and when it
+  // changes: the store was then restored from an older snapshot. Not called for
+  // a store that states none.
   void OnStoreEpoch(std::int64_t aEpoch);
   // Hands the duties over: ends the lease after the pending call.
-  void StartDrain() { mLeaving = true; }
+  void StartDrain() { mLeavingSinceMs = BootTimeMs(); }
   // No lease is held and no call is pending.
   bool IsReleased() const;
 
@@ -56,9 +58,10 @@
   // Its calls do not wait for those of roll-outs.
   FleetStore mStore;
   CloudApi mCloud;
-  std::int64_t mStoreEpoch = 0;
+  std::optional<std::int64_t> mStoreEpoch;
   bool mIsActive = false;
-  bool mLeaving = false;
+  // By the boot clock, since the process was told to stop.
+  std::optional<TimeMs> mLeavingSinceMs;
   DutyLease mLease;
   TrueTime mTime;
   UsageLedger mLedger;
