Test the lease's state machine directly

Guards against a lease counted from an answer, holders that alternate, and a key left by an acquisition without an answer, which the simulation does not show. A process that stops does not wait for the end of a lease that has expired anyway.

--- a/router/gateway/duties.cpp
+++ b/router/gateway/duties.cpp
@@ -31,7 +31,8 @@
 constexpr int kMaxRetryDoublings = 3;
 
 // Consecutive reports without an answer after which another host tries: the
-// cloud interface may be out of reach of this one alone. The lease is left to others for the pause.
+// cloud interface may be out of reach of this one alone. The lease is left to
+// others for the pause.
 constexpr int kMaxFailures = 3;
 constexpr TimeMs kUnreachablePauseMs = 20000;
 
@@ -100,8 +101,8 @@
   options.mRenewIntervalMs = settings.mDutyLeaseMs / 3;
   mLease = MakeDutyLease(options, BootTimeMs());
   mLedger.mOptions.mWindowMs = settings.mUsageWindowMs;
-  mLedger.mOptions.mSealDelayMs = static_cast<TimeMs>(
-    kSealShare * static_cast<double>(settings.mUsageDueMs));
+  mLedger.mOptions.mSealDelayMs =
+    static_cast<TimeMs>(kSealShare * static_cast<double>(settings.mUsageDueMs));
   mLedger.mSelf = { settings.mHost, mShared.mState.mRandom() };
   mShared.mOnRequestRan = [this](const std::string& aCustomer) {
     CountUsage(mLedger, aCustomer, TrueMs());
@@ -188,8 +189,10 @@
 bool
 Duties::IsReleased() const
 {
-  return !mIsActive || (mLease.mState == LeaseState::Candidate &&
-                        !mLease.mCallPending && !mCloud.IsBusy());
+  bool hasExpired =
+    mLease.mState != LeaseState::Holder && BootTimeMs() > mLease.mValidUntilMs;
+  bool isIdle = mLease.mState == LeaseState::Candidate && !mLease.mCallPending;
+  return !mIsActive || (!mCloud.IsBusy() && (hasExpired || isIdle));
 }
 
 void
@@ -292,10 +295,13 @@
       LeaseResult result = !aResult              ? LeaseResult::Unknown
                            : aResult->mSucceeded ? LeaseResult::Done
                                                  : LeaseResult::Refused;
-      OnLeaseAcquired(mLease,
-                      result,
-                      { mStoreEpoch.value_or(0), aResult ? aResult->mRevision : 0 },
-                      BootTimeMs());
+      // The epoch has to be that in which the store executed the call: with an
+      // older one, a revision that is assigned again gives a token again.
+      OnLeaseAcquired(
+        mLease,
+        result,
+        { mStoreEpoch.value_or(0), aResult ? aResult->mRevision : 0 },
+        BootTimeMs());
       if (mLease.mState == LeaseState::Holder) {
         mFailures = 0;
         mNextSendMs = 0;
--- a/tests/core/test_duty_lease.cpp
+++ b/tests/core/test_duty_lease.cpp
@@ -67,6 +67,29 @@
   return wrong;
 }
 
+// A replica of the store at a revision, with the revision of the lease's key.
+LeaseView
+MakeView(std::int64_t aRevision, std::int64_t aKeyRevision)
+{
+  return { true, { 1, aRevision }, aKeyRevision, 0, false };
+}
+
+// A holder whose grant was sent at 10 s and whose key has revision 50.
+DutyLease
+MakeHolder()
+{
+  DutyLease lease = MakeDutyLease({}, 0);
+  BOOST_TEST(
+    (NextLeaseCall(lease, MakeView(49, 0), 10000) == LeaseCall::Grant));
+  OnLeaseCall(lease, 10000);
+  OnLeaseGranted(lease, 7, 3000, 10600);
+  BOOST_TEST(
+    (NextLeaseCall(lease, MakeView(49, 0), 10600) == LeaseCall::Acquire));
+  OnLeaseCall(lease, 10600);
+  OnLeaseAcquired(lease, LeaseResult::Done, { 1, 50 }, 10700);
+  return lease;
+}
+
 struct World : DutySimulation
 {
   explicit World(std::uint64_t aSeed = 1)
@@ -82,6 +105,87 @@
 
 BOOST_AUTO_TEST_SUITE(duty_lease)
 
+// Guards against a lease that is counted from an answer: it runs from the
+// arrival of the call, which may be as early as its sending.
+BOOST_AUTO_TEST_CASE(validity_counts_from_the_call)
+{
+  DutyLease lease = MakeHolder();
+  BOOST_TEST(MayAct(lease, 12699));
+  BOOST_TEST(!MayAct(lease, 12700));
+  BOOST_TEST(
+    (NextLeaseCall(lease, MakeView(49, 0), 11000) == LeaseCall::Renew));
+  OnLeaseCall(lease, 11000);
+  OnLeaseRenewed(lease, LeaseResult::Done, 11600);
+  BOOST_TEST(MayAct(lease, 13699));
+  BOOST_TEST(!MayAct(lease, 13700));
+}
+
+// Guards against a holder that goes on although the store shows that its key is
+// gone or another's, or that the store was restored.
+BOOST_AUTO_TEST_CASE(replica_shows_the_loss)
+{
+  for (const LeaseView& view :
+       { MakeView(50, 0), MakeView(60, 55), LeaseView{ true, { 2, 5 }, 50 } }) {
+    DutyLease lease = MakeHolder();
+    NextLeaseCall(lease, MakeView(49, 0), 10800);
+    BOOST_TEST(MayAct(lease, 10800));
+    NextLeaseCall(lease, view, 10900);
+    BOOST_TEST(!MayAct(lease, 10900));
+  }
+}
+
+// Guards against holders that act in the order A, B, A within the lifetime of a
+// lease, also when A is a process that has just started again.
+BOOST_AUTO_TEST_CASE(former_holder_leaves_the_lease_to_others)
+{
+  DutyLease lease = MakeHolder();
+  ResignLease(lease, 0, 11000);
+  BOOST_TEST((NextLeaseCall(lease, MakeView(60, 0), 11000) == LeaseCall::End));
+  OnLeaseCall(lease, 11000);
+  OnLeaseEnded(lease, LeaseResult::Done, 11050);
+  DutyLease restarted = MakeDutyLease({}, 11050);
+  for (TimeMs ms = 11100; ms < 14100; ms += 100) {
+    BOOST_TEST((NextLeaseCall(lease, MakeView(60, 0), ms) == LeaseCall::None));
+    BOOST_TEST(
+      (NextLeaseCall(restarted, MakeView(60, 0), ms) == LeaseCall::None));
+  }
+  BOOST_TEST(
+    (NextLeaseCall(lease, MakeView(60, 0), 19000) == LeaseCall::Grant));
+}
+
+// Guards against a key that is written by an acquisition without an answer and
+// blocks the duty, or is written later beside another host's.
+BOOST_AUTO_TEST_CASE(lease_of_an_unknown_acquisition_is_ended)
+{
+  DutyLease lease = MakeDutyLease({}, 0);
+  NextLeaseCall(lease, MakeView(49, 0), 10000);
+  OnLeaseCall(lease, 10000);
+  OnLeaseGranted(lease, 7, 3000, 10010);
+  OnLeaseCall(lease, 10010);
+  OnLeaseAcquired(lease, LeaseResult::Unknown, {}, 11510);
+  BOOST_TEST(!MayAct(lease, 11510));
+  BOOST_TEST((NextLeaseCall(lease, MakeView(49, 0), 11510) == LeaseCall::End));
+}
+
+// Guards against elections that all hosts take part in: each candidate waits
+// for those before it, and a lost one is not repeated at once.
+BOOST_AUTO_TEST_CASE(candidates_try_one_after_another)
+{
+  std::vector<TimeMs> tries;
+  for (int rank : { 0, 1, 2 }) {
+    DutyLease lease = MakeDutyLease({}, 0);
+    LeaseView view = MakeView(49, 0);
+    view.mRank = rank;
+    TimeMs ms = 10000;
+    while (NextLeaseCall(lease, view, ms) == LeaseCall::None) {
+      ms += 100;
+    }
+    tries.push_back(ms);
+  }
+  BOOST_TEST(tries[1] - tries[0] >= 1000);
+  BOOST_TEST(tries[2] - tries[1] >= 1000);
+}
+
 // Guards against windows that are missing, late, repeated or incomplete without
 // any fault.
 BOOST_AUTO_TEST_CASE(each_window_is_reported_once_in_time)
--- a/tests/core/test_usage_ledger.cpp
+++ b/tests/core/test_usage_ledger.cpp
@@ -128,6 +128,8 @@
   OnSealSeen(ledger, { 1000, { { "x", 1 } }, 7 });
   MergeUsage(ledger, { "b", 1 }, { 1000, { { "x", 4 } } }, kNowMs + 8000);
   BOOST_TEST(ExtractLateCounts(ledger) == 4);
+  CountUsage(ledger, "x", kNowMs);
+  BOOST_TEST(ExtractLateCounts(ledger) == 1);
   BOOST_TEST(NextToReport(ledger)->mCounts.at("x") == 1);
   OnReported(ledger, 1000);
   BOOST_TEST(!NextToReport(ledger));
