Reject malformed usage totals and clocks in beacons

A customer's name that is not UTF-8 would throw when the seal is written, and a wall clock out of range would overflow. The lease's validity is that which the store granted, also after a renewal.

--- a/core/include/savory/core/duty_lease.h
+++ b/core/include/savory/core/duty_lease.h
@@ -58,6 +58,8 @@
   bool mCallPending = false;
   TimeMs mCallSentMs = 0;
   std::int64_t mLeaseId = 0;
+  // Lifetime that the store granted, at most the one that was asked for.
+  TimeMs mTtlMs = 0;
   // The lease is certain to be valid until this time, less the margin.
   TimeMs mValidUntilMs = 0;
   TimeMs mNextCallMs = 0;
--- a/core/src/duty_lease.cpp
+++ b/core/src/duty_lease.cpp
@@ -51,7 +51,8 @@
 IsSuperseded(const DutyLease& aLease, const LeaseView& aView)
 {
   return aView.mReplica.mEpoch > aLease.mAcquired.mEpoch ||
-         (aView.mReplica >= aLease.mAcquired &&
+         (aView.mReplica.mEpoch == aLease.mAcquired.mEpoch &&
+          aView.mReplica.mRevision >= aLease.mAcquired.mRevision &&
           aView.mKeyRevision != aLease.mAcquired.mRevision);
 }
 
@@ -151,8 +152,8 @@
   aLease.mState = LeaseState::Granted;
   // The lease runs from the arrival of the call, which is no earlier than its
   // sending.
-  aLease.mValidUntilMs =
-    aLease.mCallSentMs + std::min(aTtlMs, aLease.mOptions.mLeaseMs);
+  aLease.mTtlMs = std::min(aTtlMs, aLease.mOptions.mLeaseMs);
+  aLease.mValidUntilMs = aLease.mCallSentMs + aLease.mTtlMs;
 }
 
 void
@@ -191,7 +192,7 @@
   if (aResult == LeaseResult::Refused) {
     Lose(aLease, 0, aNowMs);
   } else if (aResult == LeaseResult::Done) {
-    aLease.mValidUntilMs = aLease.mCallSentMs + aLease.mOptions.mLeaseMs;
+    aLease.mValidUntilMs = aLease.mCallSentMs + aLease.mTtlMs;
     aLease.mNextCallMs = aLease.mCallSentMs + aLease.mOptions.mRenewIntervalMs;
   } else {
     aLease.mNextCallMs = aNowMs + kRenewRetryMs;
--- a/core/src/peer_message.cpp
+++ b/core/src/peer_message.cpp
@@ -102,6 +102,9 @@
   PeerMessage::UsageReport report;
   report.mWallMs = aJson.at(0).get<TimeMs>();
   report.mIncarnation = aJson.at(1).get<std::uint64_t>();
+  // The library throws here for names that are not UTF-8, which would have no
+  // place in a JSON document later.
+  (void)aJson.dump();
   for (const Json& row : aJson.at(2)) {
     report.mTotals.push_back(
       { row.at(0).get<std::int64_t>(), row.at(1).get<UsageCounts>() });
--- a/core/src/true_time.cpp
+++ b/core/src/true_time.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::size_t kMaxSources = 1024;
 
+// The year 2286. A later time would be a malformed message.
+constexpr TimeMs kMaxWallMs = 10'000'000'000'000;
+
 } // namespace
 
 void
@@ -25,6 +28,9 @@
             TimeMs aPeerWallMs,
             TimeMs aBootMs)
 {
+  if (aPeerWallMs < 0 || aPeerWallMs > kMaxWallMs) {
+    return;
+  }
   if (aTime.mPeers.size() < kMaxSources || aTime.mPeers.contains(aHost)) {
     aTime.mPeers[aHost] = { aPeerWallMs - aBootMs, aBootMs };
   }
--- a/router/gateway/duties.cpp
+++ b/router/gateway/duties.cpp
@@ -163,6 +163,10 @@
   } else if (aEntry.mKey == UsageSentKey()) {
     auto windows = ParseUsageSent(aEntry.mValue);
     if (windows) {
+      std::int64_t current = WindowAt(mLedger, TrueMs());
+      std::erase_if(*windows, [current](std::int64_t aWindow) {
+        return aWindow < current - kRetainedWindows || aWindow > current;
+      });
       OnSentSeen(mLedger, *windows);
     } else {
       fault = windows.error();
--- a/tests/core/duty_simulation.cpp
+++ b/tests/core/duty_simulation.cpp
@@ -213,8 +213,8 @@
   OnLeaseCall(host.mLease, mNowMs);
   std::int64_t id = host.mLease.mLeaseId;
   TimeMs leaseMs = host.mLease.mOptions.mLeaseMs;
-  auto act = [this, aHost, call, id, leaseMs](LeaseResult aResult,
-                                              StoreRevision aRevision = {}) {
+  auto act = [this, aHost, call, leaseMs](LeaseResult aResult,
+                                          StoreRevision aRevision = {}) {
     DutyLease& lease = mHosts[aHost].mLease;
     if (call == LeaseCall::Grant) {
       OnLeaseGranted(lease,
--- a/tests/core/test_peer_message.cpp
+++ b/tests/core/test_peer_message.cpp
@@ -28,6 +28,7 @@
                                          500,
                                          1 });
   message.mCrashes.mCrashes.push_back({ 11, 240 });
+  message.mUsage = { 1780000000000, 17, { { 356000000, { { "x", 4 } } } } };
   message.mLiveAddresses = { "10.0.0.2" };
   return message;
 }
@@ -58,6 +59,10 @@
   BOOST_REQUIRE(read);
   BOOST_TEST(EncodePeerMessage(*read) == EncodePeerMessage(MakeMessage()));
   BOOST_TEST(read->mContactAgeMs.value_or(0) == 250);
+  BOOST_REQUIRE(read->mUsage);
+  BOOST_TEST(read->mUsage->mWallMs == 1780000000000);
+  BOOST_TEST(read->mUsage->mIncarnation == 17U);
+  BOOST_TEST(read->mUsage->mTotals.at(0).mTotals.at("x") == 4);
   const CrashSuspectRow& suspect = read->mCrashes.mSuspects.at(0);
   BOOST_TEST((suspect.mKey == SuspectKey{ "llm", SuspectKind::PromptPart, 9 }));
   BOOST_TEST(suspect.mEvidence.at(0).mSentAgeMs == 340);
--- a/tests/core/test_usage_ledger.cpp
+++ b/tests/core/test_usage_ledger.cpp
@@ -3,6 +3,7 @@
 #include "savory/core/usage_ledger.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace savory;
 
@@ -117,6 +118,16 @@
     MergeUsage(ledger, { "b", 1 }, { 1000, { { "x", total } } }, kNowMs);
   }
   BOOST_TEST(SealAt(ledger, kNowMs + 8000)["x"] == 0);
+  // A name that is not UTF-8 cannot be written to the store.
+  PeerMessage message;
+  message.mUsage = { 0, 1, { { 1000, { { "\xff", 1 } } } } };
+  BOOST_TEST(!DecodePeerMessage(EncodePeerMessage(message)));
+  TrueTime time;
+  for (TimeMs wall : { std::numeric_limits<TimeMs>::min(),
+                       std::numeric_limits<TimeMs>::max() }) {
+    OnPeerClock(time, "b", wall, 5);
+  }
+  BOOST_TEST(time.mPeers.empty());
 }
 
 // Guards against counts that are added to a sealed window: the seal stays, and
