Check refused requests, seals of others, zones and a silent cloud interface

The process test did not notice refused requests that are counted, nor a next holder that ignores seals; both fail now when the code is changed so. It also covers a host in another zone and a holder that gets no answers.

--- a/tests/process/fleet_platform.py
+++ b/tests/process/fleet_platform.py
@@ -224,19 +224,20 @@
 class CloudApi(Server):
     """The cloud interface. Records each call that it executes as a row of window,
     counts, holder, token and time. `mode` sets how it handles the next calls:
-    serve, lose (executes the call and resets the connection), refuse (429),
-    fail (resets the connection without executing the call)."""
+    serve, lose (executes the call and resets the connection), refuse (429)."""
 
     def __init__(self):
         self.mode = "serve"
         self.reports = []
+        # A host whose connections are reset without executing its calls.
+        self.unanswered_holder = None
         self.highest_token = 0
         # Calls with a token below the highest one.
         self.fenced = 0
         super().__init__()
 
     async def handle(self, writer, method, target, headers, body):
-        if self.mode == "fail":
+        if headers["duty-holder"] == self.unanswered_holder:
             writer.transport.abort()
             return False
         if self.mode == "refuse":
--- a/tests/process/test_usage_reports.py
+++ b/tests/process/test_usage_reports.py
@@ -21,7 +21,8 @@
         "usage-" + address, address=address, seeds=seeds,
         peer_port=peer_port, datagram_port=datagram_port,
         bounds={"reportWindowS": WINDOW_S, "usageLateS": DUE_S},
-        extra={"cloudApi": {"address": cloud.address, "ratePerS": 50,
+        extra={"zone": "z2" if address == addresses[-1] else "z1",
+               "cloudApi": {"address": cloud.address, "ratePerS": 50,
                             "dutyPerS": 10,
                             "duties": ["usage_report", "odd"]}})
             for address in addresses]
@@ -58,13 +59,17 @@
 
 
 def each_window_is_reported_once(platform):
-    """Requests at all hosts, refused ones and ones whose answer was dropped for a
+    """Requests at all hosts of two zones, refused ones and ones whose answer was dropped for a
     larger model are counted once or not at all, and reports are in time."""
     cloud = CloudApi()
     gateways = start_gateways(platform, cloud, range(3), 81)
     for runner in platform.llm:
         runner.confidence = 5
-    platform.desk[0].mode = "refuse"
+    for runner in platform.desk:
+        runner.mode = "refuse"
+    for gateway in gateways:
+        assert gateway.call("GET", "/g/refused")[0] == 503
+    platform.desk[1].mode = "serve"
     ran = call_all(gateways, 20)
     end = time.time()
     wait_until(lambda: cloud.reports and
@@ -94,11 +99,17 @@
     holder.stop()
     cloud.mode = "serve"
     others = [gateway for gateway in gateways if gateway is not holder]
+    # What a holder sealed is reported as it is, whatever the next one counted.
+    sealed = int(time.time()) // WINDOW_S
+    platform.store.put("entry/usage/sealed/%d" % (sealed % 64),
+                       {"window": sealed, "counts": {"t1": 777}})
+    time.sleep(WINDOW_S)
     ran += call_all(others, 10)
     end = time.time()
     wait_until(lambda: cloud.reports[-1][0] > end // WINDOW_S, 25, "the reports")
     windows = check_reports(cloud.reports)
-    assert total(windows) == ran, (ran, windows)
+    assert windows[sealed] == {"t1": 777}, windows
+    assert total(windows) == ran + 777, (ran, windows)
     assert len({report[2] for report in cloud.reports}) == 2, cloud.reports
     tokens = [report[3] for report in cloud.reports]
     assert tokens == sorted(tokens), tokens
@@ -140,6 +151,27 @@
     check_reports(cloud.reports)
 
 
+def cloud_interface_is_out_of_reach(platform):
+    """Another host reports where the cloud interface does not answer the holder;
+    while it refuses all calls, windows are kept, and reported afterwards."""
+    cloud = CloudApi()
+    gateways = start_gateways(platform, cloud, range(2), 121)
+    ran = call_all(gateways, 5)
+    wait_until(lambda: len(cloud.reports) > 0, 25, "a report")
+    cloud.unanswered_holder = cloud.reports[-1][2]
+    ran += call_all(gateways, 5)
+    wait_until(lambda: cloud.reports[-1][2] != cloud.unanswered_holder, 25,
+               "another holder")
+    cloud.mode = "refuse"
+    ran += call_all(gateways, 5)
+    time.sleep(3 * WINDOW_S)
+    cloud.mode = "serve"
+    end = time.time()
+    wait_until(lambda: cloud.reports[-1][0] > end // WINDOW_S, 25, "the reports")
+    assert total(check_reports(cloud.reports)) == ran, (ran, cloud.reports)
+
+
 if __name__ == "__main__":
     run_checks([each_window_is_reported_once, holder_is_killed, holder_stops,
-                suspended_holder_does_not_act])
+                suspended_holder_does_not_act,
+                cloud_interface_is_out_of_reach])
