--- a/tests/core/test_usage_ledger.cpp
+++ b/tests/core/test_usage_ledger.cpp
@@ -101,7 +101,7 @@
 {
   std::string plain = EncodePeerMessage({});
   PeerMessage message;
-  message.mUsage.emplace();
+  message.mUsage = PeerMessage::UsageReport{};
   BOOST_TEST(EncodePeerMessage(message) != plain);
   BOOST_TEST(!DecodePeerMessage(plain)->mUsage);
 }
