--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -51,6 +51,7 @@
   , mStore(aLoop, mShared.mSettings.mStore)
   , mWatcher(aLoop, mStore, mShared.mSettings.mChangeBoundMs)
   , mPeers(mShared, mWatcher)
+  , mDuties(mShared, mWatcher, mPeers)
   , mCallerFrontend(aLoop,
                     [this](const IncomingRequest& aRequest,
                            const std::shared_ptr<CallerLink>& aCaller) {
@@ -72,6 +73,7 @@
   mWatcher.mOnInitialState = [this] {
     MarkStableVersions(mShared.mState);
     mHasState = true;
+    mDuties.OnStoreEpoch(mWatcher.Position().mEpoch);
   };
   mWatcher.mOnReachabilityChanged = [this](bool aReachable,
                                            const std::string& aReason) {
@@ -114,6 +116,7 @@
       !mPeers.Start()) {
     return false;
   }
+  mDuties.Start();
   mWatcher.Start();
   mTickTimer = Timer::Every(mLoop, kTickIntervalMs, [this] { Tick(); });
   return true;
@@ -155,6 +158,7 @@
 void
 Gateway::OnStoreEntry(const StoreEntry& aEntry)
 {
+  mDuties.OnStoreEntry(aEntry);
   StateChange change = ApplyStoreEntry(mShared.mState, aEntry, mLoop.NowMs());
   if (change == StateChange::Table) {
     OnTableChanged();
@@ -199,6 +203,7 @@
              { "revision_before", std::to_string(aBefore.mRevision) },
              { "held", std::to_string(copy.mHeld.size()) } });
   OnStoreRestored(mShared.mState, copy);
+  mDuties.OnStoreEpoch(copy.mEpoch);
   TimeMs now = mLoop.NowMs();
   mNextAdvanceMs = now + RestoreDelayMs(mShared.mSettings.mHost) +
                    (mPeers.IsCoordinator(now) ? 0 : kCoordinatorHeadStartMs);
@@ -486,6 +491,7 @@
     Shutdown{ mLoop.NowMs(), MakeShutdownPlan(mShared.mSettings.mGraceMs) };
   mCallerFrontend.StartDrain();
   mPeers.StartDrain();
+  mDuties.StartDrain();
   LogEvent(Event::DrainStarted,
            { { "requests", std::to_string(mShared.mExchanges.size()) } });
 }
@@ -510,8 +516,10 @@
       exchange->Abandon();
     }
   }
-  bool isIdle = mShared.mExchanges.empty() && mCallerFrontend.BusyCount() == 0;
+  bool isIdle = mShared.mExchanges.empty() &&
+                mCallerFrontend.BusyCount() == 0 && mDuties.IsReleased();
   if (isIdle || elapsed >= plan.mExitMs) {
+    mPeers.SendLast();
     mLoop.Stop();
   }
 }
