--- a/tests/process/gateway_fixture.py
+++ b/tests/process/gateway_fixture.py
@@ -26,7 +26,8 @@
 
 class Gateway:
     def __init__(self, name, store, address="127.0.0.1", seeds=(), peer_port=0,
-                 datagram_port=0, reads_log=True, bounds=None):
+                 datagram_port=0, reads_log=True, bounds=None,
+                 limits=None):
         self.frontend_port = free_port()
         self.ready_port = free_port()
         self.path = os.path.join(FOLDER, name + ".json")
@@ -38,6 +39,8 @@
             "portRange": [datagram_port, datagram_port + 9], "seeds": list(seeds),
             "platform": {"address": store.address},
             "bounds": dict({"graceS": 4, "sessionS": 5}, **(bounds or {}))}
+        if limits:
+            settings["limits"] = limits
         with open(self.path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         self.address = address
