Accept an answer without a length only after an end without a reset

A runner that answers a long upload early, ends its side and resets the connection leaves a part of an answer that reads like a whole one: after a failed write, or if the reset follows the end, reading reports an end. Both clients now ask the kernel whether the connection was reset when the input ends. Statuses must have three digits, 100 to 599: the link took 000 and 099 for interim answers, and evhttp converts the text with atoi.

--- a/net/include/savory/net/http_client.h
+++ b/net/include/savory/net/http_client.h
@@ -77,7 +77,7 @@
 class HttpExchange : public std::enable_shared_from_this<HttpExchange>
 {
 public:
-  HttpExchange() = default;
+  HttpExchange();
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -110,6 +110,7 @@
   std::size_t mReceivedBytes = 0;
   evhttp_connection* mConnection = nullptr;
   evhttp_request* mRequest = nullptr;
+  std::unique_ptr<class AnswerWatch> mWatch;
   HttpErrorCode mError = HttpErrorCode::NotConnected;
   HttpResponse mResponse;
   bool mDone = false;
--- a/net/include/savory/net/http_reader.h
+++ b/net/include/savory/net/http_reader.h
@@ -38,6 +38,13 @@
 bool
 EqualHeaderNames(std::string_view aLeft, std::string_view aRight);
 
+// Whether a number is a status code of HTTP (RFC 9110, 15).
+constexpr bool
+IsValidStatus(int aStatus)
+{
+  return aStatus >= 100 && aStatus <= 599;
+}
+
 enum class HttpReadError
 {
   Malformed,
--- a/net/include/savory/net/socket_address.h
+++ b/net/include/savory/net/socket_address.h
@@ -27,6 +27,12 @@
 void
 ResetOnClose(evutil_socket_t aSocket);
 
+// Whether the peer reset a connection whose input has ended and that this side
+// has not ended. After a failed write, or if the reset followed the end,
+// reading reports an end as well.
+bool
+IsResetByPeer(evutil_socket_t aSocket);
+
 // Creates a listener; port 0 lets the kernel choose a port. Returns null if the
 // address cannot be used. The listener is owned by whoever calls this.
 evconnlistener*
--- a/net/src/client_link.cpp
+++ b/net/src/client_link.cpp
@@ -121,7 +121,7 @@
         if (connected) {
           connected();
         }
-      } else if (aWhat & BEV_EVENT_EOF) {
+      } else if ((aWhat & BEV_EVENT_EOF) && (aWhat & BEV_EVENT_READING)) {
         self->OnEndOfStream();
       } else {
         self->Fail(self->mConnected ? LinkFailure::Broken
@@ -258,7 +258,9 @@
   if (!mBuffer) {
     return;
   }
-  if (mBusy && !mSkipsAnswer && mReader->FeedEnd() && mReader->IsComplete()) {
+  bool isReset = IsResetByPeer(bufferevent_getfd(mBuffer));
+  if (mBusy && !isReset && !mSkipsAnswer && mReader->FeedEnd() &&
+      mReader->IsComplete()) {
     Complete();
     Close();
     return;
--- a/net/src/http_client.cpp
+++ b/net/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "savory/net/http_client.h"
 
+#include "answer_watch.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cctype>
@@ -139,6 +141,13 @@
   static int OnHeaders(evhttp_request* aRequest, void* aSelf)
   {
     auto* self = static_cast<HttpExchange*>(aSelf);
+    // evhttp fails the call if the result is negative.
+    if (self->mWatch && !self->mWatch->HasValidStatus()) {
+      return -1;
+    }
+    if (self->mWatch) {
+      self->mWatch->WatchEnd();
+    }
     ReadHead(self, aRequest);
     return 0;
   }
@@ -182,6 +191,8 @@
   }
 };
 
+HttpExchange::HttpExchange() = default;
+
 HttpExchange::~HttpExchange() = default;
 
 // Ends the exchange; later calls have no effect. The connection is released in
@@ -210,6 +221,7 @@
     if (!connection) {
       return;
     }
+    self->mWatch.reset();
     if (self->mRequest) {
       evhttp_cancel_request(std::exchange(self->mRequest, nullptr));
     }
@@ -288,6 +300,8 @@
   exchange->mKeepAlive = aCall.mKeepAlive;
   exchange->mMaxBytes = aCall.mMaxBytes;
   exchange->mConnection = AcquireConnection(aCall.mServer, aCall.mKeepAlive);
+  exchange->mWatch = std::make_unique<AnswerWatch>(
+    evhttp_connection_get_bufferevent(exchange->mConnection));
 
   // 2. The request with its callbacks.
   evhttp_request* request =
--- a/net/src/http_reader.cpp
+++ b/net/src/http_reader.cpp
@@ -161,8 +161,13 @@
     mHead.mTarget = ToText(aTarget);
   }
 
-  void on_response_impl(int aStatus, Text, int aVersion, Error&) override
+  // The parser has accepted three digits.
+  void on_response_impl(int aStatus, Text, int aVersion, Error& aError) override
   {
+    if (!IsValidStatus(aStatus)) {
+      aError = http::error::bad_status;
+      return;
+    }
     mVersion = aVersion;
     mHead.mStatus = aStatus;
   }
--- a/net/src/socket_address.cpp
+++ b/net/src/socket_address.cpp
@@ -1,6 +1,8 @@
 #include "savory/net/socket_address.h"
 
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace savory {
@@ -44,6 +46,15 @@
   setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
 }
 
+bool
+IsResetByPeer(evutil_socket_t aSocket)
+{
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  return getsockopt(aSocket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE;
+}
+
 evconnlistener*
 ListenOn(EventLoop& aLoop,
          const std::string& aAddress,
