Cut off long requests at an entry while memory is short

evhttp holds each body up to its own limit, and offers no hook before a request is complete, so that many bodies that stop short of their end took an entry past the memory of its machine. Stalled requests keep their bytes until the timeout of 120 s, within the bound.

--- a/net/include/savory/net/http_server.h
+++ b/net/include/savory/net/http_server.h
@@ -3,9 +3,14 @@
 #include "savory/core/wire.h"
 #include "savory/net/loop.h"
 
+#include <map>
 #include <memory>
 #include <string>
 
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct event_base;
 struct evhttp;
 struct evhttp_request;
 
@@ -80,6 +85,10 @@
   // Seconds a caller's connection may be idle while a request is read or a
   // reply is written.
   int mTimeoutS = 120;
+  // While the heap of the process holds more than this, callers are cut off
+  // when their request exceeds mShortRequestBytes; 0 means no limit.
+  std::size_t mMaxHeapBytes = 0;
+  std::size_t mShortRequestBytes = std::size_t{ 64 } * 1024;
 };
 
 // An HTTP/1.1 server on one address. Port 0 lets the kernel choose a port.
@@ -97,8 +106,24 @@
   int Listen(const std::string& aAddress, int aPort);
 
 private:
+  // The request that arrives on a connection. evhttp does not tell when it
+  // frees a connection; the entry stays until the address is used again.
+  struct Arrival
+  {
+    const HttpServerOptions* mOptions = nullptr;
+    bufferevent* mBuffer = nullptr;
+    std::size_t mBytes = 0;
+  };
+
+  static bufferevent* MakeConnection(event_base* aBase, void* aSelf);
+  static void OnInput(evbuffer* aInput,
+                      const evbuffer_cb_info* aInfo,
+                      void* aArrival);
+
   evhttp* mServer;
   HttpHandler mHandler;
+  HttpServerOptions mOptions;
+  std::map<bufferevent*, Arrival> mArrivals;
 };
 
 } // namespace savory
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -12,6 +12,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <malloc.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/queue.h>
@@ -107,6 +108,14 @@
   }
 }
 
+// Bytes of the heap that are in use.
+std::size_t
+HeapBytes()
+{
+  struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
 } // namespace
 
 std::string_view
@@ -294,7 +303,9 @@
                        HttpServerOptions aOptions)
   : mServer(evhttp_new(aLoop.Base()))
   , mHandler(std::move(aHandler))
+  , mOptions(aOptions)
 {
+  evhttp_set_bevcb(mServer, &MakeConnection, this);
   evhttp_set_max_headers_size(mServer,
                               static_cast<ssize_t>(aOptions.mMaxHeaderBytes));
   evhttp_set_max_body_size(mServer,
@@ -308,6 +319,8 @@
     mServer,
     [](evhttp_request* aRequest, void* aSelf) {
       auto* self = static_cast<HttpServer*>(aSelf);
+      auto* connection = evhttp_request_get_connection(aRequest);
+      self->mArrivals[evhttp_connection_get_bufferevent(connection)].mBytes = 0;
       HttpRequest request = ReadRequest(aRequest);
       bool isHttp10 =
         aRequest->major < 1 || (aRequest->major == 1 && aRequest->minor < 1);
@@ -329,6 +342,34 @@
   evhttp_free(mServer);
 }
 
+bufferevent*
+HttpServer::MakeConnection(event_base* aBase, void* aSelf)
+{
+  auto* self = static_cast<HttpServer*>(aSelf);
+  bufferevent* buffer = bufferevent_socket_new(aBase, -1, 0);
+  if (buffer) {
+    Arrival& arrival = self->mArrivals[buffer];
+    arrival = { &self->mOptions, buffer, 0 };
+    evbuffer_add_cb(bufferevent_get_input(buffer), &OnInput, &arrival);
+  }
+  return buffer;
+}
+
+// Ends the input of a connection whose request there is no memory for; evhttp
+// then closes it. The request has not run, as it is not complete.
+void
+HttpServer::OnInput(evbuffer*, const evbuffer_cb_info* aInfo, void* aArrival)
+{
+  auto* arrival = static_cast<Arrival*>(aArrival);
+  arrival->mBytes += aInfo->n_added;
+  const HttpServerOptions& options = *arrival->mOptions;
+  if (aInfo->n_added > 0 && options.mMaxHeapBytes > 0 &&
+      arrival->mBytes > options.mShortRequestBytes &&
+      HeapBytes() > options.mMaxHeapBytes) {
+    shutdown(bufferevent_getfd(arrival->mBuffer), SHUT_RDWR);
+  }
+}
+
 int
 HttpServer::Listen(const std::string& aAddress, int aPort)
 {
--- a/router/src/admin.cpp
+++ b/router/src/admin.cpp
@@ -32,13 +32,15 @@
 bool
 Admin::Listen()
 {
+  HttpServerOptions options;
+  options.mMaxHeapBytes = mNode.mSettings.mMemoryMb * 1024 * 1024 / 2;
   mServer = std::make_unique<HttpServer>(
     mNode.mLoop,
     [this](const HttpRequest& aRequest,
            const std::shared_ptr<HttpReply>& aReply) {
       OnRequest(aRequest, *aReply);
     },
-    HttpServerOptions{});
+    options);
   Endpoint& admin = mNode.mSettings.mAdmin;
   admin.mPort = mServer->Listen(admin.mAddress, admin.mPort);
   return admin.mPort != 0;
--- a/router/src/entry.cpp
+++ b/router/src/entry.cpp
@@ -68,6 +68,7 @@
   // before the caller reads the answer. Its limit is therefore larger than the
   // router's, so that the router can answer with an error.
   options.mMaxBodyBytes = mNode.mSettings.mMaxBodyBytes * 4;
+  options.mMaxHeapBytes = mNode.mSettings.mMemoryMb * 1024 * 1024 / 2;
   mCallerServer = std::make_unique<HttpServer>(
     mNode.mLoop,
     [this](const HttpRequest& aRequest,
--- a/router/src/settings.cpp
+++ b/router/src/settings.cpp
@@ -204,6 +204,12 @@
       "",
       "Most requests at the backend server at once, when it reports no number "
       "of its own." },
+    { "memory-mb",
+      "SAVORY_MEMORY_MB",
+      "4096",
+      "",
+      "Memory of the machine in MiB; while half of it is in use, requests over "
+      "64 KiB are cut off as they arrive." },
   };
   return kTable;
 }
@@ -264,6 +270,8 @@
     static_cast<std::size_t>(ReadNumber(raw, "max-body-bytes", 1024, 1 << 30));
   settings.mMaxRunning =
     static_cast<int>(ReadNumber(raw, "max-running", 1, 100000));
+  settings.mMemoryMb =
+    static_cast<std::size_t>(ReadNumber(raw, "memory-mb", 16, 1 << 24));
 
   // 4. Report all errors at once.
   if (!raw.mErrors.empty()) {
--- a/router/src/settings.h
+++ b/router/src/settings.h
@@ -39,6 +39,7 @@
   TimeMs mDrainMs = 30000;
   std::size_t mMaxBodyBytes = 8 * 1024 * 1024;
   int mMaxRunning = 64;
+  std::size_t mMemoryMb = 4096;
   bool mCheckOnly = false;
 };
 
