Bound the changes that a copy of the store keeps in bytes

The log held 512 changes of any length; documents of 1 MB made it 512 MB. It now keeps 4 MiB of keys and values at most, after which peers take a list.

--- a/core/src/store_copy.cpp
+++ b/core/src/store_copy.cpp
@@ -10,6 +10,8 @@
 
 // Changes that are kept for peers that missed some.
 constexpr std::size_t kMaxLogEntries = 512;
+// The same in bytes of their keys and values, as values may be long documents.
+constexpr std::size_t kMaxLogBytes = std::size_t{ 4 } * 1024 * 1024;
 
 // Spans of whole lists that are kept; the log begins after those that are not.
 constexpr std::size_t kMaxListedSpans = 64;
@@ -35,7 +37,15 @@
 AddToLog(StoreCopy& aCopy, const std::vector<StoreEntry>& aEntries)
 {
   aCopy.mLog.insert(aCopy.mLog.end(), aEntries.begin(), aEntries.end());
-  while (aCopy.mLog.size() > kMaxLogEntries) {
+  auto size = [](const StoreEntry& aEntry) {
+    return aEntry.mKey.size() + aEntry.mValue.size();
+  };
+  std::size_t bytes = 0;
+  for (const StoreEntry& entry : aCopy.mLog) {
+    bytes += size(entry);
+  }
+  while (aCopy.mLog.size() > kMaxLogEntries || bytes > kMaxLogBytes) {
+    bytes -= size(aCopy.mLog.front());
     aCopy.mLogRevision =
       std::max(aCopy.mLogRevision, aCopy.mLog.front().mModRevision);
     aCopy.mLog.pop_front();
--- a/tests/core/test_store_copy.cpp
+++ b/tests/core/test_store_copy.cpp
@@ -533,6 +533,25 @@
   BOOST_TEST(ChangesAfter(copy, copy.mRevision).has_value());
 }
 
+// Guards against memory for the changes that grows with the length of values.
+BOOST_AUTO_TEST_CASE(log_is_bounded_in_bytes)
+{
+  StoreCopy copy;
+  for (int revision = 1; revision <= 20; ++revision) {
+    StoreChanges changes;
+    StoreEntry entry;
+    entry.mKey = "long";
+    entry.mValue.assign(1024 * 1024, 'v');
+    entry.mModRevision = revision;
+    changes.mEntries.mEntries = { entry };
+    changes.mEntries.mRevision = revision;
+    ApplyChanges(copy, changes);
+    BOOST_REQUIRE(copy.mLog.size() <= 4U);
+  }
+  BOOST_TEST(!ChangesAfter(copy, 1).has_value());
+  BOOST_TEST(ChangesAfter(copy, 18).has_value());
+}
+
 // Guards against a peer that keeps a key, since the host that it asks never had
 // that key and left the deletion out of its log.
 BOOST_AUTO_TEST_CASE(log_keeps_deletions_of_unknown_keys)
