Shed senders by progress while others wait, and close idle callers for new

A sender that dribbled bytes counted as live until the minimum rate ended it, and at the limit of descriptors the caller that was just accepted could be the idle one that is closed. While others wait, less than 8 KiB in a second is no progress now; the minimum rate is 256 bytes/s, so that short bodies of slow callers go through.

--- a/core/include/savory/core/byte_budget.h
+++ b/core/include/savory/core/byte_budget.h
@@ -21,8 +21,10 @@
   std::size_t mCapacityBytes = std::size_t{ 512 } * 1024 * 1024;
   // Bytes that each holder may always take.
   std::size_t mGuaranteedBytes = std::size_t{ 64 } * 1024;
-  // A sender that delivers nothing for this long is shed while others wait.
+  // A sender of a long body that delivers less than mProgressBytes for this
+  // long is shed while others wait.
   TimeMs mStalledMs = 1000;
+  std::size_t mProgressBytes = std::size_t{ 8 } * 1024;
   // What the kernel may hold for a connection that is not read; it counts
   // against the memory of the process on small machines.
   std::size_t mUnreadSocketBytes = std::size_t{ 64 } * 1024;
@@ -31,7 +33,7 @@
   // Minimum rate of a sender, averaged over each window but the first. Callers
   // within the limits send a body of 4 MiB within a deadline of 25 s at most,
   // that is, with 160 KiB/s.
-  std::size_t mMinBytesPerS = 1024;
+  std::size_t mMinBytesPerS = 256;
   TimeMs mRateWindowMs = 10000;
 };
 
@@ -47,7 +49,9 @@
   // request is complete, which are never shed.
   bool mIsReceiving = false;
   TimeMs mReceivingSinceMs = 0;
+  // When mProgressBytes had arrived last, and the bytes since.
   TimeMs mLastProgressMs = 0;
+  std::size_t mBytesSinceProgress = 0;
   TimeMs mWindowStartMs = 0;
   std::size_t mWindowBytes = 0;
   // The holder was denied bytes, and its input is not being read.
@@ -59,7 +63,7 @@
 {
   // The sender is slower than the minimum rate.
   Slow,
-  // The sender delivers nothing while others wait for its bytes.
+  // The sender delivers hardly anything while others wait for its bytes.
   Stalled,
   // There is no headroom for the request.
   NoHeadroom,
--- a/core/src/byte_budget.cpp
+++ b/core/src/byte_budget.cpp
@@ -137,6 +137,7 @@
   holder.mIsReceiving = true;
   holder.mReceivingSinceMs = aNowMs;
   holder.mLastProgressMs = aNowMs;
+  holder.mBytesSinceProgress = 0;
   holder.mWindowStartMs = aNowMs;
   holder.mWindowBytes = 0;
   holder.mRemainingBytes = 0;
@@ -158,7 +159,11 @@
   if (aBytes == 0) {
     return;
   }
-  holder.mLastProgressMs = aNowMs;
+  holder.mBytesSinceProgress += aBytes;
+  if (holder.mBytesSinceProgress >= aBudget.mOptions.mProgressBytes) {
+    holder.mLastProgressMs = aNowMs;
+    holder.mBytesSinceProgress = 0;
+  }
   // A window that is over is judged first, see IsSlow.
   if (aNowMs - holder.mWindowStartMs >= aBudget.mOptions.mRateWindowMs &&
       !IsSlow(aBudget, holder, aNowMs)) {
--- a/net/include/savory/net/http_link.h
+++ b/net/include/savory/net/http_link.h
@@ -163,7 +163,7 @@
   void ShedHolders(TimeMs aNowMs);
   void ResumeWaiting();
   void ScheduleResume();
-  bool CloseOneIdle();
+  std::shared_ptr<CallerLink> FindOldestIdle(const CallerLink* aExcept) const;
   void PauseAccepting(bool aPause);
 
   EventLoop& mLoop;
