Admit requests to paced services by the forecast of the whole answer

For paced services the whole answer is forecast now, with the spread of its length, first event and pace. A request is refused at once if even the optimistic forecast ends after its deadline and the pool is not half free; a larger model is asked if its whole answer ends in time and is worth its engine time beside the others; an overdue attempt moves only to a runner that is clearly better. Other services decide as before.

--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -342,6 +342,9 @@
     WaitForRunner(placement.error(), placementRequest);
     return;
   }
+  if (IsPacedService() && !AdmitToPool(placementRequest, *placement)) {
+    return;
+  }
   Send(std::move(placementRequest), *placement);
 }
 
@@ -393,6 +396,9 @@
     mShared.mOnLongPrefill();
   }
   mAttempt->mPlacementRequest = std::move(aPlacementRequest);
+  if (IsPacedService()) {
+    OnPacedSent();
+  }
   mTriedRunners.insert(aPlacement.mRunner);
   ++mAttemptCount;
 
@@ -440,7 +446,11 @@
              { "expected_ms",
                std::to_string(static_cast<int>(aPlacement.mExpectedMs)) },
              { "uncached", std::to_string(aPlacement.mUncachedTokens) },
-             { "left_ms", std::to_string(RemainingMs()) } });
+             { "left_ms", std::to_string(RemainingMs()) },
+             { "decision", mAttempt->mDecision },
+             { "end_ms",
+               std::to_string(std::max<TimeMs>(
+                 0, mAttempt->mForecastEndMs - mAttempt->mSentMs)) } });
 }
 
 // Starts the timer after which the attempt counts as unanswered. A request that
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -143,14 +143,19 @@
   // Comments before the first event, which go with it.
   std::string mEarlyComments;
   StreamProgress mProgress;
+  // For paced services: when the answer is expected to end, at the median, and
+  // what admission decided.
+  TimeMs mForecastEndMs = 0;
+  std::string mDecision;
   // This stream was counted as a timeout of its runner.
   bool mSlowReported = false;
 };
 
 // Processes one request from its arrival to the end of its answer: admission,
 // placement on a runner, retries and resumption. exchange.cpp holds the path to
-// the runner, exchange_answer.cpp the path back to the caller, and
-// exchange_evidence.cpp what attempts show of runners, versions and prompts.
+// the runner, exchange_answer.cpp the path back to the caller,
+// exchange_evidence.cpp what attempts show of runners, versions and prompts,
+// and exchange_admission.cpp what is decided for paced services only.
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
@@ -184,6 +189,22 @@
   void WaitForRunner(PlacementFailure aFailure,
                      const PlacementRequest& aPlacementRequest);
   void Send(PlacementRequest aPlacementRequest, const Placement& aPlacement);
+
+  bool IsPacedService() const;
+  CompletionForecast MakeForecast(const PlacementRequest& aPlacementRequest,
+                                  const Placement& aPlacement) const;
+  double EstimateTokenMs(const std::string& aModel,
+                         const Placement& aPlacement) const;
+  PoolOption MakePoolOption(const PlacementRequest& aPlacementRequest,
+                            const Placement& aPlacement) const;
+  PoolState UpdatePool();
+  bool AdmitToPool(PlacementRequest& aPlacementRequest, Placement& aPlacement);
+  bool EscalatePaced();
+  bool ShouldMove() const;
+  void OnPacedSent();
+  void OnPacedEvents();
+  void OnPacedAnswer();
+  void OnPacedEnd(const Attempt& aAttempt);
   void StartAnswerTimer();
   bool TryAcquireAttempt();
   PrefillSpeed& FindOrAddPrefillSpeed(const std::string& aModel) const;
@@ -246,6 +267,8 @@
   // A hash of the session, or else of the request's id, in [0, 1); compared
   // with the target version's share of the requests.
   double mVersionPoint = 0;
+  // What admission decided on the placement that is sent next.
+  std::string mDecision;
   // The model chosen by the gateway; empty unless the caller left the choice
   // open.
   std::string mModel;
--- /dev/null
+++ b/router/gateway/exchange_admission.cpp
@@ -0,0 +1,367 @@
+#include "exchange.h"
+
+#include "savory/net/log.h"
+
+#include <algorithm>
+
+// What is decided for requests to paced services only: admission by the
+// forecast of the whole answer, the larger model, and second attempts.
+
+namespace savory {
+
+namespace {
+
+// Weight of one request in the mean engine time of a service's requests.
+constexpr double kWorkWeight = 0.05;
+
+std::string
+FormatMs(double aMs)
+{
+  return std::to_string(static_cast<std::int64_t>(aMs));
+}
+
+} // namespace
+
+bool
+Exchange::IsPacedService() const
+{
+  return IsPaced(mShared.mState.mRunners, mService, Now());
+}
+
+// The time per token of a model that was not observed is that of another model
+// of the service, in proportion to their prices: engines of larger models are
+// slower by about what they cost more. 0 while nothing is known.
+double
+Exchange::EstimateTokenMs(const std::string& aModel,
+                          const Placement& aPlacement) const
+{
+  const GatewayState& state = mShared.mState;
+  const RunnerState& runner = state.mRunners.mRunners.at(aPlacement.mRunner);
+  int running = EstimateRunning(runner, Now());
+  auto estimate = [&](const std::string& aName) {
+    auto found = state.mTokenPaces.find({ mService, aName });
+    return found == state.mTokenPaces.end()
+             ? 0.0
+             : EstimateMsPerToken(found->second, running);
+  };
+  double msPerToken = estimate(aModel);
+  const ServiceInfo* service = FindService(*mTable, mService);
+  if (msPerToken > 0 || !service) {
+    return msPerToken;
+  }
+  double price = 0;
+  for (const ModelPrice& model : service->mModels) {
+    price = model.mName == aModel ? model.mPricePerThousandTokens : price;
+  }
+  for (const ModelPrice& model : service->mModels) {
+    double other = estimate(model.mName);
+    if (other > 0 && price > 0 && model.mPricePerThousandTokens > 0) {
+      return other * price / model.mPricePerThousandTokens;
+    }
+  }
+  return 0;
+}
+
+CompletionForecast
+Exchange::MakeForecast(const PlacementRequest& aPlacementRequest,
+                       const Placement& aPlacement) const
+{
+  const GatewayState& state = mShared.mState;
+  CompletionForecast forecast;
+  forecast.mFirstEventMs = aPlacement.mExpectedMs;
+  auto pool = state.mPools.find(mService);
+  forecast.mFirstEventDeviation = StandardDeviation(
+    pool == state.mPools.end() ? LogSpread{} : pool->second.mFirstEventError,
+    kFirstEventBounds);
+  if (!IsStream()) {
+    return forecast;
+  }
+  auto lengths = state.mAnswerLengths.find(mRoute->mName);
+  const AnswerLengths known =
+    lengths == state.mAnswerLengths.end() ? AnswerLengths{} : lengths->second;
+  forecast.mMaxTokens = static_cast<double>(mMetadata.mMaxOutputTokens);
+  forecast.mTokens =
+    EstimateAnswerTokens(known,
+                         static_cast<double>(mMetadata.mExpectedOutputTokens),
+                         forecast.mMaxTokens);
+  forecast.mLengthDeviation =
+    StandardDeviation(known.mHintError, kLengthBounds);
+  const ServiceInfo* service = FindService(*mTable, mService);
+  forecast.mStreamedTokens = static_cast<double>(mLastEventId.value_or(0)) *
+                             (service ? service->mTokensPerEvent : 1);
+  forecast.mMsPerToken = EstimateTokenMs(aPlacementRequest.mModel, aPlacement);
+  return forecast;
+}
+
+// The engine time of the request: prefill occupies the engine alone, a decode
+// step is shared by the batch.
+PoolOption
+Exchange::MakePoolOption(const PlacementRequest& aPlacementRequest,
+                         const Placement& aPlacement) const
+{
+  PoolOption option;
+  option.mModel = aPlacementRequest.mModel;
+  option.mForecast = MakeForecast(aPlacementRequest, aPlacement);
+  const RunnerState& runner =
+    mShared.mState.mRunners.mRunners.at(aPlacement.mRunner);
+  option.mWorkMs = aPlacement.mPrefillMs +
+                   option.mForecast.mTokens * option.mForecast.mMsPerToken /
+                     std::max(1, EstimateRunning(runner, Now()));
+  return option;
+}
+
+// The state of the service's pool; moves its damped load.
+PoolState
+Exchange::UpdatePool()
+{
+  GatewayState& state = mShared.mState;
+  PoolState pool = DescribePool(state.mRunners, mService, Now());
+  DampedLoad& load = state.mPools[mService].mLoad;
+  UpdateLoad(load, PoolLoad(pool), Now());
+  pool.mDampedLoad = load.mLoad;
+  return pool;
+}
+
+// Decides on a placement by the forecast of the whole answer. May replace it by
+// one for a smaller model. Returns false if the request was refused or is held
+// back. Requests that may have run, or whose answer has started, are placed in
+// any case.
+bool
+Exchange::AdmitToPool(PlacementRequest& aPlacementRequest,
+                      Placement& aPlacement)
+{
+  if (mAnswerStarted || mIsTrial) {
+    return true;
+  }
+  GatewayState& state = mShared.mState;
+  PoolState pool = UpdatePool();
+  PoolRequest request;
+  std::vector<std::pair<PlacementRequest, Placement>> placements;
+  auto add = [&](PlacementRequest aRequest, const Placement& aFound) {
+    request.mOptions.push_back(MakePoolOption(aRequest, aFound));
+    placements.emplace_back(std::move(aRequest), aFound);
+  };
+  add(aPlacementRequest, aPlacement);
+  auto model =
+    std::find(mRoute->mModels.begin(), mRoute->mModels.end(), mModel);
+  if (!mModel.empty() && model != mRoute->mModels.end()) {
+    while (model != mRoute->mModels.begin()) {
+      --model;
+      PlacementRequest smallerRequest;
+      auto smaller = FindPlacement(*model, smallerRequest);
+      if (smaller) {
+        add(std::move(smallerRequest), *smaller);
+      }
+    }
+  }
+  std::uniform_real_distribution<double> uniform(0, 1);
+  request.mArrivedMs = mArrivedMs;
+  request.mDeadlineMs = mDeadlineMs;
+  request.mLatencyGoalMs = mRoute->mLatencyGoalMs;
+  request.mPoint = uniform(state.mRandom);
+  PoolDecision decision = DecidePool(pool, request, Now());
+  if (mMayHaveRun && (decision.mAction == PoolAction::Refuse ||
+                      decision.mAction == PoolAction::Wait)) {
+    decision.mAction =
+      decision.mOption > 0 ? PoolAction::PlaceSmaller : PoolAction::Place;
+  }
+  std::string action(ToName(kPoolActionNames, decision.mAction));
+  std::string reason(ToName(kPoolReasonNames, decision.mReason));
+  mShared.mMetrics.CountPoolDecision(action, reason);
+  mDecision = reason;
+  if (decision.mAction == PoolAction::Wait) {
+    mRetryTimer =
+      Timer::After(mShared.mLoop, decision.mAfterMs, [this] { Place(); });
+    return false;
+  }
+  if (decision.mAction == PoolAction::Refuse) {
+    LogEvent(Event::RequestRefused,
+             { { "id", mMetadata.mId },
+               { "reason", reason },
+               { "optimistic_ms", FormatMs(decision.mOptimisticMs) },
+               { "median_ms", FormatMs(decision.mMedianMs) },
+               { "left_ms", std::to_string(RemainingMs()) },
+               { "taken", std::to_string(pool.mTaken) },
+               { "queued", std::to_string(pool.mQueued) },
+               { "slots", std::to_string(pool.mSlots) },
+               { "retry_ms", std::to_string(decision.mAfterMs) } });
+    Refuse(reason, decision.mAfterMs);
+    return false;
+  }
+  if (decision.mOption > 0) {
+    aPlacementRequest = std::move(placements[decision.mOption].first);
+    aPlacement = placements[decision.mOption].second;
+    mModel = aPlacementRequest.mModel;
+  }
+  return true;
+}
+
+// Drops the answer of a smaller model for that of a larger one that ends in
+// time, if that is worth its engine time. Returns whether it did.
+bool
+Exchange::EscalatePaced()
+{
+  GatewayState& state = mShared.mState;
+  PoolState pool = UpdatePool();
+  const PoolKnowledge& knowledge = state.mPools[mService];
+  EscalationRequest request;
+  request.mConfidence = *mAttempt->mMetadata.mConfidence;
+  // The head comes directly before the first event.
+  request.mReady =
+    MakeForecast(mAttempt->mPlacementRequest, mAttempt->mPlacement);
+  request.mReady.mFirstEventMs = request.mReady.mMsPerToken;
+  request.mRemainingMs = RemainingMs();
+  request.mGoalRemainingMs = mArrivedMs + mRoute->mLatencyGoalMs - Now();
+  request.mMeanWorkMs = knowledge.mMeanWorkMs;
+  request.mLoadPrice = LoadPrice(pool.mDampedLoad,
+                                 state.mPoolWaits[mService].mMeanMs,
+                                 mRoute->mLatencyGoalMs);
+  std::vector<std::pair<PlacementRequest, Placement>> placements;
+  const std::vector<std::string>& models = mRoute->mModels;
+  auto own = std::find(models.begin(), models.end(), mModel);
+  if (own == models.end()) {
+    return false;
+  }
+  std::set<std::string> tried = std::exchange(mTriedRunners, {});
+  auto count = static_cast<std::size_t>(models.end() - own) - 1;
+  for (std::size_t rank = 1; rank <= count; ++rank) {
+    PlacementRequest placementRequest;
+    auto placement = FindPlacement(own[rank], placementRequest);
+    if (!placement) {
+      continue;
+    }
+    PoolOption option = MakePoolOption(placementRequest, *placement);
+    option.mQuality = LargerModelQuality(request.mConfidence, rank, count);
+    request.mLarger.push_back(std::move(option));
+    placements.emplace_back(std::move(placementRequest), *placement);
+  }
+  auto chosen = ChooseLargerModel(request);
+  bool escalate = chosen && TryAcquireAttempt();
+  std::size_t index = chosen.value_or(placements.size() - 1);
+  const PoolOption shown =
+    placements.empty() ? PoolOption{} : request.mLarger[index];
+  LogEvent(
+    Event::ModelChosen,
+    { { "id", mMetadata.mId },
+      { "model", mModel },
+      { "confidence", std::to_string(static_cast<int>(request.mConfidence)) },
+      { "tokens", std::to_string(mMetadata.mPromptTokens) },
+      { "larger_ms", FormatMs(shown.mForecast.mFirstEventMs) },
+      { "wait_ms", FormatMs(state.mPoolWaits[mService].mMeanMs) },
+      { "choice", escalate ? "ask-larger" : "keep" },
+      { "larger", shown.mModel },
+      { "end_ms", FormatMs(EstimateEndMs(shown.mForecast, 0.5)) },
+      { "left_ms", std::to_string(request.mRemainingMs) },
+      { "load", std::to_string(pool.mDampedLoad) },
+      { "price", std::to_string(request.mLoadPrice) } });
+  if (!escalate) {
+    mTriedRunners = std::move(tried);
+    return false;
+  }
+  mShared.mMetrics.CountAttempt("dropped-for-larger");
+  OnRunnerOutcome(RunnerOutcome::Success);
+  EndAttempt();
+  mModel = placements[index].first.mModel;
+  mDecision = "larger-model";
+  Send(std::move(placements[index].first), placements[index].second);
+  return true;
+}
+
+// Whether another runner is so much better for the overdue attempt that its
+// work so far may be given up.
+bool
+Exchange::ShouldMove() const
+{
+  const GatewayState& state = mShared.mState;
+  PlacementRequest elsewhereRequest;
+  auto elsewhere = FindPlacement(mModel, elsewhereRequest);
+  if (!elsewhere) {
+    return false;
+  }
+  bool isStreaming = mAttempt->mProgress.mEvents > 0;
+  TimeMs sinceMs =
+    isStreaming ? mAttempt->mProgress.mLastEventMs : mAttempt->mSentMs;
+  OverdueAttempt overdue;
+  overdue.mWaitedMs = Now() - sinceMs;
+  PlacementRequest hereRequest = mAttempt->mPlacementRequest;
+  hereRequest.mTriedRunners.clear();
+  hereRequest.mAllowsRunner = [this](const RunnerState& aRunner) {
+    return aRunner.mRegistration.mId == mAttempt->mRunner;
+  };
+  auto here = PlaceRequest(state.mRunners, *state.mTable, hereRequest, Now());
+  auto runner = state.mRunners.mRunners.find(mAttempt->mRunner);
+  // A stream that has begun does not wait for its turn.
+  overdue.mRunnerAnswers = here && !isStreaming &&
+                           runner != state.mRunners.mRunners.end() &&
+                           runner->second.mReportedMs > sinceMs;
+  overdue.mHereMs = here ? here->mExpectedMs : 0;
+  overdue.mElsewhereMs = elsewhere->mExpectedMs;
+  overdue.mElsewhereChance =
+    EndChance(MakeForecast(elsewhereRequest, *elsewhere),
+              static_cast<double>(RemainingMs()));
+  return ShouldMoveAttempt(overdue);
+}
+
+void
+Exchange::OnPacedSent()
+{
+  PoolOption option =
+    MakePoolOption(mAttempt->mPlacementRequest, mAttempt->mPlacement);
+  mAttempt->mForecastEndMs =
+    Now() + static_cast<TimeMs>(EstimateEndMs(option.mForecast, 0.5));
+  mAttempt->mDecision = std::exchange(mDecision, {});
+  double& meanMs = mShared.mState.mPools[mService].mMeanWorkMs;
+  meanMs = meanMs > 0 ? meanMs + kWorkWeight * (option.mWorkMs - meanMs)
+                      : option.mWorkMs;
+}
+
+// Events of the attempt have arrived: the first ones show the error of the
+// expected time to them.
+void
+Exchange::OnPacedEvents()
+{
+  if (mAttempt->mProgress.mEvents == 0 && IsPacedService()) {
+    OnObserved(mShared.mState.mPools[mService].mFirstEventError,
+               mAttempt->mPlacement.mExpectedMs,
+               static_cast<double>(Now() - mAttempt->mSentMs));
+  }
+}
+
+// A stream has ended normally: learns its length and the error of the forecast.
+void
+Exchange::OnPacedAnswer()
+{
+  if (!IsPacedService()) {
+    return;
+  }
+  const ServiceInfo* service = FindService(*mTable, mService);
+  int tokensPerEvent = service ? service->mTokensPerEvent : 1;
+  OnAnswerLength(mShared.mState.mAnswerLengths[mRoute->mName],
+                 static_cast<double>(mMetadata.mExpectedOutputTokens),
+                 static_cast<double>(mLastEventId.value_or(0)) *
+                   tokensPerEvent);
+  if (mAttempt->mForecastEndMs > 0) {
+    TimeMs errorMs = Now() - mAttempt->mForecastEndMs;
+    mShared.mMetrics.ObserveForecastError(
+      mRoute->mName, static_cast<double>(std::abs(errorMs)) / 1000);
+  }
+}
+
+// An attempt has ended in any way: learns the pace of its engine.
+void
+Exchange::OnPacedEnd(const Attempt& aAttempt)
+{
+  if (!IsStream() || !IsPacedService()) {
+    return;
+  }
+  const RunnerSet& set = mShared.mState.mRunners;
+  auto runner = set.mRunners.find(aAttempt.mRunner);
+  const ServiceInfo* service = FindService(*mTable, mService);
+  OnStreamObserved(
+    mShared.mState.mTokenPaces[{ mService, aAttempt.mPlacementRequest.mModel }],
+    aAttempt.mProgress,
+    service ? service->mTokensPerEvent : 1,
+    runner == set.mRunners.end() ? 0 : EstimateRunning(runner->second, Now()));
+}
+
+} // namespace savory
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -26,6 +26,10 @@
 // be answered in time.
 constexpr TimeMs kMinRemainingMs = 40;
 
+// How often an attempt that is overdue at a runner of a paced service is looked
+// at again.
+constexpr TimeMs kOverdueCheckMs = 400;
+
 // Maximum number of sends of one request, including those that runners refused.
 constexpr std::size_t kMaxSends = 8;
 
@@ -130,6 +134,9 @@
       !mAttempt->mMetadata.mConfidence) {
     return false;
   }
+  if (IsPacedService()) {
+    return EscalatePaced();
+  }
   const std::string largest = mRoute->mModels.back();
   std::set<std::string> tried = std::exchange(mTriedRunners, {});
   PlacementRequest placementRequest;
@@ -261,6 +268,7 @@
     mCaller->Write(bytes);
   }
   if (progress > 0) {
+    OnPacedEvents();
     OnEvents(mAttempt->mProgress, progress, Now());
     if (mAttempt->mProgress.mEvents >= kAnsweredEvents) {
       OnRunnerAnswered();
@@ -364,6 +372,7 @@
       OnRunnerOutcome(RunnerOutcome::Success);
     }
     UpdatePace(FindOrAddPace(), mAttempt->mProgress);
+    OnPacedAnswer();
     mCaller->Finish();
     End(ExchangeEnd::Served, status, "");
     return;
@@ -423,7 +432,15 @@
 Exchange::OnAnswerTimeout()
 {
   auto self = shared_from_this();
-  if (!mAttempt || RemainingMs() < kMinRemainingMs || !TryAcquireAttempt()) {
+  if (!mAttempt || RemainingMs() < kMinRemainingMs) {
+    return;
+  }
+  if (IsPacedService() && !ShouldMove()) {
+    mAnswerTimer = Timer::After(
+      mShared.mLoop, kOverdueCheckMs, [this] { OnAnswerTimeout(); });
+    return;
+  }
+  if (!TryAcquireAttempt()) {
     return;
   }
   mMayHaveRun = true;
@@ -466,6 +483,7 @@
   }
   auto attempt = std::move(mAttempt);
   mShared.mBufferedBytes -= attempt->mBody.size();
+  OnPacedEnd(*attempt);
   auto& runners = mShared.mState.mRunners.mRunners;
   auto found = runners.find(attempt->mRunner);
   if (found != runners.end()) {
--- a/router/gateway/gateway_metrics.h
+++ b/router/gateway/gateway_metrics.h
@@ -21,6 +21,22 @@
                                     "Requests sent to runners, by outcome.",
                                     { { "outcome", aOutcome } }));
   }
+  void CountPoolDecision(const std::string& aAction, const std::string& aReason)
+  {
+    mRegistry.Add(
+      mRegistry.Counter("savory_gateway_pool_decisions_total",
+                        "Requests to paced services by decision and reason.",
+                        { { "action", aAction }, { "reason", aReason } }));
+  }
+  void ObserveForecastError(const std::string& aRoute, double aSeconds)
+  {
+    mRegistry.Observe(
+      mRegistry.Histogram(
+        "savory_gateway_forecast_error_seconds",
+        "Difference between the forecast and the end of an answer.",
+        { { "route", aRoute } }),
+      aSeconds);
+  }
   void CountDroppedDatagram()
   {
     mRegistry.Add(
--- a/router/gateway/gateway_state.h
+++ b/router/gateway/gateway_state.h
@@ -2,6 +2,7 @@
 
 #include "savory/core/crash_suspects.h"
 #include "savory/core/model_choice.h"
+#include "savory/core/pool_admission.h"
 #include "savory/core/retry_budget.h"
 #include "savory/core/routes.h"
 #include "savory/core/runners.h"
@@ -24,6 +25,16 @@
   double mMeanMs = 0;
 };
 
+// What this host has learned of the load and of the answers of a paced service.
+struct PoolKnowledge
+{
+  DampedLoad mLoad;
+  LogSpread mFirstEventError;
+  // Moving average of the engine time of the requests sent, in
+  // runner-milliseconds.
+  double mMeanWorkMs = 0;
+};
+
 // An entry host's view of the fleet platform: the store's contents, and what
 // the host measured on its own requests or received from its peers.
 struct GatewayState
@@ -42,6 +53,10 @@
   std::map<std::string, PoolWait> mPoolWaits;
   // Keyed by route and model.
   std::map<std::pair<std::string, std::string>, StreamPace> mStreamPaces;
+  // For paced services: by service, by service and model, and by route.
+  std::map<std::string, PoolKnowledge> mPools;
+  std::map<std::pair<std::string, std::string>, TokenPace> mTokenPaces;
+  std::map<std::string, AnswerLengths> mAnswerLengths;
   std::mt19937_64 mRandom;
 };
 
