Order requests to paced services by priority and customers' shares

Runners were told a priority by prefill length only, so that requests of all priorities and customers shared one queue. For paced services it follows from the rank of the request's priority, the customer's before the route's, then from the customer's share of the expected engine time, then from the prefill. A customer with several times its usual use, or several times an equal share, yields; one with no more than an equal share never does. The usual error of the expected first event is learned by rank, since the ranks wait for different times.

--- a/core/include/savory/core/completion_forecast.h
+++ b/core/include/savory/core/completion_forecast.h
@@ -10,10 +10,11 @@
 // the first event alone; streams that started in time ran into their deadlines
 // because nothing had compared their length with the time left.
 
-// The spread of the natural logarithm of observed over expected values, as an
-// exponentially weighted mean of its square.
+// The natural logarithm of observed over expected values: exponentially
+// weighted means of it and of its square.
 struct LogSpread
 {
+  double mMean = 0;
   double mMeanSquare = 0;
   int mCount = 0;
 };
@@ -34,6 +35,11 @@
 double
 StandardDeviation(const LogSpread& aSpread, const SpreadBounds& aBounds);
 
+// By how much observed values usually exceed expected ones, within a factor of
+// three.
+double
+UsualRatio(const LogSpread& aSpread);
+
 // The time per token of one model on the engines of a service, without the part
 // that the other requests of the batch add.
 struct TokenPace
--- a/core/src/completion_forecast.cpp
+++ b/core/src/completion_forecast.cpp
@@ -13,6 +13,9 @@
 constexpr int kMinSpreadCount = 20;
 constexpr double kSpreadWeight = 0.03;
 
+// Bound of the usual ratio and of its inverse.
+constexpr double kMaxRatio = 3;
+
 // Events of a stream before its pace counts, and the weight of one stream.
 constexpr int kMinPaceEvents = 4;
 constexpr double kPaceWeight = 0.1;
@@ -78,16 +81,28 @@
   double error = std::log(aObserved / aExpected);
   ++aSpread.mCount;
   double weight = std::max(kSpreadWeight, 1.0 / aSpread.mCount);
+  aSpread.mMean += weight * (error - aSpread.mMean);
   aSpread.mMeanSquare += weight * (error * error - aSpread.mMeanSquare);
 }
 
+double
+UsualRatio(const LogSpread& aSpread)
+{
+  return aSpread.mCount < kMinSpreadCount
+           ? 1
+           : std::clamp(std::exp(aSpread.mMean), 1 / kMaxRatio, kMaxRatio);
+}
+
 double
 StandardDeviation(const LogSpread& aSpread, const SpreadBounds& aBounds)
 {
   return aSpread.mCount < kMinSpreadCount
            ? aBounds.mInitial
            : std::clamp(
-               std::sqrt(aSpread.mMeanSquare), aBounds.mMin, aBounds.mMax);
+               std::sqrt(std::max(
+                 0.0, aSpread.mMeanSquare - aSpread.mMean * aSpread.mMean)),
+               aBounds.mMin,
+               aBounds.mMax);
 }
 
 void
--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -408,7 +408,9 @@
   details.mModel = mModel;
   details.mCustomer = mCustomer ? mCustomer->mName : "";
   if (IsStream()) {
-    details.mPriority = PrefillPriority(aPlacement.mPrefillMs);
+    details.mPriority = IsPacedService()
+                          ? PacedPriority(aPlacement)
+                          : PrefillPriority(aPlacement.mPrefillMs);
     details.mLastEventId = mLastEventId;
     mAttempt->mIsResumed = mAnswerStarted && mLastEventId.has_value();
   }
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -199,10 +199,14 @@
                             const Placement& aPlacement) const;
   PoolState UpdatePool();
   bool AdmitToPool(PlacementRequest& aPlacementRequest, Placement& aPlacement);
+  int UrgencyRank() const;
+  bool IsCustomerOverShare();
+  int PacedPriority(const Placement& aPlacement);
   bool EscalatePaced();
-  bool ShouldMove() const;
+  bool ShouldMove();
   void OnPacedSent();
   void OnPacedEvents();
+  void OnFirstEventObserved(const Attempt& aAttempt);
   void OnPacedAnswer();
   void OnPacedEnd(const Attempt& aAttempt);
   void StartAnswerTimer();
--- a/router/gateway/exchange_admission.cpp
+++ b/router/gateway/exchange_admission.cpp
@@ -14,6 +14,13 @@
 // Weight of one request in the mean engine time of a service's requests.
 constexpr double kWorkWeight = 0.05;
 
+// Prompts with a longer prefill are queued after the others of their priority
+// while the customers' shares allow it.
+constexpr double kLongPrefillMs = 120;
+
+// How much more engine time costs a request for each step of lower urgency.
+constexpr double kRankPrice = 0.25;
+
 std::string
 FormatMs(double aMs)
 {
@@ -66,13 +73,12 @@
 Exchange::MakeForecast(const PlacementRequest& aPlacementRequest,
                        const Placement& aPlacement) const
 {
-  const GatewayState& state = mShared.mState;
+  GatewayState& state = mShared.mState;
   CompletionForecast forecast;
-  forecast.mFirstEventMs = aPlacement.mExpectedMs;
-  auto pool = state.mPools.find(mService);
-  forecast.mFirstEventDeviation = StandardDeviation(
-    pool == state.mPools.end() ? LogSpread{} : pool->second.mFirstEventError,
-    kFirstEventBounds);
+  const LogSpread& error =
+    state.mPools[mService].mFirstEventErrors[UrgencyRank()];
+  forecast.mFirstEventMs = aPlacement.mExpectedMs * UsualRatio(error);
+  forecast.mFirstEventDeviation = StandardDeviation(error, kFirstEventBounds);
   if (!IsStream()) {
     return forecast;
   }
@@ -159,6 +165,7 @@
   request.mDeadlineMs = mDeadlineMs;
   request.mLatencyGoalMs = mRoute->mLatencyGoalMs;
   request.mPoint = uniform(state.mRandom);
+  request.mIsOverShare = IsCustomerOverShare();
   PoolDecision decision = DecidePool(pool, request, Now());
   if (mMayHaveRun && (decision.mAction == PoolAction::Refuse ||
                       decision.mAction == PoolAction::Wait)) {
@@ -196,6 +203,39 @@
   return true;
 }
 
+// The number of the service's priorities that are more urgent.
+int
+Exchange::UrgencyRank() const
+{
+  PoolKnowledge& pool = mShared.mState.mPools[mService];
+  if (pool.mPrioritiesVersion != mTable->mVersion) {
+    pool.mPriorities = ListPriorities(*mTable, mService);
+    pool.mPrioritiesVersion = mTable->mVersion;
+  }
+  int priority = mCustomer ? mCustomer->mPriority.value_or(mRoute->mPriority)
+                           : mRoute->mPriority;
+  return PriorityRank(pool.mPriorities, priority);
+}
+
+bool
+Exchange::IsCustomerOverShare()
+{
+  CustomerShares& shares = mShared.mState.mPools[mService].mShares;
+  return mCustomer && IsOverShare(shares, mCustomer->mName, Now());
+}
+
+// The priority that the runner is told.
+int
+Exchange::PacedPriority(const Placement& aPlacement)
+{
+  RequestUrgency urgency;
+  urgency.mRank = UrgencyRank();
+  urgency.mIsOverShare = IsCustomerOverShare();
+  urgency.mIsLong = aPlacement.mPrefillMs >= kLongPrefillMs;
+  return EnginePriority(mShared.mState.mPools[mService].mPriorities.size(),
+                        urgency);
+}
+
 // Drops the answer of a smaller model for that of a larger one that ends in
 // time, if that is worth its engine time. Returns whether it did.
 bool
@@ -215,7 +255,8 @@
   request.mMeanWorkMs = knowledge.mMeanWorkMs;
   request.mLoadPrice = LoadPrice(pool.mDampedLoad,
                                  state.mPoolWaits[mService].mMeanMs,
-                                 mRoute->mLatencyGoalMs);
+                                 mRoute->mLatencyGoalMs) *
+                       (1 + kRankPrice * UrgencyRank());
   std::vector<std::pair<PlacementRequest, Placement>> placements;
   const std::vector<std::string>& models = mRoute->mModels;
   auto own = std::find(models.begin(), models.end(), mModel);
@@ -270,7 +311,7 @@
 // Whether another runner is so much better for the overdue attempt that its
 // work so far may be given up.
 bool
-Exchange::ShouldMove() const
+Exchange::ShouldMove()
 {
   const GatewayState& state = mShared.mState;
   PlacementRequest elsewhereRequest;
@@ -310,7 +351,11 @@
   mAttempt->mForecastEndMs =
     Now() + static_cast<TimeMs>(EstimateEndMs(option.mForecast, 0.5));
   mAttempt->mDecision = std::exchange(mDecision, {});
-  double& meanMs = mShared.mState.mPools[mService].mMeanWorkMs;
+  PoolKnowledge& pool = mShared.mState.mPools[mService];
+  if (mCustomer) {
+    OnWorkSent(pool.mShares, mCustomer->mName, option.mWorkMs, Now());
+  }
+  double& meanMs = pool.mMeanWorkMs;
   meanMs = meanMs > 0 ? meanMs + kWorkWeight * (option.mWorkMs - meanMs)
                       : option.mWorkMs;
 }
@@ -321,12 +366,21 @@
 Exchange::OnPacedEvents()
 {
   if (mAttempt->mProgress.mEvents == 0 && IsPacedService()) {
-    OnObserved(mShared.mState.mPools[mService].mFirstEventError,
-               mAttempt->mPlacement.mExpectedMs,
-               static_cast<double>(Now() - mAttempt->mSentMs));
+    OnFirstEventObserved(*mAttempt);
   }
 }
 
+// An attempt that ended without an event after more than the expected time
+// counts as if its first event had come then.
+void
+Exchange::OnFirstEventObserved(const Attempt& aAttempt)
+{
+  OnObserved(
+    mShared.mState.mPools[mService].mFirstEventErrors[UrgencyRank()],
+    aAttempt.mPlacement.mExpectedMs,
+    static_cast<double>(std::max<TimeMs>(1, Now() - aAttempt.mSentMs)));
+}
+
 // A stream has ended normally: learns its length and the error of the forecast.
 void
 Exchange::OnPacedAnswer()
@@ -347,11 +401,22 @@
   }
 }
 
-// An attempt has ended in any way: learns the pace of its engine.
+// An attempt has ended in any way: learns the error of the expected time to an
+// answer that did not come, or to a call's answer, and the pace of the engine.
 void
 Exchange::OnPacedEnd(const Attempt& aAttempt)
 {
-  if (!IsStream() || !IsPacedService()) {
+  if (!IsPacedService()) {
+    return;
+  }
+  bool isOverdue = !aAttempt.mHeadReceived && !aAttempt.mEnded &&
+                   static_cast<double>(Now() - aAttempt.mSentMs) >
+                     aAttempt.mPlacement.mExpectedMs;
+  bool isCallAnswered = !IsStream() && aAttempt.mAnswered;
+  if (isOverdue || isCallAnswered) {
+    OnFirstEventObserved(aAttempt);
+  }
+  if (!IsStream()) {
     return;
   }
   const RunnerSet& set = mShared.mState.mRunners;
--- a/router/gateway/gateway_state.h
+++ b/router/gateway/gateway_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "savory/core/crash_suspects.h"
+#include "savory/core/fair_share.h"
 #include "savory/core/model_choice.h"
 #include "savory/core/pool_admission.h"
 #include "savory/core/retry_budget.h"
@@ -29,10 +30,16 @@
 struct PoolKnowledge
 {
   DampedLoad mLoad;
-  LogSpread mFirstEventError;
+  // By the rank of the request's priority: those that are served first wait
+  // less than placement expects, the others more.
+  std::map<int, LogSpread> mFirstEventErrors;
   // Moving average of the engine time of the requests sent, in
   // runner-milliseconds.
   double mMeanWorkMs = 0;
+  CustomerShares mShares;
+  // The priorities of the service's requests in the table of that version.
+  std::vector<int> mPriorities;
+  std::int64_t mPrioritiesVersion = -1;
 };
 
 // An entry host's view of the fleet platform: the store's contents, and what
--- a/tests/process/test_pool_admission.py
+++ b/tests/process/test_pool_admission.py
@@ -3,6 +3,7 @@
 Guards against requests that are sent although their answers cannot end in time,
 and against decisions by forecast where the runners state no pace."""
 
+from fleet_platform import CONFIGURATION
 from gateway_fixture import run_checks, wait_until
 
 FULL, FREE, PACE = "8,4,8", "2,0,8", ",100"
@@ -63,5 +64,24 @@
         assert headers["request-priority"] == "0", headers
 
 
+def runners_are_told_the_order(platform):
+    tenants = [{"name": "urgent", "apiKeys": ["k1"], "priority": 0},
+               {"name": "later", "apiKeys": ["k2"], "priority": 7},
+               {"name": "usual", "apiKeys": ["k3"]}]
+    platform.store.put("op/config",
+                       dict(CONFIGURATION, version=2, tenants=tenants))
+    gateway = start(platform, FREE + PACE)
+    told = []
+    for key in ("k1", "k3", "k2"):
+        before = len(platform.runs(platform.llm))
+        assert gateway.stream(attempt="order-" + key, key=key)[0] == 200
+        runs = [run for run in platform.runs(platform.llm)
+                if run[0]["attempt-id"] == "order-" + key]
+        assert len(platform.runs(platform.llm)) == before + 1
+        told.append(int(runs[0][0]["request-priority"]))
+    # The route's priority is 1.
+    assert told[0] < told[1] < told[2] <= 9, told
+
+
 run_checks([refuses_what_cannot_end, serves_while_slots_are_free,
-            unpaced_services_decide_as_before])
+            unpaced_services_decide_as_before, runners_are_told_the_order])
