--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -342,6 +342,9 @@
     WaitForRunner(placement.error(), placementRequest);
     return;
   }
+  if (IsPacedService() && !AdmitToPool(placementRequest, *placement)) {
+    return;
+  }
   Send(std::move(placementRequest), *placement);
 }
 
@@ -393,6 +396,9 @@
     mShared.mOnLongPrefill();
   }
   mAttempt->mPlacementRequest = std::move(aPlacementRequest);
+  if (IsPacedService()) {
+    OnPacedSent();
+  }
   mTriedRunners.insert(aPlacement.mRunner);
   ++mAttemptCount;
 
@@ -402,7 +408,9 @@
   details.mModel = mModel;
   details.mCustomer = mCustomer ? mCustomer->mName : "";
   if (IsStream()) {
-    details.mPriority = PrefillPriority(aPlacement.mPrefillMs);
+    details.mPriority = IsPacedService()
+                          ? PacedPriority(aPlacement)
+                          : PrefillPriority(aPlacement.mPrefillMs);
     details.mLastEventId = mLastEventId;
     mAttempt->mIsResumed = mAnswerStarted && mLastEventId.has_value();
   }
@@ -440,7 +448,11 @@
              { "expected_ms",
                std::to_string(static_cast<int>(aPlacement.mExpectedMs)) },
              { "uncached", std::to_string(aPlacement.mUncachedTokens) },
-             { "left_ms", std::to_string(RemainingMs()) } });
+             { "left_ms", std::to_string(RemainingMs()) },
+             { "decision", mAttempt->mDecision },
+             { "end_ms",
+               std::to_string(std::max<TimeMs>(
+                 0, mAttempt->mForecastEndMs - mAttempt->mSentMs)) } });
 }
 
 // Starts the timer after which the attempt counts as unanswered. A request that
