--- a/core/include/savory/core/pool_admission.h
+++ b/core/include/savory/core/pool_admission.h
@@ -191,12 +191,12 @@
   double mMeanWorth = 0.7;
   // What an answer must be worth more to drop one that is ready, and the least
   // probability with which it must end in time.
-  double mMinGain = 0.1;
+  double mMinGain = 0.05;
   double mMinEndChance = 0.75;
   // The probability that the largest model is right, and that of a middle one
   // as the part that it makes good of the difference to it.
   double mLargestQuality = 0.95;
-  double mMiddleShare = 0.6;
+  double mMiddleShare = 0.8;
 };
 
 // The state of a request whose answer by a smaller model is about to start.
--- a/router/gateway/exchange_admission.cpp
+++ b/router/gateway/exchange_admission.cpp
@@ -76,7 +76,8 @@
   GatewayState& state = mShared.mState;
   CompletionForecast forecast;
   const LogSpread& error =
-    state.mPools[mService].mFirstEventErrors[UrgencyRank()];
+    state.mPools[mService]
+      .mFirstEventErrors[{ UrgencyRank(), aPlacementRequest.mModel }];
   forecast.mFirstEventMs = aPlacement.mExpectedMs * UsualRatio(error);
   forecast.mFirstEventDeviation = StandardDeviation(error, kFirstEventBounds);
   if (!IsStream()) {
@@ -376,7 +377,8 @@
 Exchange::OnFirstEventObserved(const Attempt& aAttempt)
 {
   OnObserved(
-    mShared.mState.mPools[mService].mFirstEventErrors[UrgencyRank()],
+    mShared.mState.mPools[mService]
+      .mFirstEventErrors[{ UrgencyRank(), aAttempt.mPlacementRequest.mModel }],
     aAttempt.mPlacement.mExpectedMs,
     static_cast<double>(std::max<TimeMs>(1, Now() - aAttempt.mSentMs)));
 }
--- a/router/gateway/gateway_state.h
+++ b/router/gateway/gateway_state.h
@@ -30,9 +30,9 @@
 struct PoolKnowledge
 {
   DampedLoad mLoad;
-  // By the rank of the request's priority: those that are served first wait
-  // less than placement expects, the others more.
-  std::map<int, LogSpread> mFirstEventErrors;
+  // By the rank of the request's priority, as those that are served first wait
+  // less than placement expects and the others more, and by model.
+  std::map<std::pair<int, std::string>, LogSpread> mFirstEventErrors;
   // Moving average of the engine time of the requests sent, in
   // runner-milliseconds.
   double mMeanWorkMs = 0;
