Let callers of paced services retry within their time

A request that every runner turned away stated 250 to 750 ms to retry after, whatever time its caller had left; callers wait at most a third of it. The time is spread and at most that third now.

--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -191,6 +191,7 @@
   void Send(PlacementRequest aPlacementRequest, const Placement& aPlacement);
 
   bool IsPacedService() const;
+  double EstimateOutputTokens() const;
   CompletionForecast MakeForecast(const PlacementRequest& aPlacementRequest,
                                   const Placement& aPlacement) const;
   double EstimateTokenMs(const std::string& aModel,
--- a/router/gateway/exchange_admission.cpp
+++ b/router/gateway/exchange_admission.cpp
@@ -69,6 +69,16 @@
   return 0;
 }
 
+// The median of the tokens of the whole answer; 0 if it is unknown.
+double
+Exchange::EstimateOutputTokens() const
+{
+  return EstimateAnswerTokens(
+    mShared.mState.mAnswerLengths[mRoute->mName],
+    static_cast<double>(mMetadata.mExpectedOutputTokens),
+    static_cast<double>(mMetadata.mMaxOutputTokens));
+}
+
 CompletionForecast
 Exchange::MakeForecast(const PlacementRequest& aPlacementRequest,
                        const Placement& aPlacement) const
@@ -83,16 +93,10 @@
   if (!IsStream()) {
     return forecast;
   }
-  auto lengths = state.mAnswerLengths.find(mRoute->mName);
-  const AnswerLengths known =
-    lengths == state.mAnswerLengths.end() ? AnswerLengths{} : lengths->second;
   forecast.mMaxTokens = static_cast<double>(mMetadata.mMaxOutputTokens);
-  forecast.mTokens =
-    EstimateAnswerTokens(known,
-                         static_cast<double>(mMetadata.mExpectedOutputTokens),
-                         forecast.mMaxTokens);
-  forecast.mLengthDeviation =
-    StandardDeviation(known.mHintError, kLengthBounds);
+  forecast.mTokens = EstimateOutputTokens();
+  forecast.mLengthDeviation = StandardDeviation(
+    state.mAnswerLengths[mRoute->mName].mHintError, kLengthBounds);
   const ServiceInfo* service = FindService(*mTable, mService);
   forecast.mStreamedTokens = static_cast<double>(mLastEventId.value_or(0)) *
                              (service ? service->mTokensPerEvent : 1);
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -584,6 +584,13 @@
   std::uniform_int_distribution<TimeMs> spread(0, kRetryAfterSpreadMs);
   TimeMs earliestMs =
     mEarliestReturnMs ? *mEarliestReturnMs - Now() : TimeMs{ 0 };
+  if (mDeadlineMs > 0 && IsPacedService()) {
+    std::uniform_real_distribution<double> point(0, 1);
+    return SpreadRetryMs(
+      static_cast<double>(std::max(kRetryAfterMs, earliestMs)),
+      RemainingMs(),
+      point(mShared.mState.mRandom));
+  }
   return std::max(kRetryAfterMs, earliestMs) + spread(mShared.mState.mRandom);
 }
 
--- a/tests/process/test_pool_admission.py
+++ b/tests/process/test_pool_admission.py
@@ -48,6 +48,17 @@
     assert gateway.stream(attempt="short", Length_Hint="5")[0] == 200
 
 
+def retries_come_in_time_for_the_caller(platform):
+    gateway = start(platform, FREE + PACE)
+    for runner in platform.llm:
+        runner.mode = "refuse"
+    for number in range(5):
+        status, _, headers = gateway.stream(attempt="retry-%d" % number,
+                                            Deadline_Ms="600")
+        assert status == 503, status
+        assert 0 < float(headers["Retry-After"]) <= 0.2, headers
+
+
 def serves_while_slots_are_free(platform):
     gateway = start(platform, FREE + PACE)
     for _ in range(5):
@@ -83,5 +94,6 @@
     assert told[0] < told[1] < told[2] <= 9, told
 
 
-run_checks([refuses_what_cannot_end, serves_while_slots_are_free,
+run_checks([refuses_what_cannot_end, retries_come_in_time_for_the_caller,
+            serves_while_slots_are_free,
             unpaced_services_decide_as_before, runners_are_told_the_order])
