Bound what is learned of models that callers name

Callers may state any model. Paces and errors were kept under that name, so that names made up by a caller would fill the memory; models that the service does not list share one entry now. test_pool_admission.py passes.

--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -194,6 +194,7 @@
   double EstimateOutputTokens() const;
   CompletionForecast MakeForecast(const PlacementRequest& aPlacementRequest,
                                   const Placement& aPlacement) const;
+  std::string ListedModel(const std::string& aModel) const;
   double EstimateTokenMs(const std::string& aModel,
                          const Placement& aPlacement) const;
   PoolOption MakePoolOption(const PlacementRequest& aPlacementRequest,
--- a/router/gateway/exchange_admission.cpp
+++ b/router/gateway/exchange_admission.cpp
@@ -35,6 +35,20 @@
   return IsPaced(mShared.mState.mRunners, mService, Now());
 }
 
+// The model under which is learned: callers may state any name, so that those
+// that the service does not list share one.
+std::string
+Exchange::ListedModel(const std::string& aModel) const
+{
+  const ServiceInfo* service = FindService(*mTable, mService);
+  bool isListed = service && std::any_of(service->mModels.begin(),
+                                         service->mModels.end(),
+                                         [&aModel](const ModelPrice& aListed) {
+                                           return aListed.mName == aModel;
+                                         });
+  return isListed ? aModel : std::string();
+}
+
 // The time per token of a model that was not observed is that of another model
 // of the service, in proportion to their prices: engines of larger models are
 // slower by about what they cost more. 0 while nothing is known.
@@ -51,7 +65,7 @@
              ? 0.0
              : EstimateMsPerToken(found->second, running);
   };
-  double msPerToken = estimate(aModel);
+  double msPerToken = estimate(ListedModel(aModel));
   const ServiceInfo* service = FindService(*mTable, mService);
   if (msPerToken > 0 || !service) {
     return msPerToken;
@@ -85,9 +99,8 @@
 {
   GatewayState& state = mShared.mState;
   CompletionForecast forecast;
-  const LogSpread& error =
-    state.mPools[mService]
-      .mFirstEventErrors[{ UrgencyRank(), aPlacementRequest.mModel }];
+  const LogSpread& error = state.mPools[mService].mFirstEventErrors[{
+    UrgencyRank(), ListedModel(aPlacementRequest.mModel) }];
   forecast.mFirstEventMs = aPlacement.mExpectedMs * UsualRatio(error);
   forecast.mFirstEventDeviation = StandardDeviation(error, kFirstEventBounds);
   if (!IsStream()) {
@@ -381,8 +394,8 @@
 Exchange::OnFirstEventObserved(const Attempt& aAttempt)
 {
   OnObserved(
-    mShared.mState.mPools[mService]
-      .mFirstEventErrors[{ UrgencyRank(), aAttempt.mPlacementRequest.mModel }],
+    mShared.mState.mPools[mService].mFirstEventErrors[{
+      UrgencyRank(), ListedModel(aAttempt.mPlacementRequest.mModel) }],
     aAttempt.mPlacement.mExpectedMs,
     static_cast<double>(std::max<TimeMs>(1, Now() - aAttempt.mSentMs)));
 }
@@ -429,7 +442,8 @@
   auto runner = set.mRunners.find(aAttempt.mRunner);
   const ServiceInfo* service = FindService(*mTable, mService);
   OnStreamObserved(
-    mShared.mState.mTokenPaces[{ mService, aAttempt.mPlacementRequest.mModel }],
+    mShared.mState.mTokenPaces[{
+      mService, ListedModel(aAttempt.mPlacementRequest.mModel) }],
     aAttempt.mProgress,
     service ? service->mTokensPerEvent : 1,
     runner == set.mRunners.end() ? 0 : EstimateRunning(runner->second, Now()));
