Count the runners of a pool at most 50 times a second

Each request and each escalation took a pass over all runners for the state of the pool, beside that of placement.

--- a/router/gateway/exchange_admission.cpp
+++ b/router/gateway/exchange_admission.cpp
@@ -14,6 +14,9 @@
 // Weight of one request in the mean engine time of a service's requests.
 constexpr double kWorkWeight = 0.05;
 
+// A pool is counted again at this interval.
+constexpr TimeMs kPoolCountIntervalMs = 20;
+
 // Prompts with a longer prefill are queued after the others of their priority
 // while the customers' shares allow it.
 constexpr double kLongPrefillMs = 120;
@@ -134,16 +137,20 @@
   return option;
 }
 
-// The state of the service's pool; moves its damped load.
+// The state of the service's pool; moves its damped load. Counting takes a pass
+// over all runners, and their reports are older than the interval.
 PoolState
 Exchange::UpdatePool()
 {
   GatewayState& state = mShared.mState;
-  PoolState pool = DescribePool(state.mRunners, mService, Now());
-  DampedLoad& load = state.mPools[mService].mLoad;
-  UpdateLoad(load, PoolLoad(pool), Now());
-  pool.mDampedLoad = load.mLoad;
-  return pool;
+  PoolKnowledge& pool = state.mPools[mService];
+  if (!pool.mCountedMs || Now() - *pool.mCountedMs >= kPoolCountIntervalMs) {
+    pool.mCountedMs = Now();
+    pool.mState = DescribePool(state.mRunners, mService, Now());
+    UpdateLoad(pool.mLoad, PoolLoad(pool.mState), Now());
+    pool.mState.mDampedLoad = pool.mLoad.mLoad;
+  }
+  return pool.mState;
 }
 
 // Decides on a placement by the forecast of the whole answer. May replace it by
--- a/router/gateway/gateway_state.h
+++ b/router/gateway/gateway_state.h
@@ -29,6 +29,9 @@
 // What this host has learned of the load and of the answers of a paced service.
 struct PoolKnowledge
 {
+  // As last counted, and when.
+  PoolState mState;
+  std::optional<TimeMs> mCountedMs;
   DampedLoad mLoad;
   // By the rank of the request's priority, as those that are served first wait
   // less than placement expects and the others more, and by model.
