--- a/router/gateway/exchange_admission.cpp
+++ b/router/gateway/exchange_admission.cpp
@@ -14,6 +14,9 @@
 // Weight of one request in the mean engine time of a service's requests.
 constexpr double kWorkWeight = 0.05;
 
+// A pool is counted again at this interval.
+constexpr TimeMs kPoolCountIntervalMs = 20;
+
 // Prompts with a longer prefill are queued after the others of their priority
 // while the customers' shares allow it.
 constexpr double kLongPrefillMs = 120;
@@ -35,6 +38,20 @@
   return IsPaced(mShared.mState.mRunners, mService, Now());
 }
 
+// The model under which is learned: callers may state any name, so that those
+// that the service does not list share one.
+std::string
+Exchange::ListedModel(const std::string& aModel) const
+{
+  const ServiceInfo* service = FindService(*mTable, mService);
+  bool isListed = service && std::any_of(service->mModels.begin(),
+                                         service->mModels.end(),
+                                         [&aModel](const ModelPrice& aListed) {
+                                           return aListed.mName == aModel;
+                                         });
+  return isListed ? aModel : std::string();
+}
+
 // The time per token of a model that was not observed is that of another model
 // of the service, in proportion to their prices: engines of larger models are
 // slower by about what they cost more. 0 while nothing is known.
@@ -51,7 +68,7 @@
              ? 0.0
              : EstimateMsPerToken(found->second, running);
   };
-  double msPerToken = estimate(aModel);
+  double msPerToken = estimate(ListedModel(aModel));
   const ServiceInfo* service = FindService(*mTable, mService);
   if (msPerToken > 0 || !service) {
     return msPerToken;
@@ -69,29 +86,33 @@
   return 0;
 }
 
+// The median of the tokens of the whole answer; 0 if it is unknown.
+double
+Exchange::EstimateOutputTokens() const
+{
+  return EstimateAnswerTokens(
+    mShared.mState.mAnswerLengths[mRoute->mName],
+    static_cast<double>(mMetadata.mExpectedOutputTokens),
+    static_cast<double>(mMetadata.mMaxOutputTokens));
+}
+
 CompletionForecast
 Exchange::MakeForecast(const PlacementRequest& aPlacementRequest,
                        const Placement& aPlacement) const
 {
   GatewayState& state = mShared.mState;
   CompletionForecast forecast;
-  const LogSpread& error =
-    state.mPools[mService].mFirstEventErrors[UrgencyRank()];
+  const LogSpread& error = state.mPools[mService].mFirstEventErrors[{
+    UrgencyRank(), ListedModel(aPlacementRequest.mModel) }];
   forecast.mFirstEventMs = aPlacement.mExpectedMs * UsualRatio(error);
   forecast.mFirstEventDeviation = StandardDeviation(error, kFirstEventBounds);
   if (!IsStream()) {
     return forecast;
   }
-  auto lengths = state.mAnswerLengths.find(mRoute->mName);
-  const AnswerLengths known =
-    lengths == state.mAnswerLengths.end() ? AnswerLengths{} : lengths->second;
   forecast.mMaxTokens = static_cast<double>(mMetadata.mMaxOutputTokens);
-  forecast.mTokens =
-    EstimateAnswerTokens(known,
-                         static_cast<double>(mMetadata.mExpectedOutputTokens),
-                         forecast.mMaxTokens);
-  forecast.mLengthDeviation =
-    StandardDeviation(known.mHintError, kLengthBounds);
+  forecast.mTokens = EstimateOutputTokens();
+  forecast.mLengthDeviation = StandardDeviation(
+    state.mAnswerLengths[mRoute->mName].mHintError, kLengthBounds);
   const ServiceInfo* service = FindService(*mTable, mService);
   forecast.mStreamedTokens = static_cast<double>(mLastEventId.value_or(0)) *
                              (service ? service->mTokensPerEvent : 1);
@@ -116,16 +137,20 @@
   return option;
 }
 
-// The state of the service's pool; moves its damped load.
+// The state of the service's pool; moves its damped load. Counting takes a pass
+// over all runners, and their reports are older than the interval.
 PoolState
 Exchange::UpdatePool()
 {
   GatewayState& state = mShared.mState;
-  PoolState pool = DescribePool(state.mRunners, mService, Now());
-  DampedLoad& load = state.mPools[mService].mLoad;
-  UpdateLoad(load, PoolLoad(pool), Now());
-  pool.mDampedLoad = load.mLoad;
-  return pool;
+  PoolKnowledge& pool = state.mPools[mService];
+  if (!pool.mCountedMs || Now() - *pool.mCountedMs >= kPoolCountIntervalMs) {
+    pool.mCountedMs = Now();
+    pool.mState = DescribePool(state.mRunners, mService, Now());
+    UpdateLoad(pool.mLoad, PoolLoad(pool.mState), Now());
+    pool.mState.mDampedLoad = pool.mLoad.mLoad;
+  }
+  return pool.mState;
 }
 
 // Decides on a placement by the forecast of the whole answer. May replace it by
@@ -376,7 +401,8 @@
 Exchange::OnFirstEventObserved(const Attempt& aAttempt)
 {
   OnObserved(
-    mShared.mState.mPools[mService].mFirstEventErrors[UrgencyRank()],
+    mShared.mState.mPools[mService].mFirstEventErrors[{
+      UrgencyRank(), ListedModel(aAttempt.mPlacementRequest.mModel) }],
     aAttempt.mPlacement.mExpectedMs,
     static_cast<double>(std::max<TimeMs>(1, Now() - aAttempt.mSentMs)));
 }
@@ -423,7 +449,8 @@
   auto runner = set.mRunners.find(aAttempt.mRunner);
   const ServiceInfo* service = FindService(*mTable, mService);
   OnStreamObserved(
-    mShared.mState.mTokenPaces[{ mService, aAttempt.mPlacementRequest.mModel }],
+    mShared.mState.mTokenPaces[{
+      mService, ListedModel(aAttempt.mPlacementRequest.mModel) }],
     aAttempt.mProgress,
     service ? service->mTokensPerEvent : 1,
     runner == set.mRunners.end() ? 0 : EstimateRunning(runner->second, Now()));
