Estimate the time of each output token at the chosen runner

A forecast of the whole answer needs what placement knows of the runner: the requests that run and wait there, and how long a decode step takes with them. Placement states them for paced services; the duration of a step is learned by model and batch size, the speed of a runner by process. Nothing teaches them yet, and no decision uses them.

--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -4,6 +4,7 @@
 #include "savory/core/drain_notices.h"
 #include "savory/core/prefill_queue.h"
 #include "savory/core/routes.h"
+#include "savory/core/runner_speed.h"
 #include "savory/core/types.h"
 
 #include <cstdint>
@@ -76,6 +77,8 @@
   // long it usually takes, and the time it arrived.
   double mSlowdown = 1;
   TimeMs mSlowdownMs = 0;
+  // The learned speed of the process; used where the service is paced.
+  RunnerSpeed mSpeed;
 
   TimeMs mColdUntilMs = 0;
   TimeMs mColdSinceMs = 0;
@@ -109,6 +112,8 @@
   // Until when each service counts as paced: its runners state how fast they
   // work at the moment.
   std::map<std::string, TimeMs> mPacedUntilMs;
+  // Learned duration of decode steps by service and model.
+  std::map<std::pair<std::string, std::string>, StepSpeed> mStepSpeeds;
   // Number of entry hosts that share the allowance of a cold runner, and the
   // name of this host, whose hash staggers their first requests.
   int mEntryHosts = 1;
@@ -197,6 +202,22 @@
 bool
 IsPaced(const RunnerSet& aSet, const std::string& aService, TimeMs aNowMs);
 
+// The speed factor and the slowdown of a runner for work that begins now: how
+// long it takes over how long it takes at a usual runner.
+double
+WorkFactor(const RunnerState& aRunner, TimeMs aNowMs);
+
+// A stream of a paced service ended at a runner: its mean milliseconds per
+// output token show the runner's speed and the model's step. aBatch is the
+// number of requests that ran there with it. A cold runner shows neither.
+void
+OnStreamPaced(RunnerSet& aSet,
+              RunnerState& aRunner,
+              const std::string& aModel,
+              double aMsPerToken,
+              double aBatch,
+              TimeMs aNowMs);
+
 // The runner may have restarted: clears what is known of its prefix cache and
 // treats it as cold for aColdStartMs.
 void
@@ -214,6 +235,9 @@
   // Tokens that no other request shares.
   std::int64_t mUnsharedTokens = 0;
   std::size_t mBodyBytes = 0;
+  // Output tokens that the answer is expected to have; 0 if unknown. Only
+  // paced services use it.
+  double mOutputTokens = 0;
   // Expected prefill milliseconds per token with this model, and the fixed part
   // of the time to the first event.
   double mMsPerToken = 0;
@@ -235,6 +259,14 @@
   // Estimated milliseconds before the prefill on a runner of usual speed.
   double mQueueMs = 0;
   std::int64_t mUncachedTokens = 0;
+  // The following are set for paced services only. Estimated milliseconds for
+  // each output token after the first event, with the runner's batch as it
+  // stands and this request in it.
+  double mTokenMs = 0;
+  // Requests that run and that wait at the runner, by its last report and this
+  // host's own requests.
+  int mRunning = 0;
+  int mWaiting = 0;
 };
 
 // Why no runner was found, for logs and for the answer to the caller. The
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -33,6 +33,10 @@
 // as paced.
 constexpr TimeMs kPacedMs = 30000;
 
+// Streams after which a model's decode step is known well enough to compare
+// runners by it.
+constexpr double kMinStepWeight = 5;
+
 // Cost of a request to another availability zone in milliseconds of waiting:
 // per KiB of its body, and a fixed part.
 constexpr double kCrossZoneMsPerKiB = 1.0;
@@ -139,6 +143,26 @@
            : PrefixCacheKey(aRequest.mModel, aRequest.mSharedParts.back().mId);
 }
 
+// Expected milliseconds per output token at a runner, or 0 for a service that
+// is not paced.
+double
+PacedTokenMs(const RunnerSet& aSet,
+             const PlacementRequest& aRequest,
+             const Placement& aPlacement,
+             TimeMs aNowMs)
+{
+  if (aRequest.mModel.empty() || !IsPaced(aSet, aRequest.mService, aNowMs)) {
+    return 0;
+  }
+  auto found = aSet.mStepSpeeds.find({ aRequest.mService, aRequest.mModel });
+  double batch = aPlacement.mRunning + aPlacement.mWaiting + 1;
+  return EstimateTokenMs(found == aSet.mStepSpeeds.end() ? StepSpeed{}
+                                                         : found->second,
+                         batch,
+                         aRequest.mMsPerToken) *
+         SpeedFactor(aSet.mRunners.at(aPlacement.mRunner).mSpeed, aNowMs);
+}
+
 } // namespace
 
 std::uint64_t
@@ -320,6 +344,36 @@
   return found != aSet.mPacedUntilMs.end() && aNowMs < found->second;
 }
 
+double
+WorkFactor(const RunnerState& aRunner, TimeMs aNowMs)
+{
+  return SpeedFactor(aRunner.mSpeed, aNowMs) *
+         EstimateSlowdown(aRunner.mSlowdown, aNowMs - aRunner.mSlowdownMs);
+}
+
+void
+OnStreamPaced(RunnerSet& aSet,
+              RunnerState& aRunner,
+              const std::string& aModel,
+              double aMsPerToken,
+              double aBatch,
+              TimeMs aNowMs)
+{
+  if (aNowMs < aRunner.mColdUntilMs || !(aMsPerToken > 0)) {
+    return;
+  }
+  StepSpeed& step =
+    aSet.mStepSpeeds[{ aRunner.mRegistration.mService, aModel }];
+  // A stream lasts for several slow spells, whose mean the step contains. The
+  // first streams only teach the step.
+  if (step.mWeight >= kMinStepWeight) {
+    LearnSpeed(aRunner.mSpeed,
+               { EstimateTokenMs(step, aBatch, 0), aMsPerToken },
+               aNowMs);
+  }
+  LearnStep(step, aBatch, aMsPerToken / SpeedFactor(aRunner.mSpeed, aNowMs));
+}
+
 void
 OnRestart(RunnerState& aRunner, TimeMs aColdStartMs, TimeMs aNowMs)
 {
@@ -436,8 +490,11 @@
                prefillMs,
                queueMs,
                static_cast<std::int64_t>(uncached) };
+      best.mRunning = running;
+      best.mWaiting = waiting;
     }
   }
+  best.mTokenMs = PacedTokenMs(aSet, aRequest, best, aNowMs);
   return best;
 }
 
