Weigh prefix caches, speeds and batches in the choice of a runner

At 450 requests a second of 27 hosts to 49 engines, a third of them slow, 28 of 100 prompt tokens were shared ones that were read again although an engine held them, and 11 were found. The queue of the holder counted in full, but reading elsewhere only by 0.02 ms a token, so that a short queue at the holder sent the part to an idle engine; reading it there lengthened the queues further.

For services whose runners state a slowdown, the choice now weighs the time to the first event at the runner's learned speed and stated slowdown, the time of the output tokens, and the delay of the batch by the prefill. Reading a held part again counts 8 to 20 times, unless the holders are overrun by requests for it. A part counts as held until the memory was read full once, and not after an answer that took as long as reading it.

The core tests pass.

--- a/core/include/savory/core/runner_speed.h
+++ b/core/include/savory/core/runner_speed.h
@@ -46,9 +46,10 @@
 double
 SlowdownWeight(TimeMs aAgeMs);
 
-// The expected slowdown of work that begins now, given the last statement.
+// The expected slowdown of work that begins now, given the last statement and
+// the mean of the service's runners.
 double
-EstimateSlowdown(double aStated, TimeMs aAgeMs);
+EstimateSlowdown(double aStated, double aMean, TimeMs aAgeMs);
 
 // How long a decode step takes on a runner of usual speed by the number of
 // requests in its batch, learned per service and model: a decayed linear
--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -3,6 +3,7 @@
 #include "savory/core/backpressure.h"
 #include "savory/core/drain_notices.h"
 #include "savory/core/prefill_queue.h"
+#include "savory/core/prefix_cache.h"
 #include "savory/core/routes.h"
 #include "savory/core/runner_speed.h"
 #include "savory/core/types.h"
@@ -77,6 +78,8 @@
   // long it usually takes, and the time it arrived.
   double mSlowdown = 1;
   TimeMs mSlowdownMs = 0;
+  // Mean statement of the service's runners at that time.
+  double mMeanSlowdown = 1;
   // The learned speed of the process; used where the service is paced.
   RunnerSpeed mSpeed;
 
@@ -94,9 +97,12 @@
   // Observed over expected time to the first event; 1 is normal, more is
   // slower.
   double mLatencyRatio = 1;
-  // When each prompt part was last sent here, by this host or a peer. Keys are
-  // those of PrefixCacheKey.
-  std::unordered_map<std::uint64_t, TimeMs> mCachedParts;
+  // The prompt parts that were sent here by this host or a peer.
+  PrefixCache mCache;
+  // Prompt tokens that this host sent here for prefill, and the milliseconds
+  // that it expected.
+  double mReadTokens = 0;
+  double mReadMs = 0;
   // Keys of the parts that this host sent here since the last gossip message to
   // peers.
   std::vector<std::uint64_t> mUnreportedParts;
@@ -112,6 +118,8 @@
   // Until when each service counts as paced: its runners state how fast they
   // work at the moment.
   std::map<std::string, TimeMs> mPacedUntilMs;
+  // Moving average of the slowdowns stated, by service.
+  std::map<std::string, double> mMeanSlowdowns;
   // Learned duration of decode steps by service and model.
   std::map<std::pair<std::string, std::string>, StepSpeed> mStepSpeeds;
   // Number of entry hosts that share the allowance of a cold runner, and the
@@ -263,12 +271,24 @@
   // each output token after the first event, with the runner's batch as it
   // stands and this request in it.
   double mTokenMs = 0;
-  // Requests that run and that wait at the runner, by its last report and this
-  // host's own requests.
+  // Estimated requests that run and that wait at the runner.
   int mRunning = 0;
   int mWaiting = 0;
+  // What was decided about the prompt's shared parts.
+  PrefixOption mPrefixOption = PrefixOption::NoPrefix;
+  PrefixReason mPrefixReason = PrefixReason::NoPrefix;
+  // Shared tokens that the runner is estimated to hold.
+  std::int64_t mCachedTokens = 0;
+  // The runner's work factor with which the times were estimated, and the
+  // slowdown in it.
+  double mWorkFactor = 1;
+  double mSlowdown = 1;
 };
 
+// The option and the reason for the log, such as prefill/holder-queue.
+std::string
+DescribePrefix(const Placement& aPlacement);
+
 // Why no runner was found, for logs and for the answer to the caller. The
 // values are ordered by how many of the checks a runner passed.
 enum class PlacementFailure
@@ -322,6 +342,18 @@
               std::uint64_t aLocalId,
               TimeMs aNowMs);
 
+// Learns from the time to the first event of a request of a paced service: the
+// speed of the runner, and that it does not hold the shared parts if the time
+// fits a prefill of the whole prompt. Returns whether the answer tells the
+// speed of the model's prefill too: a wait of uncertain length made up little
+// of it, and nothing was read in vain.
+bool
+OnFirstEvent(RunnerState& aRunner,
+             const PlacementRequest& aRequest,
+             const Placement& aPlacement,
+             double aObservedMs,
+             TimeMs aNowMs);
+
 // Merges a peer's report about a runner: the milliseconds of prefill that the
 // peer has sent there since its last report, and the keys of the parts.
 void
--- a/core/src/runner_speed.cpp
+++ b/core/src/runner_speed.cpp
@@ -90,9 +90,9 @@
 }
 
 double
-EstimateSlowdown(double aStated, TimeMs aAgeMs)
+EstimateSlowdown(double aStated, double aMean, TimeMs aAgeMs)
 {
-  return 1 + (aStated - 1) * SlowdownWeight(aAgeMs);
+  return aMean + (aStated - aMean) * SlowdownWeight(aAgeMs);
 }
 
 void
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -1,5 +1,7 @@
 #include "savory/core/runners.h"
 
+#include "paced_placement.h"
+
 #include <algorithm>
 #include <cmath>
 #include <xxhash.h>
@@ -33,9 +35,8 @@
 // as paced.
 constexpr TimeMs kPacedMs = 30000;
 
-// Streams after which a model's decode step is known well enough to compare
-// runners by it.
-constexpr double kMinStepWeight = 5;
+// Weight of one statement in the mean slowdown of a service's runners.
+constexpr double kMeanSlowdownWeight = 0.02;
 
 // Cost of a request to another availability zone in milliseconds of waiting:
 // per KiB of its body, and a fixed part.
@@ -128,9 +129,9 @@
 void
 ExpireCachedParts(RunnerState& aRunner, TimeMs aNowMs)
 {
-  if (aRunner.mCachedParts.size() > kMaxCachedParts) {
-    std::erase_if(aRunner.mCachedParts, [aNowMs](const auto& aRow) {
-      return aNowMs - aRow.second >= kCacheTtlMs;
+  if (aRunner.mCache.mParts.size() > kMaxCachedParts) {
+    std::erase_if(aRunner.mCache.mParts, [aNowMs](const auto& aRow) {
+      return aNowMs - aRow.second.mUsedMs >= kCacheTtlMs;
     });
   }
 }
@@ -143,24 +144,16 @@
            : PrefixCacheKey(aRequest.mModel, aRequest.mSharedParts.back().mId);
 }
 
-// Expected milliseconds per output token at a runner, or 0 for a service that
-// is not paced.
+// The cost of sending the request to the runner's zone, in milliseconds of
+// waiting.
 double
-PacedTokenMs(const RunnerSet& aSet,
-             const PlacementRequest& aRequest,
-             const Placement& aPlacement,
-             TimeMs aNowMs)
+CrossZoneCostMs(const Registration& aRegistration,
+                const PlacementRequest& aRequest)
 {
-  if (aRequest.mModel.empty() || !IsPaced(aSet, aRequest.mService, aNowMs)) {
-    return 0;
-  }
-  auto found = aSet.mStepSpeeds.find({ aRequest.mService, aRequest.mModel });
-  double batch = aPlacement.mRunning + aPlacement.mWaiting + 1;
-  return EstimateTokenMs(found == aSet.mStepSpeeds.end() ? StepSpeed{}
-                                                         : found->second,
-                         batch,
-                         aRequest.mMsPerToken) *
-         SpeedFactor(aSet.mRunners.at(aPlacement.mRunner).mSpeed, aNowMs);
+  return aRegistration.mZone == aRequest.mZone
+           ? 0
+           : kCrossZoneMs + kCrossZoneMsPerKiB *
+                              static_cast<double>(aRequest.mBodyBytes) / 1024;
 }
 
 } // namespace
@@ -334,6 +327,11 @@
 {
   aRunner.mSlowdown = aSlowdown;
   aRunner.mSlowdownMs = aNowMs;
+  double& mean =
+    aSet.mMeanSlowdowns.try_emplace(aRunner.mRegistration.mService, 1)
+      .first->second;
+  mean += kMeanSlowdownWeight * (aSlowdown - mean);
+  aRunner.mMeanSlowdown = mean;
   aSet.mPacedUntilMs[aRunner.mRegistration.mService] = aNowMs + kPacedMs;
 }
 
@@ -344,40 +342,10 @@
   return found != aSet.mPacedUntilMs.end() && aNowMs < found->second;
 }
 
-double
-WorkFactor(const RunnerState& aRunner, TimeMs aNowMs)
-{
-  return SpeedFactor(aRunner.mSpeed, aNowMs) *
-         EstimateSlowdown(aRunner.mSlowdown, aNowMs - aRunner.mSlowdownMs);
-}
-
-void
-OnStreamPaced(RunnerSet& aSet,
-              RunnerState& aRunner,
-              const std::string& aModel,
-              double aMsPerToken,
-              double aBatch,
-              TimeMs aNowMs)
-{
-  if (aNowMs < aRunner.mColdUntilMs || !(aMsPerToken > 0)) {
-    return;
-  }
-  StepSpeed& step =
-    aSet.mStepSpeeds[{ aRunner.mRegistration.mService, aModel }];
-  // A stream lasts for several slow spells, whose mean the step contains. The
-  // first streams only teach the step.
-  if (step.mWeight >= kMinStepWeight) {
-    LearnSpeed(aRunner.mSpeed,
-               { EstimateTokenMs(step, aBatch, 0), aMsPerToken },
-               aNowMs);
-  }
-  LearnStep(step, aBatch, aMsPerToken / SpeedFactor(aRunner.mSpeed, aNowMs));
-}
-
 void
 OnRestart(RunnerState& aRunner, TimeMs aColdStartMs, TimeMs aNowMs)
 {
-  aRunner.mCachedParts.clear();
+  aRunner.mCache = {};
   if (aNowMs >= aRunner.mColdUntilMs) {
     aRunner.mColdSinceMs = aNowMs;
   }
@@ -441,6 +409,24 @@
     }
   }
 
+  if (IsPaced(aSet, aRequest.mService, aNowMs)) {
+    std::vector<PacedRunner> runners;
+    for (std::size_t index = 0; index < eligible.size(); ++index) {
+      const RunnerState& runner = *eligible[index];
+      Affinity affinity = Affinity::Other;
+      if (ranks[index] == first) {
+        affinity = Affinity::First;
+      } else if (ranks[index] == second) {
+        affinity = Affinity::Second;
+      }
+      runners.push_back({ &runner,
+                          affinity,
+                          kFailureCostMs * ErrorRate(runner, aNowMs) +
+                            CrossZoneCostMs(runner.mRegistration, aRequest) });
+    }
+    return PlacePaced(aSet, service, aRequest, runners, aNowMs);
+  }
+
   Placement best;
   double bestScore = 0;
   for (std::size_t index = 0; index < eligible.size(); ++index) {
@@ -455,9 +441,9 @@
     double uncachedShared = 0;
     for (const PromptPart& part : aRequest.mSharedParts) {
       auto cached =
-        runner->mCachedParts.find(PrefixCacheKey(aRequest.mModel, part.mId));
-      bool isCached = cached != runner->mCachedParts.end() &&
-                      aNowMs - cached->second < kCacheTtlMs;
+        runner->mCache.mParts.find(PrefixCacheKey(aRequest.mModel, part.mId));
+      bool isCached = cached != runner->mCache.mParts.end() &&
+                      aNowMs - cached->second.mUsedMs < kCacheTtlMs;
       uncachedShared += isCached ? 0 : static_cast<double>(part.mTokens);
     }
     double uncached =
@@ -476,10 +462,7 @@
       (aRequest.mFixedMs + prefillMs + queueMs) * runner->mLatencyRatio;
     double score = expected + kFailureCostMs * ErrorRate(*runner, aNowMs);
     score += kRecomputeMsPerToken * uncachedWeight * uncachedShared;
-    if (registration.mZone != aRequest.mZone) {
-      score += kCrossZoneMs + kCrossZoneMsPerKiB *
-                                static_cast<double>(aRequest.mBodyBytes) / 1024;
-    }
+    score += CrossZoneCostMs(registration, aRequest);
     if (aNowMs < runner->mColdUntilMs) {
       score *= 2;
     }
@@ -490,11 +473,8 @@
                prefillMs,
                queueMs,
                static_cast<std::int64_t>(uncached) };
-      best.mRunning = running;
-      best.mWaiting = waiting;
     }
   }
-  best.mTokenMs = PacedTokenMs(aSet, aRequest, best, aNowMs);
   return best;
 }
 
@@ -528,13 +508,18 @@
   ExpirePeerPrefills(aRunner.mPrefillQueue, aNowMs);
   AddPrefill(aRunner.mPrefillQueue, { aNowMs, aPrefillMs, aLocalId });
   aRunner.mUnreportedPrefillMs += aPrefillMs;
+  aRunner.mCache.mReadMs += aPrefillMs;
+  if (aRequest.mMsPerToken > 0) {
+    aRunner.mReadMs += aPrefillMs;
+    aRunner.mReadTokens += aPrefillMs / aRequest.mMsPerToken;
+  }
   if (aNowMs < aRunner.mColdUntilMs) {
     aRunner.mLastColdSendMs = aNowMs;
   }
   ExpireCachedParts(aRunner, aNowMs);
   for (const PromptPart& part : aRequest.mSharedParts) {
     std::uint64_t key = PrefixCacheKey(aRequest.mModel, part.mId);
-    aRunner.mCachedParts[key] = aNowMs;
+    TouchPart(aRunner.mCache, key, aNowMs);
     if (part.mTokens >= kMinReportedTokens &&
         aRunner.mUnreportedParts.size() < kMaxUnreportedParts) {
       aRunner.mUnreportedParts.push_back(key);
@@ -550,9 +535,10 @@
 {
   ExpireCachedParts(aRunner, aNowMs);
   for (std::uint64_t key : aParts) {
-    aRunner.mCachedParts[key] = aNowMs;
+    TouchPart(aRunner.mCache, key, aNowMs);
   }
   if (aPrefillMs > 0) {
+    aRunner.mCache.mReadMs += aPrefillMs;
     ExpirePeerPrefills(aRunner.mPrefillQueue, aNowMs);
     AddPrefill(aRunner.mPrefillQueue, { aNowMs, aPrefillMs, 0 });
   }
--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -429,6 +429,7 @@
   link->Send(MakeRunnerHead(mRequest.mHead, details), mRequest.mBody);
   StartAnswerTimer();
   StartVerdictTimer();
+  CountPrefixDecision();
   LogEvent(Event::RequestPlaced,
            { { "id", mMetadata.mId },
              { "attempt", std::to_string(mAttemptCount) },
@@ -440,6 +441,7 @@
              { "expected_ms",
                std::to_string(static_cast<int>(aPlacement.mExpectedMs)) },
              { "uncached", std::to_string(aPlacement.mUncachedTokens) },
+             { "prefix", DescribePrefix(aPlacement) },
              { "left_ms", std::to_string(RemainingMs()) } });
 }
 
--- a/router/gateway/exchange.h
+++ b/router/gateway/exchange.h
@@ -198,6 +198,8 @@
   void OnCallerClosed();
   bool EscalateModel();
   void UpdateEstimates();
+  void LearnTokenSpeed();
+  void CountPrefixDecision();
   void StartVerdictTimer();
   void OnVerdictTimer();
   void CountDelay(bool aIsDelayed);
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -364,6 +364,7 @@
       OnRunnerOutcome(RunnerOutcome::Success);
     }
     UpdatePace(FindOrAddPace(), mAttempt->mProgress);
+    LearnTokenSpeed();
     mCaller->Finish();
     End(ExchangeEnd::Served, status, "");
     return;
--- a/router/gateway/exchange_evidence.cpp
+++ b/router/gateway/exchange_evidence.cpp
@@ -16,6 +16,9 @@
 constexpr double kPoolWaitWeight = 0.1;
 constexpr double kMaxLatencyRatio = 4;
 
+// Events of a stream from which on their pace tells the runner's speed.
+constexpr int kMinPacedEvents = 5;
+
 // The longest time for which a runner is taken for cold at its word.
 constexpr TimeMs kMaxColdMs = 24LL * 3600 * 1000;
 
@@ -91,7 +94,8 @@
 }
 
 // Updates the estimates of prefill speed, pool wait and the runner's latency
-// ratio from the time to an answer's head, and removes the prompt from the
+// ratio, or its speed if the service is paced, from the time to an answer's
+// head, and removes the prompt from the
 // runner's prefill queue.
 void
 Exchange::UpdateEstimates()
@@ -103,23 +107,34 @@
   const std::string& model = mAttempt->mPlacementRequest.mModel;
   double unqueuedMs =
     mAttempt->mPlacement.mPrefillMs + FindOrAddPrefillSpeed(model).mFixedMs;
+  auto found = state.mRunners.mRunners.find(mAttempt->mRunner);
+  bool isPaced = IsPaced(state.mRunners, mService, now);
+  bool isTelling = true;
+  if (isPaced && found != state.mRunners.mRunners.end()) {
+    isTelling = OnFirstEvent(found->second,
+                             mAttempt->mPlacementRequest,
+                             mAttempt->mPlacement,
+                             observedMs,
+                             now);
+  }
   // The target of a roll-out is compared with the baseline, whose speed must
   // not follow it.
-  if (!IsAtTarget()) {
+  if (isTelling && !IsAtTarget()) {
     UpdatePrefillSpeed(FindOrAddPrefillSpeed(model), expectedMs, observedMs);
   }
   double& poolWaitMs = state.mPoolWaits[mService].mMeanMs;
   poolWaitMs +=
     kPoolWaitWeight * (std::max(0.0, observedMs - unqueuedMs) - poolWaitMs);
-  auto found = state.mRunners.mRunners.find(mAttempt->mRunner);
   if (found != state.mRunners.mRunners.end()) {
     RunnerState& runner = found->second;
     double ratio = expectedMs > 0 ? observedMs / expectedMs : 1;
-    runner.mLatencyRatio =
-      std::clamp(runner.mLatencyRatio +
-                   kLatencyRatioWeight * (ratio - runner.mLatencyRatio),
-                 1 / kMaxLatencyRatio,
-                 kMaxLatencyRatio);
+    if (!isPaced) {
+      runner.mLatencyRatio =
+        std::clamp(runner.mLatencyRatio +
+                     kLatencyRatioWeight * (ratio - runner.mLatencyRatio),
+                   1 / kMaxLatencyRatio,
+                   kMaxLatencyRatio);
+    }
     OnPrefillDone(runner.mPrefillQueue, mAttempt->mPrefillId, now);
   }
   CountDelay(observedMs >
@@ -130,6 +145,43 @@
                     : AnswerResult::Slow);
 }
 
+// Learns how fast the runner of a paced service writes from a stream that ended
+// normally.
+void
+Exchange::LearnTokenSpeed()
+{
+  RunnerSet& set = mShared.mState.mRunners;
+  const StreamProgress& progress = mAttempt->mProgress;
+  auto found = set.mRunners.find(mAttempt->mRunner);
+  if (found == set.mRunners.end() || progress.mEvents < kMinPacedEvents ||
+      !IsPaced(set, mService, Now()) ||
+      ToProcess(found->second.mRegistration) != mAttempt->mProcess) {
+    return;
+  }
+  const ServiceInfo* service = FindService(*mTable, mService);
+  double tokens = static_cast<double>(progress.mEvents - 1) *
+                  (service ? service->mTokensPerEvent : 1);
+  OnStreamPaced(
+    set,
+    found->second,
+    mAttempt->mPlacementRequest.mModel,
+    static_cast<double>(progress.mLastEventMs - progress.mFirstEventMs) /
+      tokens,
+    mAttempt->mPlacement.mRunning,
+    Now());
+}
+
+void
+Exchange::CountPrefixDecision()
+{
+  const Placement& placement = mAttempt->mPlacement;
+  if (placement.mPrefixOption != PrefixOption::NoPrefix) {
+    mShared.mMetrics.CountPrefixDecision(
+      std::string(ToName(kPrefixOptionNames, placement.mPrefixOption)),
+      std::string(ToName(kPrefixReasonNames, placement.mPrefixReason)));
+  }
+}
+
 VersionShift*
 Exchange::FindActiveShift() const
 {
--- a/router/gateway/gateway_metrics.h
+++ b/router/gateway/gateway_metrics.h
@@ -21,6 +21,15 @@
                                     "Requests sent to runners, by outcome.",
                                     { { "outcome", aOutcome } }));
   }
+  void CountPrefixDecision(const std::string& aOption,
+                           const std::string& aReason)
+  {
+    mRegistry.Add(mRegistry.Counter(
+      "savory_gateway_prefix_decisions_total",
+      "Requests of paced services with shared prompt parts, by what was "
+      "decided about the parts.",
+      { { "option", aOption }, { "reason", aReason } }));
+  }
   void CountDroppedDatagram()
   {
     mRegistry.Add(
--- a/router/gateway/gateway_state.cpp
+++ b/router/gateway/gateway_state.cpp
@@ -224,6 +224,7 @@
       { "backlog_ms", EstimateQueueMs(runner.mPrefillQueue, aNowMs) },
       { "error_share", ErrorRate(runner, aNowMs) },
       { "slowness", runner.mLatencyRatio },
+      { "speed_factor", SpeedFactor(runner.mSpeed, aNowMs) },
       { "blocked_ms", std::max<TimeMs>(0, runner.mBlockedUntilMs - aNowMs) },
       { "cold_ms", std::max<TimeMs>(0, runner.mColdUntilMs - aNowMs) }
     };
