--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -273,6 +273,9 @@
     std::max<std::int64_t>(0, mMetadata.mPromptTokens - sharedTokens);
   const PrefillSpeed& speed = FindOrAddPrefillSpeed(placementRequest.mModel);
   placementRequest.mMsPerToken = speed.mMsPerToken;
+  if (IsStream() && IsPaced(mShared.mState.mRunners, mService, Now())) {
+    placementRequest.mOutputTokens = EstimateOutputTokens();
+  }
   placementRequest.mFixedMs = speed.mFixedMs;
   std::optional<std::string> pinnedVersion;
   if (!aFallback && !mMetadata.mSession.empty()) {
@@ -437,6 +440,7 @@
   link->Send(MakeRunnerHead(mRequest.mHead, details), mRequest.mBody);
   StartAnswerTimer();
   StartVerdictTimer();
+  CountPrefixDecision();
   LogEvent(Event::RequestPlaced,
            { { "id", mMetadata.mId },
              { "attempt", std::to_string(mAttemptCount) },
@@ -452,7 +456,8 @@
              { "decision", mAttempt->mDecision },
              { "end_ms",
                std::to_string(std::max<TimeMs>(
-                 0, mAttempt->mForecastEndMs - mAttempt->mSentMs)) } });
+                 0, mAttempt->mForecastEndMs - mAttempt->mSentMs)) },
+             { "prefix", DescribePrefix(aPlacement) } });
 }
 
 // Starts the timer after which the attempt counts as unanswered. A request that
--- a/router/gateway/exchange_admission.cpp
+++ b/router/gateway/exchange_admission.cpp
@@ -69,6 +69,9 @@
              : EstimateMsPerToken(found->second, running);
   };
   double msPerToken = estimate(ListedModel(aModel));
+  if (msPerToken > 0 && aPlacement.mTokenMs > 0) {
+    return aPlacement.mTokenMs;
+  }
   const ServiceInfo* service = FindService(*mTable, mService);
   if (msPerToken > 0 || !service) {
     return msPerToken;
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -373,6 +373,7 @@
     }
     UpdatePace(FindOrAddPace(), mAttempt->mProgress);
     OnPacedAnswer();
+    LearnTokenSpeed();
     mCaller->Finish();
     End(ExchangeEnd::Served, status, "");
     return;
