--- a/tests/core/placement_replay.cpp
+++ b/tests/core/placement_replay.cpp
@@ -11,7 +11,7 @@
 #include <random>
 #include <unordered_map>
 
-namespace savory::replay {
+namespace savory::placement_replay {
 
 namespace {
 
@@ -482,4 +482,4 @@
   return Replay(aOptions).Run();
 }
 
-} // namespace savory::replay
+} // namespace savory::placement_replay
--- a/tests/core/placement_replay.h
+++ b/tests/core/placement_replay.h
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace savory::replay {
+namespace savory::placement_replay {
 
 // How hosts treat the runners' statements of their slowdown.
 enum class SampleUse
@@ -59,4 +59,4 @@
 Outcome
 Run(const Options& aOptions);
 
-} // namespace savory::replay
+} // namespace savory::placement_replay
--- a/tests/core/test_prefix_cache.cpp
+++ b/tests/core/test_prefix_cache.cpp
@@ -39,14 +39,15 @@
   return candidates;
 }
 
-replay::Outcome
-RunReplay(const replay::Options& aOptions)
+placement_replay::Outcome
+RunReplay(const placement_replay::Options& aOptions)
 {
-  replay::Outcome outcome = replay::Run(aOptions);
+  placement_replay::Outcome outcome = placement_replay::Run(aOptions);
   BOOST_TEST_MESSAGE(
     "rate " << aOptions.mRate
-            << (aOptions.mSampleUse == replay::SampleUse::NotPaced ? " before"
-                                                                   : " after")
+            << (aOptions.mSampleUse == placement_replay::SampleUse::NotPaced
+                  ? " before"
+                  : " after")
             << ": first event " << outcome.mFirstEventMs << " ms, p95 "
             << outcome.mFirstEventP95Ms << " ms, answer " << outcome.mAnswerMs
             << " ms, read again " << outcome.mReadAgain << ", found "
@@ -54,8 +55,8 @@
   return outcome;
 }
 
-replay::Outcome
-RunReplay(replay::SampleUse aUse, double aRate)
+placement_replay::Outcome
+RunReplay(placement_replay::SampleUse aUse, double aRate)
 {
   return RunReplay({ .mSampleUse = aUse, .mRate = aRate });
 }
@@ -204,8 +205,10 @@
 // services that are not paced is the measure.
 BOOST_AUTO_TEST_CASE(busy_engines_keep_their_prefixes)
 {
-  replay::Outcome before = RunReplay(replay::SampleUse::NotPaced, 450);
-  replay::Outcome after = RunReplay(replay::SampleUse::Weighed, 450);
+  placement_replay::Outcome before =
+    RunReplay(placement_replay::SampleUse::NotPaced, 450);
+  placement_replay::Outcome after =
+    RunReplay(placement_replay::SampleUse::Weighed, 450);
   BOOST_TEST(after.mFirstEventMs < 0.6 * before.mFirstEventMs);
   BOOST_TEST(after.mFirstEventP95Ms < 0.6 * before.mFirstEventP95Ms);
   BOOST_TEST(after.mAnswerMs < 0.7 * before.mAnswerMs);
@@ -216,17 +219,18 @@
 // in place of 157 tokens per ms, and have half of the memory and slots.
 BOOST_AUTO_TEST_CASE(slower_engines_keep_their_prefixes)
 {
-  replay::Options options{ .mSampleUse = replay::SampleUse::NotPaced,
-                           .mHosts = 30,
-                           .mEngines = 55,
-                           .mSlots = 64,
-                           .mMemoryTokens = 546'185,
-                           .mTokensPerMs = 62.4,
-                           .mStepMs = 6.55,
-                           .mRate = 260 };
-  replay::Outcome before = RunReplay(options);
-  options.mSampleUse = replay::SampleUse::Weighed;
-  replay::Outcome after = RunReplay(options);
+  placement_replay::Options options{ .mSampleUse =
+                                       placement_replay::SampleUse::NotPaced,
+                                     .mHosts = 30,
+                                     .mEngines = 55,
+                                     .mSlots = 64,
+                                     .mMemoryTokens = 546'185,
+                                     .mTokensPerMs = 62.4,
+                                     .mStepMs = 6.55,
+                                     .mRate = 260 };
+  placement_replay::Outcome before = RunReplay(options);
+  options.mSampleUse = placement_replay::SampleUse::Weighed;
+  placement_replay::Outcome after = RunReplay(options);
   BOOST_TEST(after.mFirstEventMs < 0.6 * before.mFirstEventMs);
   BOOST_TEST(after.mAnswerMs < 0.7 * before.mAnswerMs);
   BOOST_TEST(after.mReadAgain < 0.4 * before.mReadAgain);
@@ -235,8 +239,10 @@
 // Guards against a gain under load that is paid for at usual load.
 BOOST_AUTO_TEST_CASE(idle_engines_lose_nothing)
 {
-  replay::Outcome before = RunReplay(replay::SampleUse::NotPaced, 250);
-  replay::Outcome after = RunReplay(replay::SampleUse::Weighed, 250);
+  placement_replay::Outcome before =
+    RunReplay(placement_replay::SampleUse::NotPaced, 250);
+  placement_replay::Outcome after =
+    RunReplay(placement_replay::SampleUse::Weighed, 250);
   BOOST_TEST(after.mFirstEventMs < before.mFirstEventMs);
   BOOST_TEST(after.mFirstEventP95Ms < before.mFirstEventP95Ms);
   BOOST_TEST(after.mAnswerMs < before.mAnswerMs);
