--- a/core/include/savory/core/routes.h
+++ b/core/include/savory/core/routes.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -129,6 +130,13 @@
 const ServiceInfo*
 FindService(const RouteTable& aTable, const std::string& aName);
 
+// Services whose streams have unequal latency goals: the longest goal of their
+// routes with a choice of models is a multiple of the shortest. Callers with
+// much time then share engines with callers that have little, and the time to
+// the first event alone is no measure of whom to serve where.
+std::set<std::string>
+ServicesWithUnequalGoals(const RouteTable& aTable);
+
 // Sorts the routes of each host by prefix length, longest first.
 void
 SortRoutes(RouteTable& aTable);
--- a/core/src/routes.cpp
+++ b/core/src/routes.cpp
@@ -4,6 +4,14 @@
 
 namespace savory {
 
+namespace {
+
+// From this factor on between the longest and the shortest goal of a service
+// they count as unequal. Smaller ones come from the prompts' different lengths.
+constexpr TimeMs kUnequalGoalsFactor = 3;
+
+} // namespace
+
 const Route*
 FindRoute(const RouteTable& aTable,
           std::string_view aHost,
@@ -30,6 +38,39 @@
   return found == aTable.mServices.end() ? nullptr : &found->second;
 }
 
+std::set<std::string>
+ServicesWithUnequalGoals(const RouteTable& aTable)
+{
+  struct Goals
+  {
+    TimeMs mShortestMs = 0;
+    TimeMs mLongestMs = 0;
+  };
+  std::map<std::string, Goals> goals;
+  for (const auto& [host, routes] : aTable.mRoutes) {
+    for (const Route& route : routes) {
+      if (route.mKind != RouteKind::Stream || route.mModels.empty() ||
+          route.mLatencyGoalMs <= 0) {
+        continue;
+      }
+      for (const RouteTarget& target : route.mTargets) {
+        Goals& row = goals[target.mService];
+        row.mShortestMs = row.mShortestMs == 0
+                            ? route.mLatencyGoalMs
+                            : std::min(row.mShortestMs, route.mLatencyGoalMs);
+        row.mLongestMs = std::max(row.mLongestMs, route.mLatencyGoalMs);
+      }
+    }
+  }
+  std::set<std::string> services;
+  for (const auto& [service, row] : goals) {
+    if (row.mLongestMs >= kUnequalGoalsFactor * row.mShortestMs) {
+      services.insert(service);
+    }
+  }
+  return services;
+}
+
 void
 SortRoutes(RouteTable& aTable)
 {
--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -285,6 +285,9 @@
     std::max<std::int64_t>(0, mMetadata.mPromptTokens - sharedTokens);
   const PrefillSpeed& speed = FindOrAddPrefillSpeed(placementRequest.mModel);
   placementRequest.mMsPerToken = speed.mMsPerToken;
+  if (IsStream() && IsPaced(mShared.mState.mRunners, mService, Now())) {
+    placementRequest.mOutputTokens = EstimateOutputTokens();
+  }
   placementRequest.mFixedMs = speed.mFixedMs;
   std::optional<std::string> pinnedVersion;
   if (!aFallback && !mMetadata.mSession.empty()) {
@@ -354,6 +357,9 @@
     WaitForRunner(placement.error(), placementRequest);
     return;
   }
+  if (IsPacedService() && !AdmitToPool(placementRequest, *placement)) {
+    return;
+  }
   Send(std::move(placementRequest), *placement);
 }
 
@@ -405,6 +411,9 @@
     mShared.mOnLongPrefill();
   }
   mAttempt->mPlacementRequest = std::move(aPlacementRequest);
+  if (IsPacedService()) {
+    OnPacedSent();
+  }
   mTriedRunners.insert(aPlacement.mRunner);
   ++mAttemptCount;
 
@@ -414,7 +423,9 @@
   details.mModel = mModel;
   details.mCustomer = mCustomer ? mCustomer->mName : "";
   if (IsStream()) {
-    details.mPriority = PrefillPriority(aPlacement.mPrefillMs);
+    details.mPriority = IsPacedService()
+                          ? PacedPriority(aPlacement)
+                          : PrefillPriority(aPlacement.mPrefillMs);
     details.mLastEventId = mLastEventId;
     mAttempt->mIsResumed = mAnswerStarted && mLastEventId.has_value();
   }
@@ -443,6 +454,7 @@
              shared_from_this());
   StartAnswerTimer();
   StartVerdictTimer();
+  CountPrefixDecision();
   LogEvent(Event::RequestPlaced,
            { { "id", mMetadata.mId },
              { "attempt", std::to_string(mAttemptCount) },
@@ -454,7 +466,12 @@
              { "expected_ms",
                std::to_string(static_cast<int>(aPlacement.mExpectedMs)) },
              { "uncached", std::to_string(aPlacement.mUncachedTokens) },
-             { "left_ms", std::to_string(RemainingMs()) } });
+             { "left_ms", std::to_string(RemainingMs()) },
+             { "decision", mAttempt->mDecision },
+             { "end_ms",
+               std::to_string(std::max<TimeMs>(
+                 0, mAttempt->mForecastEndMs - mAttempt->mSentMs)) },
+             { "prefix", DescribePrefix(aPlacement) } });
 }
 
 // Starts the timer after which the attempt counts as unanswered. A request that
--- a/router/gateway/exchange_answer.cpp
+++ b/router/gateway/exchange_answer.cpp
@@ -26,6 +26,10 @@
 // be answered in time.
 constexpr TimeMs kMinRemainingMs = 40;
 
+// How often an attempt that is overdue at a runner of a paced service is looked
+// at again.
+constexpr TimeMs kOverdueCheckMs = 400;
+
 // Maximum number of sends of one request, including those that runners refused.
 constexpr std::size_t kMaxSends = 8;
 
@@ -144,6 +148,9 @@
       !mAttempt->mMetadata.mConfidence) {
     return false;
   }
+  if (IsPacedService()) {
+    return EscalatePaced();
+  }
   const std::string largest = mRoute->mModels.back();
   std::set<std::string> tried = std::exchange(mTriedRunners, {});
   PlacementRequest placementRequest;
@@ -281,6 +288,7 @@
     mCaller->Write(bytes);
   }
   if (progress > 0) {
+    OnPacedEvents();
     OnEvents(mAttempt->mProgress, progress, Now());
     if (mAttempt->mProgress.mEvents >= kAnsweredEvents) {
       OnRunnerAnswered();
@@ -384,6 +392,8 @@
       OnRunnerOutcome(RunnerOutcome::Success);
     }
     UpdatePace(FindOrAddPace(), mAttempt->mProgress);
+    OnPacedAnswer();
+    LearnTokenSpeed();
     mCaller->Finish();
     End(ExchangeEnd::Served, status, "");
     return;
@@ -443,7 +453,15 @@
 Exchange::OnAnswerTimeout()
 {
   auto self = shared_from_this();
-  if (!mAttempt || RemainingMs() < kMinRemainingMs || !TryAcquireAttempt()) {
+  if (!mAttempt || RemainingMs() < kMinRemainingMs) {
+    return;
+  }
+  if (IsPacedService() && !ShouldMove()) {
+    mAnswerTimer = Timer::After(
+      mShared.mLoop, kOverdueCheckMs, [this] { OnAnswerTimeout(); });
+    return;
+  }
+  if (!TryAcquireAttempt()) {
     return;
   }
   mMayHaveRun = true;
@@ -486,6 +504,7 @@
   }
   auto attempt = std::move(mAttempt);
   mShared.SetBufferedBytes(mShared.mBufferedBytes - attempt->mBody.size());
+  OnPacedEnd(*attempt);
   auto& runners = mShared.mState.mRunners.mRunners;
   auto found = runners.find(attempt->mRunner);
   if (found != runners.end()) {
@@ -586,6 +605,13 @@
   std::uniform_int_distribution<TimeMs> spread(0, kRetryAfterSpreadMs);
   TimeMs earliestMs =
     mEarliestReturnMs ? *mEarliestReturnMs - Now() : TimeMs{ 0 };
+  if (mDeadlineMs > 0 && IsPacedService()) {
+    std::uniform_real_distribution<double> point(0, 1);
+    return SpreadRetryMs(
+      static_cast<double>(std::max(kRetryAfterMs, earliestMs)),
+      RemainingMs(),
+      point(mShared.mState.mRandom));
+  }
   return std::max(kRetryAfterMs, earliestMs) + spread(mShared.mState.mRandom);
 }
 
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -215,7 +215,9 @@
 void
 Gateway::OnTableChanged()
 {
-  const CallerLimits& limits = mShared.mState.mTable->mLimits;
+  GatewayState& state = mShared.mState;
+  state.mRunners.mUnequalGoals = ServicesWithUnequalGoals(*state.mTable);
+  const CallerLimits& limits = state.mTable->mLimits;
   mCallerFrontend.SetLimits({ limits.mMaxHeaderBytes,
                               limits.mMaxBodyBytes,
                               limits.mHeaderTimeoutMs,
--- a/router/gateway/gateway_state.h
+++ b/router/gateway/gateway_state.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "savory/core/crash_suspects.h"
+#include "savory/core/fair_share.h"
 #include "savory/core/model_choice.h"
+#include "savory/core/pool_admission.h"
 #include "savory/core/retry_budget.h"
 #include "savory/core/routes.h"
 #include "savory/core/runners.h"
@@ -24,6 +26,25 @@
   double mMeanMs = 0;
 };
 
+// What this host has learned of the load and of the answers of a paced service.
+struct PoolKnowledge
+{
+  // As last counted, and when.
+  PoolState mState;
+  std::optional<TimeMs> mCountedMs;
+  DampedLoad mLoad;
+  // By the rank of the request's priority, as those that are served first wait
+  // less than placement expects and the others more, and by model.
+  std::map<std::pair<int, std::string>, LogSpread> mFirstEventErrors;
+  // Moving average of the engine time of the requests sent, in
+  // runner-milliseconds.
+  double mMeanWorkMs = 0;
+  CustomerShares mShares;
+  // The priorities of the service's requests in the table of that version.
+  std::vector<int> mPriorities;
+  std::int64_t mPrioritiesVersion = -1;
+};
+
 // An entry host's view of the fleet platform: the store's contents, and what
 // the host measured on its own requests or received from its peers.
 struct GatewayState
@@ -42,6 +63,10 @@
   std::map<std::string, PoolWait> mPoolWaits;
   // Keyed by route and model.
   std::map<std::pair<std::string, std::string>, StreamPace> mStreamPaces;
+  // For paced services: by service, by service and model, and by route.
+  std::map<std::string, PoolKnowledge> mPools;
+  std::map<std::pair<std::string, std::string>, TokenPace> mTokenPaces;
+  std::map<std::string, AnswerLengths> mAnswerLengths;
   std::mt19937_64 mRandom;
 };
 
--- a/tests/core/test_routes.cpp
+++ b/tests/core/test_routes.cpp
@@ -54,6 +54,31 @@
   }
 }
 
+// Guards against whole answers that are predicted where no operator asked for
+// it: goals of other services, of calls or of routes without a choice of models
+// do not count.
+BOOST_AUTO_TEST_CASE(unequal_goals_are_those_of_one_services_streams)
+{
+  RouteTable table;
+  auto add = [&table](const std::string& aService, TimeMs aGoalMs) -> Route& {
+    Route route = MakeRoute("r", "/");
+    route.mKind = RouteKind::Stream;
+    route.mModels = { "small", "large" };
+    route.mLatencyGoalMs = aGoalMs;
+    route.mTargets = { { aService, 1 } };
+    return table.mRoutes["a.example"].emplace_back(route);
+  };
+  add("unequal", 2000);
+  add("unequal", 6000);
+  add("equal", 1500);
+  add("equal", 4499);
+  add("equal", 0);
+  add("equal", 60000).mModels.clear();
+  add("equal", 60000).mKind = RouteKind::Safe;
+  BOOST_TEST(ServicesWithUnequalGoals(table) ==
+             std::set<std::string>{ "unequal" });
+}
+
 // Guards against a traffic split that omits a target or exceeds its weight.
 BOOST_AUTO_TEST_CASE(targets_are_chosen_by_weight)
 {
--- a/tests/core/test_runners.cpp
+++ b/tests/core/test_runners.cpp
@@ -1,5 +1,5 @@
+#include "runner_fixture.h"
 #include "savory/core/beacon.h"
-#include "savory/core/runners.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -15,51 +15,6 @@
 
 namespace {
 
-Registration
-MakeRegistration(const std::string& aId,
-                 const std::string& aZone = "z1",
-                 const std::string& aService = "llm")
-{
-  Registration registration;
-  registration.mId = aId;
-  registration.mService = aService;
-  registration.mAddress = "10.0.0.1:80";
-  registration.mZone = aZone;
-  registration.mVersion = "v1";
-  registration.mSlots = 8;
-  registration.mStartedWallMs = 1000;
-  return registration;
-}
-
-struct RunnerFixture
-{
-  RunnerSet mSet;
-  RouteTable mTable;
-  std::int64_t mRevision = 0;
-
-  RunnerFixture()
-  {
-    ServiceInfo service;
-    service.mName = "llm";
-    service.mColdPerSecond = 5;
-    service.mColdStartMs = 3000;
-    mTable.mServices["llm"] = service;
-  }
-
-  RunnerState& Add(const Registration& aRegistration, TimeMs aNowMs = 0)
-  {
-    ApplyRegistration(mSet, aRegistration, { 0, ++mRevision }, aNowMs);
-    return mSet.mRunners.at(aRegistration.mId);
-  }
-
-  tl::expected<Placement, PlacementFailure> Place(PlacementRequest aRequest,
-                                                  TimeMs aNowMs = 0)
-  {
-    aRequest.mService = "llm";
-    return PlaceRequest(mSet, mTable, aRequest, aNowMs);
-  }
-};
-
 // Each host sends its prefill reports to all others.
 void
 ExchangeReports(std::vector<RunnerFixture>& aHosts, TimeMs aNowMs)
@@ -82,19 +37,6 @@
   }
 }
 
-PlacementRequest
-MakeRequest(std::uint64_t aPart, std::int64_t aShared = 10000)
-{
-  PlacementRequest request;
-  request.mModel = "m";
-  request.mSharedParts = { { aPart, aShared } };
-  request.mUnsharedTokens = 100;
-  request.mMsPerToken = 0.05;
-  request.mFixedMs = 20;
-  request.mZone = "z1";
-  return request;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(runners)
@@ -237,7 +179,7 @@
   restarted.mStartedWallMs = 2000;
   fixture.Add(restarted);
   BOOST_TEST(runner.mBlockedUntilMs == 0);
-  BOOST_TEST(runner.mCachedParts.empty());
+  BOOST_TEST(runner.mCache.mParts.empty());
   BOOST_TEST(
     !ApplyRegistration(fixture.mSet, MakeRegistration("a"), { 0, 1 }, 10));
   BOOST_TEST(runner.mRegistration.mStartedWallMs == 2000);
