--- a/core/include/savory/core/true_time.h
+++ b/core/include/savory/core/true_time.h
@@ -38,7 +38,8 @@
 TimeMs
 TrueTimeAt(const TrueTime& aTime, TimeMs aOwnWallMs, TimeMs aBootMs);
 
-// Updates the estimate, which takes time for each peer, and returns the wall-clock time by it.
+// Updates the estimate, which takes time for each peer, and returns the
+// wall-clock time by it.
 TimeMs
 UpdateTrueTime(TrueTime& aTime, TimeMs aOwnWallMs, TimeMs aBootMs);
 
