Keep the platform's names of duties in its adapter

The wiring of duties named them itself; they are declared beside the client of the cloud interface now.

--- a/router/gateway/duties.cpp
+++ b/router/gateway/duties.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-constexpr std::string_view kUsageDuty = "usage_report";
-
-// The platform's other duty, which this release does not perform.
-constexpr std::string_view kScalingDuty = "autoscale";
-
 constexpr TimeMs kTickIntervalMs = 100;
 
 // Windows that are sealed by one transaction; more only wait after an outage of
