Show a roll-out that completes without a runner

Cause: the stages of a roll-out end by time, whether or not a runner of the new version is left or has answered anything. Change: case 8 of the second review; the scripts end their processes when they are ended by SIGTERM.

--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -183,6 +183,11 @@
 def play(folder, case):
     """Runs case(record), which returns HELD or BROKEN, and exits."""
     record = Record(folder)
+
+    def stop(number, _):
+        raise CannotRun("ended by signal %d" % number)
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         outcome = case(record)
     except CannotRun as reason:
