--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -41,11 +41,10 @@
 
 
 class Record:
-    """Writes record.txt; one line for each thing that was sent, answered or run."""
+    """A record of what was sent, answered and run, a line each."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w",
-                         encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.start = time.monotonic()
         self.lock = threading.Lock()
         self.write("TROUBLE=%d" % HAS_TROUBLE)
@@ -180,9 +179,9 @@
             gateway.kill()
 
 
-def play(folder, case):
+def play(record_path, case):
     """Runs case(record), which returns HELD or BROKEN, and exits."""
-    record = Record(folder)
+    record = Record(record_path)
 
     def stop(number, _):
         raise CannotRun("ended by signal %d" % number)
