Ignore a list that is older than the copy of the store

Callers' requests could go to a runner that had left: a host that reads the whole list, in pages, meanwhile merges what its peers pass on, so that the list may be older than its copy. ApplyList kept the copy's revision and yet added the keys of the list that the copy had just deleted. Nothing deleted them again, as the watch goes on after their deletion.

Class: old state applied over newer state. A copy of the same epoch that is ahead is complete up to its revision, so that an older list has nothing to add. The change ignores it; what the list's later pages have beyond the copy arrives by the watch.

--- a/core/include/savory/core/store_copy.h
+++ b/core/include/savory/core/store_copy.h
@@ -101,12 +101,12 @@
 
 // Applies a whole list and returns what it changed, which other hosts need: the
 // list is too large to send to each. Keys that the list lacks have been
-// deleted, unless they were written after it. A list of an older epoch changes
-// nothing. One of a newer epoch replaces the copy: the result then has the
-// entries of the new epoch that are put in force, which are no changes to any
-// other copy. What the list lacks, and what it has in a state that is known to
-// have been replaced before, is held as it was; it is decided by values, as
-// revisions of two epochs can't be compared.
+// deleted, unless they were written after it. A list that is older than the
+// copy changes nothing. One of a newer epoch replaces the copy: the result then
+// has the entries of the new epoch that are put in force, which are no changes
+// to any other copy. What the list lacks, and what it has in a state that is
+// known to have been replaced before, is held as it was; it is decided by
+// values, as revisions of two epochs can't be compared.
 StoreChanges
 ApplyList(StoreCopy& aCopy,
           const StoreEntries& aList,
--- a/core/src/store_copy.cpp
+++ b/core/src/store_copy.cpp
@@ -243,9 +243,13 @@
                          aList.mEpoch };
     return changes;
   }
-  std::int64_t revision = std::max(aCopy.mRevision, aList.mRevision);
+  if (aList.mRevision < aCopy.mRevision) {
+    // The copy no longer knows which keys of the list were deleted since.
+    return changes;
+  }
+  std::int64_t revision = aList.mRevision;
   std::vector<StoreEntry> entries = aList.mEntries;
-  AddDeletions(aCopy, 0, aList.mRevision, revision, entries);
+  AddDeletions(aCopy, 0, revision, revision, entries);
   SetEpoch(entries, aCopy.mEpoch);
   std::erase_if(entries, [&aCopy](const StoreEntry& aEntry) {
     return !ApplyEntry(aCopy, aEntry);
--- a/tests/core/test_store_copy.cpp
+++ b/tests/core/test_store_copy.cpp
@@ -105,6 +105,25 @@
   BOOST_TEST((KeysOf(peer) == KeysOf(copy)));
 }
 
+// Guards against a key that is back at a host after its deletion: the host
+// reads the whole list while its peers pass on what happens meanwhile.
+BOOST_AUTO_TEST_CASE(list_older_than_the_copy_brings_back_no_deleted_key)
+{
+  SimStore store;
+  StoreCopy copy;
+  store.Write("a", false);
+  store.Write("b", false);
+  ApplyList(copy, store.List());
+  std::int64_t known = copy.mRevision;
+  StoreEntries list = store.List();
+  store.Write("b", true);
+  ApplyChanges(copy, *store.ChangesAfter(known));
+  StoreChanges changes = ApplyList(copy, list);
+  BOOST_TEST(changes.mEntries.mEntries.empty());
+  BOOST_TEST((KeysOf(copy) == Keys{ { "a", 2 } }));
+  BOOST_TEST(copy.mRevision == store.mRevision);
+}
+
 // Load: 103 hosts in five zones, ten changes a second. Guards against a
 // configuration that is not in force within its bound at a host in touch, or
 // that goes back, and against copies that differ from the store in calm, while
--- a/tests/platform/test_fleet_watcher.cpp
+++ b/tests/platform/test_fleet_watcher.cpp
@@ -150,4 +150,20 @@
   BOOST_TEST(mApplied == expected, boost::test_tools::per_element());
 }
 
+// Guards against a runner that is used again after it has left, as the page
+// that still has it is applied after a peer's word of its deletion.
+BOOST_AUTO_TEST_CASE(deletion_heard_between_two_pages_holds)
+{
+  mWatcher.Start();
+  Answer(kList, 0, MakePage(9, "servers/a", true));
+  BOOST_REQUIRE(RunUntil([&] { return !mCalls.empty(); }));
+  StoreEntries peerCopy{ 10, { { "servers/b", "1", 2 } } };
+  mWatcher.MergePeerEntries(peerCopy);
+  Answer(kSecondPage, 0, MakePage(10, "servers/b"));
+  Answer(kWatch + "10", 0, R"({"at":10,"events":[]})");
+  BOOST_TEST(!mWatcher.Copy().mEntries.contains("servers/a"));
+  std::vector<std::string> expected{ "servers/b" };
+  BOOST_TEST(mApplied == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
