Ask the store oneself once the own copy is too old

Callers of hosts without any fault could be served by a configuration that was no longer in force, and requests could go to servers that had left: a host of a zone relies on its watchers for 2 s after their last answer, takes over up to 0.6 s later, and begins to wait anew with each watcher that took over and is lost in turn.

Class: time limits that each hold and add up beyond the bound. What has to be bounded is the age of the host's own copy, not the silence of each watcher: a copy is whole as of the last answer of the store to a host that knows nothing newer. A host whose copy is older than 0.6 of the bound asks the store at once, whoever watches. So that this does not happen in calm, the long polls of watchers are shares of the bound as well (3 s: 750 ms and 450 ms; 4 s: 1,000 ms and 600 ms as before).

--- a/core/include/savory/core/peer_table.h
+++ b/core/include/savory/core/peer_table.h
@@ -108,6 +108,15 @@
                  const StoreRevision& aStoreRevision,
                  TimeMs aNowMs);
 
+// The latest time as of which a copy at aPosition was whole: a live peer, heard
+// since aSinceMs, that knows nothing newer had an answer from the store then.
+// Empty if no peer tells.
+std::optional<TimeMs>
+WholeAsOfMs(const PeerTable& aPeers,
+            const StoreRevision& aPosition,
+            TimeMs aSinceMs,
+            TimeMs aNowMs);
+
 // The newest epoch of the store that live peers have.
 std::int64_t
 NewestEpoch(const PeerTable& aPeers, TimeMs aNowMs);
--- a/core/include/savory/core/watch_duty.h
+++ b/core/include/savory/core/watch_duty.h
@@ -63,6 +63,23 @@
 int
 WatcherCount(const WatchDutyOptions& aOptions);
 
+// The long polls of a host that others follow: the time that the store waits
+// for a change, and the pause between two.
+struct WatchPeriod
+{
+  TimeMs mWaitMs = 0;
+  TimeMs mPauseMs = 0;
+};
+
+WatchPeriod
+FollowedWatchPeriod(TimeMs aChangeBoundMs);
+
+// A host whose copy of the store is older than this asks the store itself,
+// whoever watches for it: each watcher that is relied upon and then lost would
+// otherwise add to the time that a change takes.
+TimeMs
+MaxCopyAgeMs(const WatchDutyOptions& aOptions);
+
 // Whether a peer is in contact with the store, so that a host may rely on it.
 bool
 IsInContact(const ZonePeer& aPeer,
@@ -70,12 +87,14 @@
             TimeMs aNowMs);
 
 // Updates the duty from the peers of the zone. aMayWatch is false while the
-// store turns this host away.
+// store turns this host away. aCopyAgeMs is the time since which this host may
+// have missed a change.
 void
 UpdateWatchDuty(WatchDuty& aDuty,
                 const WatchDutyOptions& aOptions,
                 const std::vector<ZonePeer>& aPeers,
                 bool aMayWatch,
+                TimeMs aCopyAgeMs,
                 TimeMs aNowMs);
 
 } // namespace savory
--- a/core/src/peer_table.cpp
+++ b/core/src/peer_table.cpp
@@ -158,6 +158,22 @@
   return source;
 }
 
+std::optional<TimeMs>
+WholeAsOfMs(const PeerTable& aPeers,
+            const StoreRevision& aPosition,
+            TimeMs aSinceMs,
+            TimeMs aNowMs)
+{
+  std::optional<TimeMs> asOfMs;
+  for (const auto& [address, peer] : aPeers) {
+    if (HasContact(peer, aNowMs) && peer.mLastHeardMs >= aSinceMs &&
+        peer.mStoreRevision <= aPosition) {
+      asOfMs = std::max(asOfMs, peer.mContactMs);
+    }
+  }
+  return asOfMs;
+}
+
 std::int64_t
 NewestEpoch(const PeerTable& aPeers, TimeMs aNowMs)
 {
--- a/core/src/watch_duty.cpp
+++ b/core/src/watch_duty.cpp
@@ -16,6 +16,18 @@
 // no change. Below it, all hosts watch.
 constexpr TimeMs kMinFollowBoundMs = 3000;
 
+// Shares of the bound on a change. The wait, the pause and the interval of the
+// beacons, which tell the followers, stay below the age of a copy.
+constexpr double kFollowedWaitShare = 0.25;
+constexpr double kFollowedPauseShare = 0.15;
+constexpr double kMaxCopyAgeShare = 0.6;
+
+TimeMs
+ShareOf(TimeMs aBoundMs, double aShare)
+{
+  return static_cast<TimeMs>(aShare * static_cast<double>(aBoundMs));
+}
+
 // The zone's name is part of the key, so that hosts with alike names in
 // different zones do not all rank first.
 std::uint64_t
@@ -42,6 +54,19 @@
   return aOptions.mChangeBoundMs < kMinSingleWatcherBoundMs ? 2 : 1;
 }
 
+WatchPeriod
+FollowedWatchPeriod(TimeMs aChangeBoundMs)
+{
+  return { ShareOf(aChangeBoundMs, kFollowedWaitShare),
+           ShareOf(aChangeBoundMs, kFollowedPauseShare) };
+}
+
+TimeMs
+MaxCopyAgeMs(const WatchDutyOptions& aOptions)
+{
+  return ShareOf(aOptions.mChangeBoundMs, kMaxCopyAgeShare);
+}
+
 bool
 IsInContact(const ZonePeer& aPeer,
             const WatchDutyOptions& aOptions,
@@ -56,6 +81,7 @@
                 const WatchDutyOptions& aOptions,
                 const std::vector<ZonePeer>& aPeers,
                 bool aMayWatch,
+                TimeMs aCopyAgeMs,
                 TimeMs aNowMs)
 {
   std::uint64_t localRank = Rank(aOptions.mHost, aOptions.mZone);
@@ -78,7 +104,8 @@
     }
   }
   int electedHosts = WatcherCount(aOptions);
-  bool isElected = aMayWatch && candidatesAbove < electedHosts;
+  bool isStale = aMayWatch && aCopyAgeMs >= MaxCopyAgeMs(aOptions);
+  bool isElected = isStale || (aMayWatch && candidatesAbove < electedHosts);
   // A host that already watches stops only for a watcher of a higher rank;
   // otherwise two hosts that took over would both stop.
   aDuty.mCovered =
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -107,7 +107,8 @@
   mWatcher.SetWatcherCount(watchers,
                            hosts[mSettings.mZone] > WatcherCount(mDutyOptions));
   bool wasWatching = mDuty.mWatching;
-  UpdateWatchDuty(mDuty, mDutyOptions, zonePeers, mWatcher.MayWatch(), now);
+  UpdateWatchDuty(
+    mDuty, mDutyOptions, zonePeers, mWatcher.MayWatch(), CopyAgeMs(now), now);
   if (wasWatching != mDuty.mWatching) {
     LogEvent(Event::WatchDutyChanged,
              { { "watching", mDuty.mWatching ? "true" : "false" },
@@ -123,10 +124,25 @@
   PullIfBehind();
 }
 
+// The time since which this host may have missed a change of the store.
+TimeMs
+StoreSharing::CopyAgeMs(TimeMs aNowMs)
+{
+  if (auto contactAgeMs = mWatcher.ContactAgeMs()) {
+    mWholeAsOfMs = std::max(mWholeAsOfMs, aNowMs - *contactAgeMs);
+  }
+  if (auto asOfMs =
+        WholeAsOfMs(mPeers, mWatcher.Position(), mResumedMs, aNowMs)) {
+    mWholeAsOfMs = std::max(mWholeAsOfMs, *asOfMs);
+  }
+  return aNowMs - mWholeAsOfMs;
+}
+
 void
 StoreSharing::OnResumed()
 {
   mResumedMs = mLoop.NowMs();
+  mWholeAsOfMs = -1'000'000;
   mDuty = {};
   mWatcher.OnResumed();
 }
--- a/router/gateway/store_sharing.h
+++ b/router/gateway/store_sharing.h
@@ -40,6 +40,7 @@
 
 private:
   void Share(const StoreChanges& aChanges);
+  TimeMs CopyAgeMs(TimeMs aNowMs);
   void PullIfBehind();
   bool MayPullEpoch(std::int64_t aEpoch);
   void Pull(const std::string& aAddress, bool aOnlyChanges);
@@ -54,6 +55,8 @@
   WatchDuty mDuty;
   // Messages of peers before this time are not relied upon.
   TimeMs mResumedMs = -1'000'000;
+  // The copy lacked nothing that the store had at this time.
+  TimeMs mWholeAsOfMs = -1'000'000;
   // The newest epoch of the store that was heard of from peers, and the time
   // from which this host fetches it from them.
   std::int64_t mHeardEpoch = 0;
--- a/tests/core/store_sim.h
+++ b/tests/core/store_sim.h
@@ -81,9 +81,8 @@
 
 inline constexpr TimeMs kTickMs = 50;
 inline constexpr TimeMs kBeaconMs = 300;
-inline constexpr TimeMs kWatchWaitMs = 1000;
-inline constexpr TimeMs kWatchPauseMs = 600;
-inline constexpr TimeMs kCallTimeoutMs = 1700;
+// Beyond the wait of a watch.
+inline constexpr TimeMs kCallTimeoutMs = 700;
 inline constexpr TimeMs kRetryMs = 200;
 inline constexpr TimeMs kPullTimeoutMs = 1500;
 inline constexpr TimeMs kTurnedAwayMs = 2000;
@@ -104,6 +103,8 @@
   TimeMs mReachableSinceMs = 0;
   TimeMs mNextCallMs = 0;
   std::optional<TimeMs> mCallSinceMs;
+  // The copy lacked nothing at this time.
+  TimeMs mWholeAsOfMs = -100000;
   bool mNeedsList = true;
   int mFailures = 0;
   TimeMs mMayWatchFromMs = 0;
@@ -154,6 +155,12 @@
   std::mt19937 mRandom;
   double mLossShare = 0.02;
   std::multimap<TimeMs, std::function<void()>> mMessages;
+  // A change must be in force within mApplyMs at a host without a fault for
+  // mContactMs.
+  TimeMs mApplyMs = kApplyMs;
+  TimeMs mContactMs = kContactMs;
+  // A configuration fits into a datagram; otherwise peers fetch it.
+  bool mConfigFits = true;
   // When each revision of the configuration was acknowledged.
   std::vector<std::pair<std::int64_t, TimeMs>> mConfigs;
   std::string mFault;
@@ -161,8 +168,11 @@
   // whether that deleted it.
   std::map<std::string, std::pair<int, bool>> mOrders;
 
-  SimFleet(const std::vector<int>& aZoneSizes, unsigned aSeed)
+  SimFleet(const std::vector<int>& aZoneSizes,
+           unsigned aSeed,
+           TimeMs aApplyMs = kApplyMs)
     : mRandom(aSeed)
+    , mApplyMs(aApplyMs)
   {
     for (std::size_t zone = 0; zone < aZoneSizes.size(); ++zone) {
       for (int i = 0; i < aZoneSizes[zone]; ++i) {
@@ -170,13 +180,14 @@
         host.mOptions.mZone = "zone-" + std::to_string(zone);
         host.mName = host.mOptions.mZone + "-" + std::to_string(i);
         host.mOptions.mHost = host.mName;
-        host.mOptions.mChangeBoundMs = kApplyMs;
+        host.mOptions.mChangeBoundMs = mApplyMs;
         mHosts.push_back(host);
       }
     }
     WriteConfig();
   }
 
+  WatchPeriod Period() const { return FollowedWatchPeriod(mApplyMs); }
   int Draw(int aBelow)
   {
     return std::uniform_int_distribution<>(0, aBelow - 1)(mRandom);
@@ -326,6 +337,14 @@
     if (aChanges.mEntries.mEntries.empty()) {
       return;
     }
+    bool hasConfig =
+      std::any_of(aChanges.mEntries.mEntries.begin(),
+                  aChanges.mEntries.mEntries.end(),
+                  [](const auto& aEntry) { return aEntry.mKey == kConfigKey; });
+    if (hasConfig && !mConfigFits) {
+      SendBeacon(aHost);
+      return;
+    }
     SendToZone(aHost, [this, aChanges, from = aHost.mName](SimHost& aTo) {
       std::int64_t epoch = aChanges.mEntries.mEpoch;
       if (aTo.mCopy.mRevision == 0 || epoch > aTo.mCopy.mEpoch ||
@@ -349,7 +368,7 @@
     TimeMs waited = mNowMs - *aHost.mCallSinceMs;
     const SimStore& store = aHost.mIsOnOldStore ? mOldStore : mStore;
     if (aHost.mTurnedAway || store.mEpoch < aHost.mEpoch ||
-        (aHost.mCutFromStore && waited >= kCallTimeoutMs)) {
+        (aHost.mCutFromStore && waited >= Period().mWaitMs + kCallTimeoutMs)) {
       aHost.mCallSinceMs.reset();
       aHost.mNextCallMs = mNowMs + kRetryMs;
       if (++aHost.mFailures >= 2) {
@@ -366,7 +385,7 @@
     }
     aHost.mEpoch = store.mEpoch;
     bool isNew = aHost.mCopy.mRevision < store.mRevision;
-    if (!aHost.mNeedsList && !isNew && waited < kWatchWaitMs) {
+    if (!aHost.mNeedsList && !isNew && waited < Period().mWaitMs) {
       return;
     }
     aHost.mCallSinceMs.reset();
@@ -389,7 +408,7 @@
       aHost.mNextCallMs = mNowMs + kRetryMs;
       return;
     }
-    aHost.mNextCallMs = mNowMs + kWatchPauseMs;
+    aHost.mNextCallMs = mNowMs + Period().mPauseMs;
     Report(aHost, ApplyChanges(aHost.mCopy, *changes));
     OnStoreAnswer(aHost, *changes);
   }
@@ -448,10 +467,16 @@
     }
     std::vector<ZonePeer> peers =
       ReliablePeers(aHost.mPeers, aHost.mOptions.mZone, 0, mNowMs);
+    aHost.mWholeAsOfMs =
+      std::max({ aHost.mWholeAsOfMs,
+                 aHost.mContactMs.value_or(aHost.mWholeAsOfMs),
+                 WholeAsOfMs(aHost.mPeers, RevisionOf(aHost.mCopy), 0, mNowMs)
+                   .value_or(aHost.mWholeAsOfMs) });
     UpdateWatchDuty(aHost.mDuty,
                     aHost.mOptions,
                     peers,
                     mNowMs >= aHost.mMayWatchFromMs,
+                    mNowMs - aHost.mWholeAsOfMs,
                     mNowMs);
     if (!aHost.mDuty.mWatching || aHost.mFailures >= 2) {
       auto source = ChoosePullSource(aHost.mPeers,
@@ -475,7 +500,7 @@
   {
     std::int64_t due = 0;
     for (const auto& [revision, acknowledgedMs] : mConfigs) {
-      if (acknowledgedMs + kApplyMs <= mNowMs) {
+      if (acknowledgedMs + mApplyMs <= mNowMs) {
         due = revision;
       }
     }
@@ -496,7 +521,7 @@
                std::to_string(revision);
     }
     aHost.mConfigRevision = position;
-    if (mNowMs - aHost.mHarmedMs > kContactMs && revision < aDueRevision) {
+    if (mNowMs - aHost.mHarmedMs > mContactMs && revision < aDueRevision) {
       mFault = aHost.mName + " has revision " + std::to_string(revision) +
                " at " + std::to_string(mNowMs) + ", not " +
                std::to_string(aDueRevision);
@@ -541,6 +566,7 @@
       aHost.mPaused = aBegins;
       if (!aBegins) {
         aHost.mDuty = {};
+        aHost.mWholeAsOfMs = -100000;
         aHost.mContactMs.reset();
         aHost.mPeers.clear();
         aHost.mCallSinceMs.reset();
@@ -591,7 +617,58 @@
     host->mConfigRevision = {};
   }
   change(20);
-  aFleet.Run(kApplyMs + kContactMs);
+  aFleet.Run(aFleet.mApplyMs + aFleet.mContactMs);
+}
+
+// Plays faults one after the other that overlap, most of them at the watchers,
+// with a change of the configuration twice a second.
+inline void
+PlayFaultsInTurn(SimFleet& aFleet, TimeMs aForMs)
+{
+  std::vector<Fault> kinds;
+  for (const auto& [name, set] : kFaults) {
+    kinds.push_back(set);
+  }
+  std::multimap<TimeMs, std::pair<SimHost*, Fault>> harmed;
+  auto isHarmed = [&harmed](const SimHost& aHost) {
+    return std::any_of(harmed.begin(), harmed.end(), [&](const auto& aRow) {
+      return aRow.second.first == &aHost;
+    });
+  };
+  aFleet.Run(aFleet.mContactMs);
+  TimeMs nextMs = aFleet.mNowMs;
+  for (TimeMs end = aFleet.mNowMs + aForMs;
+       aFleet.mNowMs < end && aFleet.mFault.empty();) {
+    if (aFleet.mNowMs >= nextMs) {
+      nextMs += 300 + aFleet.Draw(4000);
+      Fault set = kinds[aFleet.Draw(static_cast<int>(kinds.size()))];
+      double watcherShare = aFleet.Chance(0.6) ? 0.7 : 0;
+      double share = aFleet.Chance(0.5) ? 0.35 : 0.1;
+      TimeMs untilMs = aFleet.mNowMs + 500 + aFleet.Draw(6000);
+      for (SimHost& host : aFleet.mHosts) {
+        bool isChosen = aFleet.Chance(share) ||
+                        (host.mDuty.mWatching && aFleet.Chance(watcherShare));
+        if (isChosen && !isHarmed(host)) {
+          harmed.emplace(untilMs, std::pair(&host, set));
+          set(host, true);
+        }
+      }
+    }
+    while (!harmed.empty() && harmed.begin()->first <= aFleet.mNowMs) {
+      auto [host, set] = harmed.begin()->second;
+      harmed.erase(harmed.begin());
+      set(*host, false);
+      host->mHarmedMs = aFleet.mNowMs;
+      host->mConfigRevision = {};
+    }
+    if (aFleet.Chance(0.1)) {
+      aFleet.WriteConfig();
+    }
+    for (int writes = aFleet.Draw(3); writes > 0; --writes) {
+      aFleet.WriteOther();
+    }
+    aFleet.Run(kTickMs);
+  }
 }
 
 } // namespace savory
--- a/tests/core/test_store_copy.cpp
+++ b/tests/core/test_store_copy.cpp
@@ -156,4 +156,21 @@
   }
 }
 
+// Load: 30 hosts in four zones, two configurations a second that are too long
+// for a datagram. Guards against waits for one lost watcher after another that
+// add up beyond the bound.
+BOOST_AUTO_TEST_CASE(change_is_in_force_while_watchers_fail_in_turn)
+{
+  constexpr TimeMs kShortApplyMs = 3000;
+  constexpr TimeMs kShortContactMs = 4000;
+  constexpr TimeMs kPlayMs = 40000;
+  for (unsigned seed = 1; seed <= 60; ++seed) {
+    SimFleet fleet({ 8, 8, 7, 7 }, seed, kShortApplyMs);
+    fleet.mContactMs = kShortContactMs;
+    fleet.mConfigFits = false;
+    PlayFaultsInTurn(fleet, kPlayMs);
+    BOOST_TEST(fleet.mFault.empty(), "seed " << seed << ": " << fleet.mFault);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/test_watch_duty.cpp
+++ b/tests/core/test_watch_duty.cpp
@@ -10,9 +10,8 @@
 
 constexpr TimeMs kBeaconMs = 300;
 constexpr TimeMs kTickMs = 50;
-constexpr TimeMs kWatchWaitMs = 1000;
-constexpr TimeMs kWatchPauseMs = 600;
-constexpr TimeMs kWatchTimeoutMs = 1700;
+// Beyond the wait of a watch.
+constexpr TimeMs kWatchTimeoutMs = 700;
 
 // A host of the simulated zone. Watching is a cycle of a long poll, which a
 // change ends, and a pause.
@@ -24,6 +23,7 @@
   std::map<std::string, ZonePeer> mPeers;
   std::int64_t mRevision = 0;
   std::optional<TimeMs> mContactMs;
+  TimeMs mWholeAsOfMs = 0;
   TimeMs mNextCallMs = 0;
   std::optional<TimeMs> mCallSinceMs;
   int mFailures = 0;
@@ -60,6 +60,8 @@
     }
   }
 
+  WatchPeriod Period() const { return FollowedWatchPeriod(mChangeBoundMs); }
+
   bool IsLost()
   {
     return std::uniform_real_distribution<>(0, 1)(mRandom) < mLossShare;
@@ -81,6 +83,9 @@
       if (sends || aHasChanges) {
         to.mRevision = std::max(to.mRevision, aFrom.mRevision);
       }
+      if (sends) {
+        to.mWholeAsOfMs = std::max(to.mWholeAsOfMs, *aFrom.mContactMs);
+      }
     }
   }
 
@@ -95,7 +100,7 @@
     }
     TimeMs waited = mNowMs - *aHost.mCallSinceMs;
     if (aHost.mCutFromStore) {
-      if (waited >= kWatchTimeoutMs) {
+      if (waited >= Period().mWaitMs + kWatchTimeoutMs) {
         aHost.mCallSinceMs.reset();
         aHost.mNextCallMs = mNowMs + 100;
         if (++aHost.mFailures >= 2) {
@@ -104,14 +109,15 @@
       }
       return;
     }
-    if (aHost.mRevision < mStoreRevision || waited >= kWatchWaitMs) {
+    if (aHost.mRevision < mStoreRevision || waited >= Period().mWaitMs) {
       bool news = aHost.mRevision < mStoreRevision;
       aHost.mRevision = mStoreRevision;
       aHost.mContactMs = mNowMs;
+      aHost.mWholeAsOfMs = mNowMs;
       aHost.mFailures = 0;
       aHost.mMayWatchFromMs = 0;
       aHost.mCallSinceMs.reset();
-      aHost.mNextCallMs = mNowMs + kWatchPauseMs;
+      aHost.mNextCallMs = mNowMs + Period().mPauseMs;
       if (news) {
         Deliver(aHost, true);
       }
@@ -133,6 +139,7 @@
                       host.mOptions,
                       peers,
                       mNowMs >= host.mMayWatchFromMs,
+                      mNowMs - host.mWholeAsOfMs,
                       mNowMs);
       StepCalls(host);
       if (mNowMs % kBeaconMs == 0) {
@@ -252,7 +259,7 @@
         { "h" + std::to_string(i), 1000, true, false, std::nullopt, 0 });
     }
     WatchDuty duty{ true, false, 0, std::nullopt };
-    UpdateWatchDuty(duty, options, peers, true, 1000);
+    UpdateWatchDuty(duty, options, peers, true, 0, 1000);
     return duty.mWatching;
   };
   BOOST_TEST(watches("a", "b") != watches("b", "a"));
