Fetch from peers what the store leaves unanswered

Callers of a host whose connection to the store had gone silent were served by the configuration before for up to 3.7 s: a host that watches the store itself asked no peer until two of its own calls had timed out, although the peers' messages announced the newer revision all the while. A configuration that does not fit into a datagram reaches such a host by no other way.

A call that the store leaves unanswered 400 ms beyond the wait that it was asked for is overdue; the host then fetches what peers announce. Where it has a confirmed copy, it fetches the changes and not the whole copy.

--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -200,18 +200,18 @@
          mLoop.NowMs() >= mPullFromMs;
 }
 
-// Fetches what this host lacks while it does not reach the store itself.
+// Fetches what this host lacks while the store does not answer it.
 void
 StoreSharing::PullIfBehind()
 {
   bool isFollowing = mWatcher.IsFollowing();
-  if (mWatcher.IsReachable() && !isFollowing) {
+  if (mWatcher.IsReachable() && !isFollowing && !mWatcher.IsOverdue()) {
     return;
   }
   auto source = ChoosePullSource(
     mPeers, mDutyOptions, isFollowing, mWatcher.Position(), mLoop.NowMs());
   if (source && MayPullEpoch(mPeers.at(*source).mStoreRevision.mEpoch)) {
-    Pull(*source, isFollowing && mWatcher.HasState());
+    Pull(*source, mWatcher.IsConfirmed());
   }
 }
 
--- a/tests/core/store_sim.h
+++ b/tests/core/store_sim.h
@@ -83,6 +83,7 @@
 inline constexpr TimeMs kBeaconMs = 300;
 // Beyond the wait of a watch.
 inline constexpr TimeMs kCallTimeoutMs = 700;
+inline constexpr TimeMs kOverdueMs = 400;
 inline constexpr TimeMs kRetryMs = 200;
 inline constexpr TimeMs kPullTimeoutMs = 1500;
 inline constexpr TimeMs kTurnedAwayMs = 2000;
@@ -103,6 +104,7 @@
   TimeMs mReachableSinceMs = 0;
   TimeMs mNextCallMs = 0;
   std::optional<TimeMs> mCallSinceMs;
+  std::optional<TimeMs> mAnswerDueMs;
   // The copy lacked nothing at this time.
   TimeMs mWholeAsOfMs = -100000;
   bool mNeedsList = true;
@@ -330,6 +332,7 @@
   {
     aHost.mFailures = 0;
     aHost.mMayWatchFromMs = 0;
+    aHost.mAnswerDueMs.reset();
     aHost.mContactMs = mNowMs;
     if (aHost.mReachableSinceMs == 0) {
       aHost.mReachableSinceMs = mNowMs;
@@ -364,6 +367,9 @@
         return;
       }
       aHost.mCallSinceMs = mNowMs;
+      if (!aHost.mAnswerDueMs) {
+        aHost.mAnswerDueMs = mNowMs + Period().mWaitMs + kOverdueMs;
+      }
     }
     TimeMs waited = mNowMs - *aHost.mCallSinceMs;
     const SimStore& store = aHost.mIsOnOldStore ? mOldStore : mStore;
@@ -478,7 +484,11 @@
                     mNowMs >= aHost.mMayWatchFromMs,
                     mNowMs - aHost.mWholeAsOfMs,
                     mNowMs);
-    if (!aHost.mDuty.mWatching || aHost.mFailures >= 2) {
+    if (aHost.mDuty.mCovered) {
+      aHost.mAnswerDueMs.reset();
+    }
+    bool isOverdue = aHost.mAnswerDueMs && mNowMs >= *aHost.mAnswerDueMs;
+    if (!aHost.mDuty.mWatching || aHost.mFailures >= 2 || isOverdue) {
       auto source = ChoosePullSource(aHost.mPeers,
                                      aHost.mOptions,
                                      !aHost.mDuty.mWatching,
--- a/tests/platform/test_fleet_watcher.cpp
+++ b/tests/platform/test_fleet_watcher.cpp
@@ -166,4 +166,19 @@
   BOOST_TEST(mApplied == expected, boost::test_tools::per_element());
 }
 
+// Guards against a host that asks no peer before its own calls have timed out.
+BOOST_AUTO_TEST_CASE(silent_store_is_overdue_before_it_counts_as_down)
+{
+  mWatcher.Start();
+  Answer(kList, 0, MakePage(9, "a"));
+  Answer(kWatch, 0, kNoChanges);
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.IsConfirmed(); }));
+  BOOST_TEST(!mWatcher.IsOverdue());
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.IsOverdue(); }));
+  BOOST_TEST(mWatcher.IsReachable());
+  mCalls.erase(mCalls.begin(), mCalls.end() - 1);
+  Answer(kWatch, 0, kNoChanges);
+  BOOST_TEST(RunUntil([&] { return !mWatcher.IsOverdue(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -296,6 +296,31 @@
     assert cut_off_gateway.call("GET", "/g/x", key="k2")[0] == 200
 
 
+def unanswered_watcher_learns_from_peers(platform):
+    """Guards against a host that waits for its own silent connection while its
+    peers announce a configuration that is too long for a datagram."""
+    peer_port, datagram_port = free_port(), free_port()
+    options = {"seeds": ["127.0.0.2:%d" % peer_port,
+                         "127.0.0.3:%d" % peer_port],
+               "peer_port": peer_port, "datagram_port": datagram_port,
+               "bounds": {"configApplyMs": 3000, "drainMs": 3000}}
+    proxy = FaultProxy(platform.store.loop, platform.store.address)
+    unanswered = platform.gateway(
+        "unanswered", store=proxy, address="127.0.0.2", **options)
+    platform.gateway("answered", address="127.0.0.3", **options)
+    time.sleep(1)
+    proxy.set_mode("silent")
+    changed = copy.deepcopy(CONFIGURATION)
+    changed["version"] = 9
+    changed["tenants"][0]["apiKeys"] = ["k2"]
+    changed["routeTable"] += [
+        dict(changed["routeTable"][0], name="idle-%d" % i, prefix="/idle%d/" % i)
+        for i in range(100)]
+    platform.store.put("op/config", changed)
+    wait_until(lambda: unanswered.call("GET", "/g/x", key="k1")[0] == 401, 3,
+               "the key to be refused")
+
+
 def starts_with_the_current_configuration(platform):
     """Guards against a first read that is some seconds old: a key that was taken
     away just before the start was served until the next configuration (large
@@ -466,7 +491,7 @@
     paced_services_state_prefix_decisions, resumes_a_torn_stream,
     stream_without_framing_ends_with_its_connection, never_runs_twice, earlier_refusal_is_not_taken_for_a_later_one, retries_safe_calls_elsewhere, drains_runners_and_zones,
     odd_entries_of_other_writers_change_nothing, keeps_serving_without_the_store, finds_a_store_that_went_silent,
-    learns_from_peers, starts_with_the_current_configuration,
+    learns_from_peers, unanswered_watcher_learns_from_peers, starts_with_the_current_configuration,
     zone_follows_two_watchers, completes_a_good_version,
     rolls_back_a_bad_version, stops_gracefully, log_never_blocks,
     check_option_reports_invalid_fields])
