Do not take a zone's outage for the store's

Requests could go to a server that had left: around an outage of the store, hosts keep servers whose registrations lapsed until 2.7 s after its end. A host that follows its zone's watchers took the end of the outage from those alone. Where they had just restarted, or had lost the store for a moment, it kept a server whose registration had really been removed.

Class: a peer's private state taken for a fact about all. The end of the last outage is now the earliest that any peer in contact states, whatever its zone: an outage that only some hosts saw is not the store's.

Evidence: outage_of_one_zone_is_not_the_stores; the rule before gave the zone's 500 ms there.

--- a/core/include/savory/core/peer_table.h
+++ b/core/include/savory/core/peer_table.h
@@ -117,6 +117,15 @@
             TimeMs aSinceMs,
             TimeMs aNowMs);
 
+// The earliest time since which a peer in contact with the store has reached it
+// without an outage, whatever its zone: an outage that only some hosts saw is
+// not the store's. Empty without a peer in contact.
+std::optional<TimeMs>
+ServingSinceMs(const PeerTable& aPeers,
+               const WatchDutyOptions& aOptions,
+               TimeMs aSinceMs,
+               TimeMs aNowMs);
+
 // The newest epoch of the store that live peers have.
 std::int64_t
 NewestEpoch(const PeerTable& aPeers, TimeMs aNowMs);
--- a/core/include/savory/core/watch_duty.h
+++ b/core/include/savory/core/watch_duty.h
@@ -50,9 +50,6 @@
   bool mWatching = true;
   // The host is watched for: it follows a peer in contact with the store.
   bool mCovered = false;
-  // While covered, the earliest time since which one of the watchers has
-  // reached the store without an outage.
-  TimeMs mReachableSinceMs = 0;
   // When the host last lost all watchers; empty while covered or watching.
   std::optional<TimeMs> mUncoveredMs;
 };
--- a/core/src/peer_table.cpp
+++ b/core/src/peer_table.cpp
@@ -174,6 +174,24 @@
   return asOfMs;
 }
 
+std::optional<TimeMs>
+ServingSinceMs(const PeerTable& aPeers,
+               const WatchDutyOptions& aOptions,
+               TimeMs aSinceMs,
+               TimeMs aNowMs)
+{
+  std::optional<TimeMs> servingSinceMs;
+  for (const auto& [address, peer] : aPeers) {
+    if (peer.mLastHeardMs >= aSinceMs &&
+        IsInContact(ToZonePeer(peer), aOptions, aNowMs)) {
+      servingSinceMs = servingSinceMs
+                         ? std::min(*servingSinceMs, peer.mReachableSinceMs)
+                         : peer.mReachableSinceMs;
+    }
+  }
+  return servingSinceMs;
+}
+
 std::int64_t
 NewestEpoch(const PeerTable& aPeers, TimeMs aNowMs)
 {
--- a/core/src/watch_duty.cpp
+++ b/core/src/watch_duty.cpp
@@ -95,10 +95,6 @@
     bool above = Rank(peer.mHost, aOptions.mZone) > localRank;
     candidatesAbove += above && peer.mMayWatch;
     if (IsInContact(peer, aOptions, aNowMs)) {
-      aDuty.mReachableSinceMs =
-        watchers == 0
-          ? peer.mReachableSinceMs
-          : std::min(aDuty.mReachableSinceMs, peer.mReachableSinceMs);
       ++watchers;
       watchersAbove += above;
     }
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -117,7 +117,8 @@
   }
   MayPullEpoch(NewestEpoch(mPeers, now));
   if (mDuty.mCovered) {
-    mWatcher.Follow(mDuty.mReachableSinceMs);
+    mWatcher.Follow(
+      ServingSinceMs(mPeers, mDutyOptions, mResumedMs, now).value_or(now));
   } else if (mDuty.mWatching && mWatcher.IsFollowing()) {
     mWatcher.StopFollowing();
   }
--- a/tests/core/test_peer_table.cpp
+++ b/tests/core/test_peer_table.cpp
@@ -168,4 +168,24 @@
   BOOST_TEST(NewestEpoch(peers, kNowMs + kPeerTimeoutMs) == 0);
 }
 
+// Guards against runners that stay in use after their registration was removed,
+// as the watcher of the zone has restarted, or has lost the store for a moment,
+// while the store served the hosts of other zones.
+BOOST_AUTO_TEST_CASE(outage_of_one_zone_is_not_the_stores)
+{
+  PeerTable peers{ { "10.0.0.2", MakePeer("b") },
+                   { "10.0.0.3", MakePeer("c") } };
+  WatchDutyOptions options;
+  options.mZone = "z";
+  peers["10.0.0.2"].mReachableSinceMs = kNowMs - 500;
+  peers["10.0.0.3"].mZone = "y";
+  peers["10.0.0.3"].mReachableSinceMs = 1000;
+  auto since = [&] { return ServingSinceMs(peers, options, 0, kNowMs); };
+  BOOST_TEST(since().value() == 1000);
+  peers["10.0.0.3"].mContactMs.reset();
+  BOOST_TEST(since().value() == kNowMs - 500, "no other peer tells");
+  peers["10.0.0.2"].mContactMs.reset();
+  BOOST_TEST(!since().has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/test_watch_duty.cpp
+++ b/tests/core/test_watch_duty.cpp
@@ -258,7 +258,7 @@
       peers.push_back(
         { "h" + std::to_string(i), 1000, true, false, std::nullopt, 0 });
     }
-    WatchDuty duty{ true, false, 0, std::nullopt };
+    WatchDuty duty{ true, false, std::nullopt };
     UpdateWatchDuty(duty, options, peers, true, 0, 1000);
     return duty.mWatching;
   };
