Order the reports of a server by its process and sequence

A request could reach a server after it had said that it leaves: a write whose answer was lost may take effect seconds later. A report from before the drain then overwrote the drain in the store, and the host took the server for ready again, as it compared the store's revisions only.

A report with a lower sequence of the same process (id and start) is ignored, also within a minute after its registration was removed, and logged (E505). Without a stated start the processes cannot be told apart; then all is as before.

--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -36,6 +36,8 @@
   // distinguishes two processes that registered under the same id. 0 when not
   // stated.
   std::int64_t mStartedWallMs = 0;
+  // Grows with each report of the process.
+  std::int64_t mSequence = 0;
 };
 
 // A part of a prompt that several requests may have in common.
@@ -109,6 +111,13 @@
   std::vector<std::uint64_t> mUnreportedParts;
 };
 
+// A process whose registration was removed.
+struct Departure
+{
+  std::int64_t mSequence = 0;
+  TimeMs mRemovedMs = 0;
+};
+
 // All backend servers that this host knows, by id, and the operators' orders
 // that affect placement.
 struct RunnerSet
@@ -116,6 +125,9 @@
   std::map<std::string, RunnerState> mRunners;
   std::set<std::string> mEvacuatedZones;
   DrainNotices mDrainNotices;
+  // The processes that were removed within the time in which a late report of
+  // theirs may still be stored.
+  std::map<ServerProcess, Departure> mDepartures;
   // Until when each service counts as paced: its runners state how fast they
   // work at the moment.
   std::map<std::string, TimeMs> mPacedUntilMs;
@@ -132,10 +144,15 @@
   std::string mHost;
 };
 
+// Whether a registration was reported before what is known of its process: a
+// write whose answer was lost may take effect seconds later.
+bool
+IsLateReport(const RunnerSet& aSet, const Registration& aRegistration);
+
 // Applies a registration. A new process under a known id starts with fresh
-// state, apart from the count of requests in flight. A revision older than the
-// known one is ignored. Returns whether anything but the age of the
-// registration changed.
+// state, apart from the count of requests in flight. A late report and a
+// revision older than the known one are ignored. Returns whether anything but
+// the age of the registration changed.
 bool
 ApplyRegistration(RunnerSet& aSet,
                   const Registration& aRegistration,
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -28,6 +28,9 @@
 // runner. It is weighted by the error rate.
 constexpr double kFailureCostMs = 1500;
 
+// A write that the store executes late does so within seconds.
+constexpr TimeMs kDepartureTtlMs = 60000;
+
 // Load reports older than this are ignored.
 constexpr TimeMs kMaxReportAgeMs = 1000;
 
@@ -176,12 +179,32 @@
   return XXH3_64bits_withSeed(aRunner.data(), aRunner.size(), aKey);
 }
 
+bool
+IsLateReport(const RunnerSet& aSet, const Registration& aRegistration)
+{
+  ServerProcess process = ToProcess(aRegistration);
+  if (process.second == 0) {
+    return false;
+  }
+  auto known = aSet.mRunners.find(process.first);
+  if (known != aSet.mRunners.end() &&
+      ToProcess(known->second.mRegistration) == process) {
+    return aRegistration.mSequence < known->second.mRegistration.mSequence;
+  }
+  auto departure = aSet.mDepartures.find(process);
+  return departure != aSet.mDepartures.end() &&
+         aRegistration.mSequence < departure->second.mSequence;
+}
+
 bool
 ApplyRegistration(RunnerSet& aSet,
                   const Registration& aRegistration,
                   const StoreRevision& aRevision,
                   TimeMs aNowMs)
 {
+  if (IsLateReport(aSet, aRegistration)) {
+    return false;
+  }
   auto [found, isNew] = aSet.mRunners.try_emplace(aRegistration.mId);
   RunnerState& runner = found->second;
   if (!isNew && aRevision < runner.mRevision) {
@@ -277,11 +300,17 @@
       removed.push_back(next->first);
     }
     if (runner.mRemoved && runner.mInFlight == 0) {
+      aSet.mDepartures[ToProcess(runner.mRegistration)] = {
+        runner.mRegistration.mSequence, aNowMs
+      };
       next = aSet.mRunners.erase(next);
     } else {
       ++next;
     }
   }
+  std::erase_if(aSet.mDepartures, [aNowMs](const auto& aRow) {
+    return aNowMs - aRow.second.mRemovedMs >= kDepartureTtlMs;
+  });
   return removed;
 }
 
--- a/router/gateway/gateway_state.cpp
+++ b/router/gateway/gateway_state.cpp
@@ -63,6 +63,10 @@
     LogBadDocument(aEntry, registration.error());
     return StateChange::None;
   }
+  if (IsLateReport(aState.mRunners, *registration)) {
+    LogBadDocument(aEntry, "reported before what is known of the process");
+    return StateChange::None;
+  }
   auto known = aState.mRunners.mRunners.find(aId);
   std::optional<ServerProcess> leaving;
   if (known != aState.mRunners.mRunners.end() && known->second.mLeaving) {
--- a/tests/core/test_runners.cpp
+++ b/tests/core/test_runners.cpp
@@ -479,4 +479,37 @@
   BOOST_TEST(fixture.Place({}, 200).has_value());
 }
 
+// Guards against a runner that is used again by a report from before it
+// drained, which the store executes seconds later.
+BOOST_AUTO_TEST_CASE(late_report_does_not_undo_a_drain_or_a_removal)
+{
+  RunnerFixture fixture;
+  auto report = [&fixture](std::int64_t aSequence, bool aIsDraining) {
+    Registration registration = MakeRegistration("a");
+    registration.mSequence = aSequence;
+    registration.mDraining = aIsDraining;
+    fixture.Add(registration);
+    return fixture.Place({}).has_value();
+  };
+  BOOST_TEST(report(4, false));
+  BOOST_TEST(!report(6, true));
+  BOOST_TEST(!report(5, false));
+  RemoveRegistration(fixture.mSet, "a", std::nullopt);
+  PruneRunners(fixture.mSet, 1000);
+  BOOST_TEST(fixture.mSet.mRunners.empty());
+  ApplyRegistration(fixture.mSet, MakeRegistration("a"), { 0, 90 }, 2000);
+  BOOST_TEST(fixture.mSet.mRunners.empty());
+  // The process reports again, or another one does.
+  BOOST_TEST(report(7, false));
+  Registration next = MakeRegistration("a");
+  next.mStartedWallMs = 2000;
+  fixture.Add(next);
+  BOOST_TEST(fixture.Place({}).has_value());
+  // Memory of what has left is bounded.
+  RemoveRegistration(fixture.mSet, "a", std::nullopt);
+  PruneRunners(fixture.mSet, 3000);
+  PruneRunners(fixture.mSet, 63000);
+  BOOST_TEST(fixture.mSet.mDepartures.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
