Show how old a host's copy of the store may be

The incident could not be traced from logs or metrics: nothing showed whether a host knew that its copy was behind, nor whom it relied on.

--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -384,6 +384,7 @@
   TimeMs now = mLoop.NowMs();
   CheckSuspension();
   mPeers.UpdateSharing();
+  mShared.mMetrics.SetCopyAge(mPeers.CopyAgeMs());
   mWatcher.ReleaseHeldEntries();
   ExpireSuspects(
     mShared.mState.mCrashSuspects, mShared.mState.mCrashSuspectOptions, now);
--- a/router/gateway/gateway_metrics.h
+++ b/router/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "savory/core/metrics.h"
+#include "savory/core/types.h"
 
 namespace savory {
 
@@ -53,6 +54,14 @@
                         "Datagrams of peers that could not be read.",
                         {}));
   }
+  void SetCopyAge(TimeMs aAgeMs)
+  {
+    mRegistry.Set(mRegistry.Gauge("savory_gateway_copy_age_seconds",
+                                  "Time since which this host may have missed "
+                                  "a change of the store.",
+                                  {}),
+                  static_cast<double>(aAgeMs) / 1000);
+  }
   void SetRunnerHints(int aLeaving, int aBackedOff)
   {
     mRegistry.Set(mRegistry.Gauge("savory_gateway_runners_leaving",
--- a/router/gateway/peers.h
+++ b/router/gateway/peers.h
@@ -29,6 +29,8 @@
   bool Start();
   // Updates which hosts watch the store. To be called several times a second.
   void UpdateSharing() { mSharing.Update(); }
+  // The time since which this host may have missed a change of the store.
+  TimeMs CopyAgeMs() const { return mSharing.CopyAgeMs(); }
   void OnResumed() { mSharing.OnResumed(); }
   void StartDrain() { mLeaving = true; }
   // Whether a live peer reaches the store. If so, an outage that this host sees
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -107,12 +107,14 @@
   mWatcher.SetWatcherCount(watchers,
                            hosts[mSettings.mZone] > WatcherCount(mDutyOptions));
   bool wasWatching = mDuty.mWatching;
+  UpdateCopyAge(now);
   UpdateWatchDuty(
-    mDuty, mDutyOptions, zonePeers, mWatcher.MayWatch(), CopyAgeMs(now), now);
+    mDuty, mDutyOptions, zonePeers, mWatcher.MayWatch(), mCopyAgeMs, now);
   if (wasWatching != mDuty.mWatching) {
     LogEvent(Event::WatchDutyChanged,
              { { "watching", mDuty.mWatching ? "true" : "false" },
                { "zone_hosts", std::to_string(hosts[mSettings.mZone]) },
+               { "copy_age_ms", std::to_string(mCopyAgeMs) },
                { "revision", std::to_string(mWatcher.Revision()) } });
   }
   MayPullEpoch(NewestEpoch(mPeers, now));
@@ -125,9 +127,8 @@
   PullIfBehind();
 }
 
-// The time since which this host may have missed a change of the store.
-TimeMs
-StoreSharing::CopyAgeMs(TimeMs aNowMs)
+void
+StoreSharing::UpdateCopyAge(TimeMs aNowMs)
 {
   if (auto contactAgeMs = mWatcher.ContactAgeMs()) {
     mWholeAsOfMs = std::max(mWholeAsOfMs, aNowMs - *contactAgeMs);
@@ -136,7 +137,7 @@
         WholeAsOfMs(mPeers, mWatcher.Position(), mResumedMs, aNowMs)) {
     mWholeAsOfMs = std::max(mWholeAsOfMs, *asOfMs);
   }
-  return aNowMs - mWholeAsOfMs;
+  mCopyAgeMs = aNowMs - mWholeAsOfMs;
 }
 
 void
--- a/router/gateway/store_sharing.h
+++ b/router/gateway/store_sharing.h
@@ -24,6 +24,9 @@
 
   // Updates the duty and the watcher. To be called several times a second.
   void Update();
+  // The time since which this host may have missed a change of the store, as of
+  // the last update.
+  TimeMs CopyAgeMs() const { return mCopyAgeMs; }
   // Makes this host watch the store itself until peers are heard anew, since
   // its clock stood still and what it knows of them may be old.
   void OnResumed();
@@ -40,7 +43,7 @@
 
 private:
   void Share(const StoreChanges& aChanges);
-  TimeMs CopyAgeMs(TimeMs aNowMs);
+  void UpdateCopyAge(TimeMs aNowMs);
   void PullIfBehind();
   bool MayPullEpoch(std::int64_t aEpoch);
   void Pull(const std::string& aAddress, bool aOnlyChanges);
@@ -57,6 +60,7 @@
   TimeMs mResumedMs = -1'000'000;
   // The copy lacked nothing that the store had at this time.
   TimeMs mWholeAsOfMs = -1'000'000;
+  TimeMs mCopyAgeMs = 0;
   // The newest epoch of the store that was heard of from peers, and the time
   // from which this host fetches it from them.
   std::int64_t mHeardEpoch = 0;
