Count the memory of header sections in the byte budget

Class: bytes held for others that no budget counts. The parser hands its list over; the memory of the list counts like that of the body, from the head to the end of the answer. Where there is no headroom the request is refused with 503 before it runs. An ordinary head stays within the minimum that each connection may always use, so that nothing changes in calm.

--- a/net/include/savory/net/http_link.h
+++ b/net/include/savory/net/http_link.h
@@ -115,6 +115,8 @@
   bool mIsWaiting = false;
   std::uint64_t mHolder = 0;
   std::optional<std::uint64_t> mBodyLength;
+  // Memory of the head of the request that is arriving.
+  std::size_t mHeadBytes = 0;
   // Bytes of the request that is being answered.
   std::size_t mServedBytes = 0;
   TimeMs mLastActivityMs = 0;
--- a/net/src/caller_link.cpp
+++ b/net/src/caller_link.cpp
@@ -28,6 +28,9 @@
 // What a connection takes itself: its objects, parser and buffer heads.
 constexpr std::size_t kLinkBytes = 3 * 1024;
 
+// What the allocator adds to a string outside of its object.
+constexpr std::size_t kAllocationBytes = 16;
+
 // The rest of an input that is shorter than this is copied to a small buffer,
 // because the one that holds it has the size of the last reads.
 constexpr std::size_t kMaxCompactedBytes = 64;
@@ -68,6 +71,27 @@
   { 504, "Gateway Timeout" },
 } };
 
+// Memory of a string, which holds short texts itself.
+std::size_t
+MemoryOf(const std::string& aText)
+{
+  static const std::size_t kInnerBytes = std::string().capacity();
+  return sizeof aText + (aText.capacity() > kInnerBytes
+                           ? aText.capacity() + kAllocationBytes
+                           : 0);
+}
+
+// Memory of a head: a field of a few bytes on the wire takes many times that.
+std::size_t
+MemoryOf(const HttpHead& aHead)
+{
+  std::size_t bytes = MemoryOf(aHead.mTarget);
+  for (const auto& [name, value] : aHead.mHeaders) {
+    bytes += MemoryOf(name) + MemoryOf(value);
+  }
+  return bytes;
+}
+
 } // namespace
 
 std::string_view
@@ -131,6 +155,7 @@
   mReader->mOnHead = [this](const HttpHead& aHead) {
     mRequest.mHead = aHead;
     mHeadReceived = true;
+    mHeadBytes = MemoryOf(mRequest.mHead);
     mBodyLength = aHead.mLength;
     const std::string* expect = FindHeader(aHead.mHeaders, "Expect");
     if (expect && EqualHeaderNames(*expect, "100-continue")) {
@@ -242,8 +267,8 @@
   std::size_t bytes = 0;
   if (mBuffer) {
     std::size_t input = evbuffer_get_length(bufferevent_get_input(mBuffer));
-    bytes = kLinkBytes + input + input / 2 + mRequest.mBody.capacity() +
-            mServedBytes + UnsentBytes();
+    bytes = kLinkBytes + input + input / 2 + mHeadBytes +
+            mRequest.mBody.capacity() + mServedBytes + UnsentBytes();
   }
   ByteBudget& budget = *mFrontend.mBudget;
   std::size_t sharedBefore = budget.mSharedBytes;
@@ -277,6 +302,7 @@
     Wait();
     return;
   }
+  bool hadHead = mHeadReceived;
   mReading = true;
   auto fed = mReader->Feed(input);
   mReading = false;
@@ -293,6 +319,10 @@
         return;
     }
   }
+  if (!hadHead && !MayHold(budget, mHolder, mHeadBytes)) {
+    Shed(ShedReason::NoHeadroom);
+    return;
+  }
   if (mReader->IsComplete()) {
     Dispatch();
     return;
@@ -318,7 +348,7 @@
   IncomingRequest request = std::move(mRequest);
   mRequest = {};
   mRequest.mPeerAddress = request.mPeerAddress;
-  mServedBytes = request.mBody.capacity();
+  mServedBytes = request.mBody.capacity() + std::exchange(mHeadBytes, 0);
   bufferevent_setwatermark(mBuffer, EV_READ, 0, kMaxPipelinedBytes);
   OnReceiveEnded(*mFrontend.mBudget, mHolder);
   UpdateHeldBytes();
@@ -339,6 +369,7 @@
   mIsWaiting = false;
   OnReceiveEnded(*mFrontend.mBudget, mHolder);
   mRequest = {};
+  mHeadBytes = 0;
   bufferevent_disable(mBuffer, EV_READ);
   evbuffer* input = bufferevent_get_input(mBuffer);
   evbuffer_drain(input, evbuffer_get_length(input));
--- a/net/src/http_reader.cpp
+++ b/net/src/http_reader.cpp
@@ -192,8 +192,9 @@
     if (auto length = Base::content_length()) {
       mHead.mLength = *length;
     }
+    HttpHead head = std::move(mHead);
     if (mReader.mOnHead) {
-      mReader.mOnHead(mHead);
+      mReader.mOnHead(head);
     }
   }
 
--- a/tests/process/fleet_platform.py
+++ b/tests/process/fleet_platform.py
@@ -323,8 +323,9 @@
         self.arrivals = []
         # The refusal that each connection has carried.
         self.refusals = {}
-        # Time to the head of a stream.
+        # Time to the head of a stream, and to the answer of another call.
         self.head_delay_s = 0.0
+        self.answer_delay_s = 0.0
         self.crashing_part = None
         # Times of the crashes, and of the requests that hold the part.
         self.crashes = []
@@ -381,6 +382,7 @@
                            self.stray_headers)
         if "model" in headers:
             return await self._stream(writer, headers, identity)
+        await asyncio.sleep(self.answer_delay_s)
         write_response(writer, 200, b"ran at " + self.name.encode(), identity)
         return True
 
