Count header fields of requests to the entry

The fault of the gateway before, at the entry and the agent's admin port: 300 callers with 16 KB of short fields each and a body that stops short took 119,764 KiB at an entry with 64 MB. evhttp keeps a node and two strings for each field, and the bound of the heap looked at the bytes on the wire, of which such a request has few.

Each line that arrives counts as a field, and what has arrived of a request that is cut off is dropped, as evhttp would parse it before it sees the end.

--- a/net/include/savory/net/http_server.h
+++ b/net/include/savory/net/http_server.h
@@ -86,7 +86,8 @@
   // reply is written.
   int mTimeoutS = 120;
   // While the heap of the process holds more than this, callers are cut off
-  // when their request exceeds mShortRequestBytes; 0 means no limit.
+  // when their request may take more memory than mShortRequestBytes; 0 means no
+  // limit.
   std::size_t mMaxHeapBytes = 0;
   std::size_t mShortRequestBytes = std::size_t{ 64 } * 1024;
 };
@@ -112,6 +113,7 @@
   {
     const HttpServerOptions* mOptions = nullptr;
     bufferevent* mBuffer = nullptr;
+    // Memory that the request may take so far.
     std::size_t mBytes = 0;
   };
 
--- a/net/src/http_server.cpp
+++ b/net/src/http_server.cpp
@@ -17,6 +17,7 @@
 #include <netinet/tcp.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
+#include <vector>
 
 namespace savory {
 
@@ -27,6 +28,10 @@
 // block of 4 KiB; the next block size is 8 KiB.
 constexpr std::size_t kChunkFlushBytes = 3584;
 
+// Memory of a header field beside its text: a node, two strings and what the
+// allocator adds to each.
+constexpr std::size_t kFieldBytes = 96;
+
 struct MethodRow
 {
   evhttp_cmd_type mType;
@@ -108,6 +113,31 @@
   }
 }
 
+// Memory that the last aSize bytes of an input may take: each line may be a
+// header field.
+std::size_t
+MemoryOfInput(evbuffer* aInput, std::size_t aSize)
+{
+  std::size_t length = evbuffer_get_length(aInput);
+  aSize = std::min(aSize, length);
+  evbuffer_ptr start{};
+  if (evbuffer_ptr_set(aInput, &start, length - aSize, EVBUFFER_PTR_SET) != 0) {
+    return aSize;
+  }
+  auto size = static_cast<ev_ssize_t>(aSize);
+  int count = evbuffer_peek(aInput, size, &start, nullptr, 0);
+  std::vector<evbuffer_iovec> pieces(
+    static_cast<std::size_t>(std::max(0, count)));
+  evbuffer_peek(aInput, size, &start, pieces.data(), count);
+  std::size_t bytes = aSize;
+  for (const evbuffer_iovec& piece : pieces) {
+    const char* text = static_cast<const char*>(piece.iov_base);
+    bytes += kFieldBytes * static_cast<std::size_t>(
+                             std::count(text, text + piece.iov_len, '\n'));
+  }
+  return bytes;
+}
+
 // Bytes of the heap that are in use.
 std::size_t
 HeapBytes()
@@ -358,15 +388,21 @@
 // Ends the input of a connection whose request there is no memory for; evhttp
 // then closes it. The request has not run, as it is not complete.
 void
-HttpServer::OnInput(evbuffer*, const evbuffer_cb_info* aInfo, void* aArrival)
+HttpServer::OnInput(evbuffer* aInput,
+                    const evbuffer_cb_info* aInfo,
+                    void* aArrival)
 {
   auto* arrival = static_cast<Arrival*>(aArrival);
-  arrival->mBytes += aInfo->n_added;
   const HttpServerOptions& options = *arrival->mOptions;
-  if (aInfo->n_added > 0 && options.mMaxHeapBytes > 0 &&
-      arrival->mBytes > options.mShortRequestBytes &&
+  if (aInfo->n_added == 0 || options.mMaxHeapBytes == 0) {
+    return;
+  }
+  arrival->mBytes += MemoryOfInput(aInput, aInfo->n_added);
+  if (arrival->mBytes > options.mShortRequestBytes &&
       HeapBytes() > options.mMaxHeapBytes) {
     shutdown(bufferevent_getfd(arrival->mBuffer), SHUT_RDWR);
+    // What has arrived would still be parsed before the end is seen.
+    evbuffer_drain(aInput, evbuffer_get_length(aInput));
   }
 }
 
