Bound the connections to runners by the descriptors

With many requests at once a gateway opened more descriptors than its machine has: three quarters of them were for callers, and each request that is served takes one more, without a bound. Where the machine enforces its limit, the next connection to a runner fails as if the runner were down, and the store and the peers are next.

Class: a resource of the process that no budget counts. The connections to runners have what callers, files, store, peers and operators leave: 654 with 3,075 descriptors, 911 with 4,100. Beyond it an idle connection is closed, and without one a request is refused at once (503, no-descriptors) before it is placed. Callers within the limits do not meet it; without maxFds nothing changes.

Evidence: behind_a_request of test_uncounted_bytes, 300 callers on a machine of 600 descriptors: 609 open before, 249 now, and a prompt of 17,000 bytes is answered afterwards. All checks of test_resource_exhaustion (crowd and bounds unchanged, 24,844 KiB and 94 descriptors at most) and of test_gateway pass.

--- a/core/include/savory/core/byte_budget.h
+++ b/core/include/savory/core/byte_budget.h
@@ -159,6 +159,8 @@
   // The most connections of callers; the rest of the descriptors is for files,
   // the store, peers, operators and runners.
   std::size_t mMaxCallers = 0;
+  // The most connections to runners; 0 means no limit.
+  std::size_t mMaxRunnerLinks = 0;
   ByteBudgetOptions mBytes;
 };
 
--- a/core/src/byte_budget.cpp
+++ b/core/src/byte_budget.cpp
@@ -20,8 +20,9 @@
 constexpr std::size_t kFileDescriptors = 200;
 
 // A quarter of the other descriptors is for the store, peers, operators and
-// runners.
+// runners; of these, so many, at most half, are not for runners.
 constexpr std::size_t kReservedFraction = 4;
+constexpr std::size_t kOtherDescriptors = 64;
 
 std::size_t
 SharedPart(const ByteBudget& aBudget, std::size_t aHeldBytes)
@@ -324,8 +325,10 @@
   if (aMaxDescriptors > 0) {
     std::size_t files = std::min(kFileDescriptors, aMaxDescriptors / 4);
     std::size_t rest = aMaxDescriptors - files;
-    limits.mMaxCallers =
-      std::max<std::size_t>(1, rest - rest / kReservedFraction);
+    std::size_t reserved = rest / kReservedFraction;
+    limits.mMaxCallers = std::max<std::size_t>(1, rest - reserved);
+    limits.mMaxRunnerLinks = std::max<std::size_t>(
+      1, reserved - std::min(kOtherDescriptors, reserved / 2));
     limits.mBytes.mGuaranteedBytes =
       std::clamp(limits.mBytes.mCapacityBytes / limits.mMaxCallers,
                  kMinGuaranteedBytes,
--- a/router/gateway/exchange.cpp
+++ b/router/gateway/exchange.cpp
@@ -69,6 +69,7 @@
                                        mSettings.mBufferedBytes,
                                        mSettings.mMaxDescriptors);
   mByteBudget->mOptions = mProcessLimits.mBytes;
+  mLinks.SetMaxLinks(mProcessLimits.mMaxRunnerLinks);
   mAnswersHolder = AddByteHolder(*mByteBudget, {});
   mState.mRunners.mHost = mSettings.mHost;
   mState.mRandom.seed(std::random_device{}());
@@ -346,6 +347,10 @@
     FailAsBlocked();
     return;
   }
+  if (!mShared.mLinks.HasRoom()) {
+    FailRequest("no-descriptors");
+    return;
+  }
   PlacementRequest placementRequest;
   auto placement = FindPlacement(mModel, placementRequest);
   if (!placement && placement.error() == PlacementFailure::AllTried) {
--- a/router/gateway/runner_links.cpp
+++ b/router/gateway/runner_links.cpp
@@ -63,8 +63,57 @@
 std::shared_ptr<ClientLink>
 RunnerLinks::Connect(const Endpoint& aServer)
 {
-  return ClientLink::Connect(
+  if (mMaxLinks > 0 && mLinks.size() >= mMaxLinks) {
+    ForgetClosed();
+    if (mLinks.size() >= mMaxLinks) {
+      CloseOldestIdle();
+    }
+  }
+  auto link = ClientLink::Connect(
     mLoop, aServer, { kRunnerConnectTimeoutMs, kRunnerUserTimeoutMs });
+  if (mMaxLinks > 0) {
+    mLinks.push_back(link);
+  }
+  return link;
+}
+
+bool
+RunnerLinks::HasRoom()
+{
+  if (mMaxLinks == 0 || mLinks.size() < mMaxLinks) {
+    return true;
+  }
+  ForgetClosed();
+  return mLinks.size() < mMaxLinks ||
+         std::any_of(mIdle.begin(), mIdle.end(), [](const auto& aRow) {
+           return !aRow.second.empty();
+         });
+}
+
+void
+RunnerLinks::ForgetClosed()
+{
+  std::erase_if(mLinks, [](const auto& aLink) {
+    auto link = aLink.lock();
+    return !link || !link->IsOpen();
+  });
+}
+
+void
+RunnerLinks::CloseOldestIdle()
+{
+  std::shared_ptr<ClientLink> oldest;
+  for (const auto& [address, links] : mIdle) {
+    if (!links.empty() &&
+        (!oldest || links.front()->IdleSinceMs() < oldest->IdleSinceMs())) {
+      oldest = links.front();
+    }
+  }
+  if (oldest) {
+    std::erase(mIdle[ToString(oldest->Server())], oldest);
+    oldest->Close();
+    ForgetClosed();
+  }
 }
 
 void
--- a/router/gateway/runner_links.h
+++ b/router/gateway/runner_links.h
@@ -15,6 +15,10 @@
 public:
   explicit RunnerLinks(EventLoop& aLoop);
 
+  // The most connections, idle ones included; 0 means no limit.
+  void SetMaxLinks(std::size_t aMaxLinks) { mMaxLinks = aMaxLinks; }
+  // Whether a connection can be had, if need be in place of an idle one.
+  bool HasRoom();
   // Returns a pooled connection that was idle for at most aMaxIdleMs, or else a
   // new one.
   std::shared_ptr<ClientLink> Acquire(const Endpoint& aServer,
@@ -30,10 +34,15 @@
 
 private:
   void Sweep();
+  void ForgetClosed();
+  void CloseOldestIdle();
 
   EventLoop& mLoop;
   // Keyed by address.
   std::map<std::string, std::vector<std::shared_ptr<ClientLink>>> mIdle;
+  std::size_t mMaxLinks = 0;
+  // All connections, with some that were closed since they were last counted.
+  std::vector<std::weak_ptr<ClientLink>> mLinks;
   Timer mSweepTimer;
 };
 
--- a/tests/core/test_byte_budget.cpp
+++ b/tests/core/test_byte_budget.cpp
@@ -184,12 +184,15 @@
   ProcessLimits small = DeriveProcessLimits(120 * kMib, 0, 3075);
   BOOST_TEST(small.mBytes.mCapacityBytes == 30 * kMib);
   BOOST_TEST(small.mMaxCallers == 2157U);
+  BOOST_TEST(small.mMaxRunnerLinks == 654U);
+  BOOST_TEST(small.mMaxCallers + small.mMaxRunnerLinks < 3075U - 200);
   BOOST_TEST(small.mBytes.mGuaranteedBytes * small.mMaxCallers <= 31 * kMib);
   BOOST_TEST(
     DeriveProcessLimits(120 * kMib, 50 * kMib, 0).mBytes.mCapacityBytes ==
     50 * kMib);
   ProcessLimits none = DeriveProcessLimits(0, 0, 0);
   BOOST_TEST(none.mMaxCallers == 0U);
+  BOOST_TEST(none.mMaxRunnerLinks == 0U);
   BOOST_TEST(none.mBytes.mCapacityBytes == 512 * kMib);
   BOOST_TEST(DeriveProcessLimits(0, 0, 1).mMaxCallers == 1U);
 }
--- a/tests/process/test_uncounted_bytes.py
+++ b/tests/process/test_uncounted_bytes.py
@@ -107,4 +107,4 @@
 
 if __name__ == "__main__":
     run_checks([make_check(kind) for kind in (
-        many_fields, extended_chunks)])
+        many_fields, behind_a_request, extended_chunks)])
