Cut answers within their heads in the tests

It does not happen here: four heads cut after each of their bytes, with a regular end and with a reset, over both HTTP clients (gateway; entry and agent), none counted as complete.

--- a/tests/platform/test_answer_ends.cpp
+++ b/tests/platform/test_answer_ends.cpp
@@ -194,4 +194,35 @@
   }
 }
 
+// Guards against a head that ends in its middle and counts as a whole answer
+// with an empty or short body. The lengths of the body come after the cut, or
+// are missing.
+BOOST_AUTO_TEST_CASE(answer_cut_within_its_head_is_incomplete)
+{
+  const std::string heads[] = {
+    "HTTP/1.1 200 OK\r\nRunner-Signature: s\r\nContent-Length: 4\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nRunner-Signature: s\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nContent-Length: 0\r\nRunner-Signature: s\r\n\r\n",
+    "HTTP/1.1 200 OK\nContent-Length: 0\nRunner-Signature: s\n\n",
+  };
+  for (const std::string& head : heads) {
+    for (std::size_t size = 0; size < head.size(); ++size) {
+      for (bool isReset : { false, true }) {
+        auto answer = [&](ByteServer& aServer) {
+          BOOST_REQUIRE(RunUntil([&] { return aServer.Accept(); }));
+          RunFor(1);
+          aServer.Write(head.substr(0, size));
+          RunFor(1);
+          isReset ? aServer.Reset() : aServer.End();
+        };
+        BOOST_TEST_CONTEXT(head.substr(0, size) << ", reset " << isReset)
+        {
+          BOOST_TEST(!LinkCompletes("x", answer));
+          BOOST_TEST(!CallCompletes("x", answer));
+        }
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
