--- a/tests/platform/test_fleet_watcher.cpp
+++ b/tests/platform/test_fleet_watcher.cpp
@@ -181,4 +181,27 @@
   BOOST_TEST(RunUntil([&] { return !mWatcher.IsOverdue(); }));
 }
 
+// Guards against a lost history that counts as an outage: the followers would
+// keep runners that have left for as long as after one.
+BOOST_AUTO_TEST_CASE(lost_history_is_no_outage)
+{
+  mWatcher.Start();
+  Answer(kList, 0, MakePage(9, "a"));
+  Answer(kWatch, 0, kNoChanges);
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.IsConfirmed(); }));
+  TimeMs sinceMs = mWatcher.ReachableSinceMs();
+  std::vector<bool> changes;
+  mWatcher.mOnReachabilityChanged = [&](bool aReachable, const std::string&) {
+    changes.push_back(aReachable);
+  };
+  // The pending watch is cut, and the history is gone.
+  Answer(kWatch, 0, {}, 503);
+  Answer(kWatch, 0, {}, 410);
+  Answer(kList, 0, MakePage(12, "a"));
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.Revision() == 12; }));
+  BOOST_TEST(changes.empty());
+  BOOST_TEST(mWatcher.MayWatch());
+  BOOST_TEST(mWatcher.ReachableSinceMs() == sinceMs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
