Compare epochs before a copy counts as whole

A peer that still reads the store as it was before a restore has a revision that means something else. Its word no longer makes a copy of the new epoch count as whole. copy_is_whole_as_of_peers_that_know_nothing_newer is new; its check of the older epoch fails without the comparison by its form (an older epoch is less than a newer one).

--- a/core/src/peer_table.cpp
+++ b/core/src/peer_table.cpp
@@ -167,6 +167,7 @@
   std::optional<TimeMs> asOfMs;
   for (const auto& [address, peer] : aPeers) {
     if (HasContact(peer, aNowMs) && peer.mLastHeardMs >= aSinceMs &&
+        peer.mStoreRevision.mEpoch == aPosition.mEpoch &&
         peer.mStoreRevision <= aPosition) {
       asOfMs = std::max(asOfMs, peer.mContactMs);
     }
--- a/tests/core/test_peer_table.cpp
+++ b/tests/core/test_peer_table.cpp
@@ -188,4 +188,27 @@
   BOOST_TEST(!since().has_value());
 }
 
+// Guards against a host that takes its copy for whole by the word of a peer
+// that knows more, has lost the store, or reads the store as it was before a
+// restore.
+BOOST_AUTO_TEST_CASE(copy_is_whole_as_of_peers_that_know_nothing_newer)
+{
+  const Peer known = MakePeer("b");
+  PeerTable peers{ { "10.0.0.2", known } };
+  Peer& peer = peers.at("10.0.0.2");
+  auto asOf = [&](const StoreRevision& aPosition, TimeMs aSinceMs) {
+    return WholeAsOfMs(peers, aPosition, aSinceMs, kNowMs);
+  };
+  BOOST_TEST(asOf({ 0, 500 }, 0).value() == kNowMs - 1000);
+  BOOST_TEST(!asOf({ 0, 499 }, 0).has_value(), "knows more");
+  BOOST_TEST(!asOf({ 1, 20 }, 0).has_value(), "an older epoch");
+  BOOST_TEST(!asOf({ 0, 500 }, kNowMs + 1).has_value(), "heard before");
+  peer.mContactMs = kNowMs - 4000;
+  BOOST_TEST(!asOf({ 0, 500 }, 0).has_value(), "lost the store");
+  peer = known;
+  peers["10.0.0.3"] = known;
+  peers["10.0.0.3"].mContactMs = kNowMs - 300;
+  BOOST_TEST(asOf({ 0, 600 }, 0).value() == kNowMs - 300, "the latest");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
