Forget the sequence of a report after seconds

The order of reports by sequence, introduced in this work, would have let an entry of another writer with an enormous sequence shut a runner out until the process ends.

--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -51,8 +51,9 @@
 struct RunnerState
 {
   Registration mRegistration;
-  // Revision of the registration in the store.
+  // Revision of the registration in the store, and when it was heard.
   StoreRevision mRevision;
+  TimeMs mRegisteredMs = 0;
   // The registration was removed: requests in flight may finish, and no new
   // ones are sent.
   bool mRemoved = false;
@@ -111,7 +112,7 @@
   std::vector<std::uint64_t> mUnreportedParts;
 };
 
-// A process whose registration was removed.
+// A process whose registration was removed: its last report.
 struct Departure
 {
   std::int64_t mSequence = 0;
@@ -125,8 +126,8 @@
   std::map<std::string, RunnerState> mRunners;
   std::set<std::string> mEvacuatedZones;
   DrainNotices mDrainNotices;
-  // The processes that were removed within the time in which a late report of
-  // theirs may still be stored.
+  // The processes that were removed so recently that a late report of theirs
+  // may still be stored.
   std::map<ServerProcess, Departure> mDepartures;
   // Until when each service counts as paced: its runners state how fast they
   // work at the moment.
@@ -144,10 +145,13 @@
   std::string mHost;
 };
 
-// Whether a registration was reported before what is known of its process: a
-// write whose answer was lost may take effect seconds later.
+// Whether a registration was reported before what was heard of its process
+// within the last seconds: a write whose answer was lost may take effect that
+// much later. An entry of another writer cannot shut a runner out for longer.
 bool
-IsLateReport(const RunnerSet& aSet, const Registration& aRegistration);
+IsLateReport(const RunnerSet& aSet,
+             const Registration& aRegistration,
+             TimeMs aNowMs);
 
 // Applies a registration. A new process under a known id starts with fresh
 // state, apart from the count of requests in flight. A late report and a
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -28,8 +28,8 @@
 // runner. It is weighted by the error rate.
 constexpr double kFailureCostMs = 1500;
 
-// A write that the store executes late does so within seconds.
-constexpr TimeMs kDepartureTtlMs = 60000;
+// The store executes a write whose answer was lost at most this much later.
+constexpr TimeMs kLateReportMs = 15000;
 
 // Load reports older than this are ignored.
 constexpr TimeMs kMaxReportAgeMs = 1000;
@@ -180,7 +180,9 @@
 }
 
 bool
-IsLateReport(const RunnerSet& aSet, const Registration& aRegistration)
+IsLateReport(const RunnerSet& aSet,
+             const Registration& aRegistration,
+             TimeMs aNowMs)
 {
   ServerProcess process = ToProcess(aRegistration);
   if (process.second == 0) {
@@ -189,7 +191,8 @@
   auto known = aSet.mRunners.find(process.first);
   if (known != aSet.mRunners.end() &&
       ToProcess(known->second.mRegistration) == process) {
-    return aRegistration.mSequence < known->second.mRegistration.mSequence;
+    return aNowMs - known->second.mRegisteredMs < kLateReportMs &&
+           aRegistration.mSequence < known->second.mRegistration.mSequence;
   }
   auto departure = aSet.mDepartures.find(process);
   return departure != aSet.mDepartures.end() &&
@@ -202,7 +205,7 @@
                   const StoreRevision& aRevision,
                   TimeMs aNowMs)
 {
-  if (IsLateReport(aSet, aRegistration)) {
+  if (IsLateReport(aSet, aRegistration, aNowMs)) {
     return false;
   }
   auto [found, isNew] = aSet.mRunners.try_emplace(aRegistration.mId);
@@ -233,6 +236,7 @@
     (old.mColdRemainingMs > 0) != (aRegistration.mColdRemainingMs > 0);
   runner.mRegistration = aRegistration;
   runner.mRevision = aRevision;
+  runner.mRegisteredMs = aNowMs;
   runner.mRemoved = false;
   runner.mGraceUntilMs.reset();
   if (aRegistration.mColdRemainingMs > 0) {
@@ -309,7 +313,7 @@
     }
   }
   std::erase_if(aSet.mDepartures, [aNowMs](const auto& aRow) {
-    return aNowMs - aRow.second.mRemovedMs >= kDepartureTtlMs;
+    return aNowMs - aRow.second.mRemovedMs >= kLateReportMs;
   });
   return removed;
 }
--- a/router/gateway/gateway_state.cpp
+++ b/router/gateway/gateway_state.cpp
@@ -63,7 +63,7 @@
     LogBadDocument(aEntry, registration.error());
     return StateChange::None;
   }
-  if (IsLateReport(aState.mRunners, *registration)) {
+  if (IsLateReport(aState.mRunners, *registration, aNowMs)) {
     LogBadDocument(aEntry, "reported before what is known of the process");
     return StateChange::None;
   }
