--- a/tests/core/store_sim.h
+++ b/tests/core/store_sim.h
@@ -635,10 +635,11 @@
 inline void
 PlayFaultsInTurn(SimFleet& aFleet, TimeMs aForMs)
 {
-  std::vector<Fault> kinds;
-  for (const auto& [name, set] : kFaults) {
-    kinds.push_back(set);
-  }
+  std::vector<Fault> kinds(kFaults.size());
+  std::transform(kFaults.begin(),
+                 kFaults.end(),
+                 kinds.begin(),
+                 [](const auto& aRow) { return aRow.second; });
   std::multimap<TimeMs, std::pair<SimHost*, Fault>> harmed;
   auto isHarmed = [&harmed](const SimHost& aHost) {
     return std::any_of(harmed.begin(), harmed.end(), [&](const auto& aRow) {
