Hold a reload back until it is handled

A gateway that had just been started could end at once: the platform sends SIGHUP when settings change, and between the start of the process and the handler the signal has its default effect.

SIGHUP is blocked from the first statement of the gateway until its handler is installed, so that a change which comes after the settings were read is read too. What remains are the milliseconds of the dynamic linker. Entry and agent have no reload.

--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -55,6 +55,17 @@
   return BootTimeMs() - MonotonicMs();
 }
 
+// Holds SIGHUP back, which would end a process that does not handle it yet, or
+// delivers what was held back.
+void
+HoldReloads(bool aHold)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  sigprocmask(aHold ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
+}
+
 } // namespace
 
 Gateway::Gateway(EventLoop& aLoop, FleetSettings aSettings)
@@ -600,6 +611,7 @@
 int
 RunGateway(const std::vector<std::string>& aArguments)
 {
+  HoldReloads(true);
   bool check = aArguments.size() > 2 && aArguments[2] == "--check";
   std::size_t fileIndex = check ? 3 : 2;
   const char* variable =
@@ -636,6 +648,7 @@
   SignalWatch terminate(loop, SIGTERM, [&] { gateway.Drain(); });
   SignalWatch interrupt(loop, SIGINT, [&] { gateway.Drain(); });
   SignalWatch reload(loop, SIGHUP, [&] { gateway.Reload(path); });
+  HoldReloads(false);
   LogEvent(Event::ProcessStarted,
            { { "role", "gateway" },
              { "host", settings->mHost },
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -476,6 +476,38 @@
     assert gateway.is_ready()
 
 
+def reload_during_the_start_ends_no_process(platform):
+    """Guards against a process that a SIGHUP ends before it is handled (soak seed
+    616). The settings come from a pipe, so that the start waits for them."""
+    gateway = platform.gateway("reloaded")
+    gateway.stop()
+    with open(gateway.path, encoding="utf-8") as file:
+        settings = file.read()
+    os.remove(gateway.path)
+    os.mkfifo(gateway.path)
+    gateway.process = subprocess.Popen(
+        [BINARY, "gateway"], stdout=subprocess.DEVNULL,
+        env=dict(os.environ, SAVORYSTREAM_CONFIG=gateway.path))
+
+    def is_waiting():
+        with open("/proc/%d/stat" % gateway.process.pid,
+                  encoding="utf-8") as file:
+            return file.read().rsplit(")", 1)[1].split()[0] == "S"
+    for _ in range(5):
+        wait_until(is_waiting, what="the process to read its settings")
+        time.sleep(0.05)
+    gateway.process.send_signal(signal.SIGHUP)
+    time.sleep(0.1)
+    assert gateway.process.poll() is None, gateway.process.poll()
+    with open(gateway.path, "w", encoding="utf-8") as pipe:
+        # What the signal makes the process read again is a file.
+        os.remove(gateway.path)
+        with open(gateway.path, "w", encoding="utf-8") as file:
+            file.write(settings)
+        pipe.write(settings)
+    wait_until(gateway.is_ready, what="the process to be ready")
+
+
 def check_option_reports_invalid_fields(_platform):
     path = os.path.join(FOLDER, "bad.json")
     with open(path, "w", encoding="utf-8") as file:
@@ -494,4 +526,5 @@
     learns_from_peers, unanswered_watcher_learns_from_peers, starts_with_the_current_configuration,
     zone_follows_two_watchers, completes_a_good_version,
     rolls_back_a_bad_version, stops_gracefully, log_never_blocks,
-    check_option_reports_invalid_fields])
+    check_option_reports_invalid_fields,
+    reload_during_the_start_ends_no_process])
