Keep the stories of the new tests out of their comments

Each regression test has a name that says what it guards against and a line at most; the stories are in the postmortems.

--- a/tests/core/test_peer_table.cpp
+++ b/tests/core/test_peer_table.cpp
@@ -168,9 +168,7 @@
   BOOST_TEST(NewestEpoch(peers, kNowMs + kPeerTimeoutMs) == 0);
 }
 
-// Guards against runners that stay in use after their registration was removed,
-// as the watcher of the zone has restarted, or has lost the store for a moment,
-// while the store served the hosts of other zones.
+// Around an outage of the store, runners that were removed stay in use.
 BOOST_AUTO_TEST_CASE(outage_of_one_zone_is_not_the_stores)
 {
   PeerTable peers{ { "10.0.0.2", MakePeer("b") },
@@ -188,9 +186,6 @@
   BOOST_TEST(!since().has_value());
 }
 
-// Guards against a host that takes its copy for whole by the word of a peer
-// that knows more, has lost the store, or reads the store as it was before a
-// restore.
 BOOST_AUTO_TEST_CASE(copy_is_whole_as_of_peers_that_know_nothing_newer)
 {
   const Peer known = MakePeer("b");
--- a/tests/core/test_runners.cpp
+++ b/tests/core/test_runners.cpp
@@ -479,8 +479,7 @@
   BOOST_TEST(fixture.Place({}, 200).has_value());
 }
 
-// Guards against a runner that is used again by a report from before it
-// drained, which the store executes seconds later.
+// The store may execute a write whose answer was lost seconds later.
 BOOST_AUTO_TEST_CASE(late_report_does_not_undo_a_drain_or_a_removal)
 {
   RunnerFixture fixture;
@@ -512,8 +511,7 @@
   BOOST_TEST(fixture.mSet.mDepartures.empty());
 }
 
-// Guards against a runner that is shut out for good by an entry of another
-// writer that states a sequence beyond all that the runner will ever reach.
+// Other writers may state any sequence.
 BOOST_AUTO_TEST_CASE(forged_sequence_shuts_a_runner_out_for_seconds_only)
 {
   RunnerFixture fixture;
--- a/tests/core/test_store_copy.cpp
+++ b/tests/core/test_store_copy.cpp
@@ -105,8 +105,7 @@
   BOOST_TEST((KeysOf(peer) == KeysOf(copy)));
 }
 
-// Guards against a key that is back at a host after its deletion: the host
-// reads the whole list while its peers pass on what happens meanwhile.
+// Peers pass changes on while a host reads the whole list.
 BOOST_AUTO_TEST_CASE(list_older_than_the_copy_brings_back_no_deleted_key)
 {
   SimStore store;
@@ -156,9 +155,7 @@
   }
 }
 
-// Load: 30 hosts in four zones, two configurations a second that are too long
-// for a datagram. Guards against waits for one lost watcher after another that
-// add up beyond the bound.
+// Load: 30 hosts, two configurations a second, too long for a datagram.
 BOOST_AUTO_TEST_CASE(change_is_in_force_while_watchers_fail_in_turn)
 {
   constexpr TimeMs kShortApplyMs = 3000;
--- a/tests/platform/test_answer_ends.cpp
+++ b/tests/platform/test_answer_ends.cpp
@@ -194,9 +194,7 @@
   }
 }
 
-// Guards against a head that ends in its middle and counts as a whole answer
-// with an empty or short body. The lengths of the body come after the cut, or
-// are missing.
+// The length of the body comes after the cut, or is missing.
 BOOST_AUTO_TEST_CASE(answer_cut_within_its_head_is_incomplete)
 {
   const std::string heads[] = {
--- a/tests/platform/test_fleet_watcher.cpp
+++ b/tests/platform/test_fleet_watcher.cpp
@@ -150,8 +150,7 @@
   BOOST_TEST(mApplied == expected, boost::test_tools::per_element());
 }
 
-// Guards against a runner that is used again after it has left, as the page
-// that still has it is applied after a peer's word of its deletion.
+// The first page still has the runner; the peer knows that it has left.
 BOOST_AUTO_TEST_CASE(deletion_heard_between_two_pages_holds)
 {
   mWatcher.Start();
@@ -181,8 +180,7 @@
   BOOST_TEST(RunUntil([&] { return !mWatcher.IsOverdue(); }));
 }
 
-// Guards against a lost history that counts as an outage: the followers would
-// keep runners that have left for as long as after one.
+// Around an outage, followers keep runners that have left.
 BOOST_AUTO_TEST_CASE(lost_history_is_no_outage)
 {
   mWatcher.Start();
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -297,8 +297,7 @@
 
 
 def unanswered_watcher_learns_from_peers(platform):
-    """Guards against a host that waits for its own silent connection while its
-    peers announce a configuration that is too long for a datagram."""
+    """The configuration is too long for a datagram."""
     peer_port, datagram_port = free_port(), free_port()
     options = {"seeds": ["127.0.0.2:%d" % peer_port,
                          "127.0.0.3:%d" % peer_port],
@@ -477,8 +476,7 @@
 
 
 def reload_during_the_start_ends_no_process(platform):
-    """Guards against a process that a SIGHUP ends before it is handled (soak seed
-    616). The settings come from a pipe, so that the start waits for them."""
+    """The settings come from a pipe, so that the start waits for them."""
     gateway = platform.gateway("reloaded")
     gateway.stop()
     with open(gateway.path, encoding="utf-8") as file:
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -27,6 +27,7 @@
     25: "Fault of this test: two crashes of the same runner overlapped.",
     51: "Fault of this test: two crashes of the same runner overlapped.",
     74: "A gateway waited longer than 3 s for a watch that got no response.",
+    616: "A SIGHUP ended a gateway before it handled the signal.",
 }
 
 FAULT_SECONDS = 10
