Apply a drain whatever sequence was heard before

A report that drains is never late; only one that would bring a server back into use is held against the sequence.

Evidence: forged_sequence_does_not_hide_a_drain failed on the code before and holds now; the suites runners, paced_placement and store_restore pass.

--- a/core/include/savory/core/runners.h
+++ b/core/include/savory/core/runners.h
@@ -147,7 +147,8 @@
 
 // Whether a registration was reported before what was heard of its process
 // within the last seconds: a write whose answer was lost may take effect that
-// much later. An entry of another writer cannot shut a runner out for longer.
+// much later. A drain is never late. An entry of another writer cannot shut a
+// runner out for longer.
 bool
 IsLateReport(const RunnerSet& aSet,
              const Registration& aRegistration,
--- a/core/src/runners.cpp
+++ b/core/src/runners.cpp
@@ -185,7 +185,7 @@
              TimeMs aNowMs)
 {
   ServerProcess process = ToProcess(aRegistration);
-  if (process.second == 0) {
+  if (process.second == 0 || aRegistration.mDraining) {
     return false;
   }
   auto known = aSet.mRunners.find(process.first);
--- a/tests/core/test_runners.cpp
+++ b/tests/core/test_runners.cpp
@@ -527,4 +527,18 @@
   BOOST_TEST(fixture.Place({}, 16000).has_value());
 }
 
+// Other writers may state any sequence.
+BOOST_AUTO_TEST_CASE(forged_sequence_does_not_hide_a_drain)
+{
+  RunnerFixture fixture;
+  Registration registration = MakeRegistration("a");
+  registration.mSequence = 1'000'000'000'000;
+  fixture.Add(registration, 1000);
+  BOOST_TEST(fixture.Place({}, 1000).has_value());
+  registration.mSequence = 7;
+  registration.mDraining = true;
+  fixture.Add(registration, 2200);
+  BOOST_TEST(!fixture.Place({}, 2200).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
