Keep handled signals from regaining their default effect

What callers saw: nothing; what started the gateway saw it end with signal 1 or 15 instead of exit code 0, if another SIGHUP or SIGTERM came in the last milliseconds of a stop. The cause is that of the signal during the start: a SignalWatch handles a signal only while it exists, and the process goes on for a while after its watches are gone, destroying the rest.

SignalWatch now blocks its signal before it ends, and unblocks it once it handles it; HoldSignal does the first for a process that is still starting. This replaces the gateway's own HoldReloads and also covers entry, agent and what else has a SignalWatch.

--- a/net/include/savory/net/loop.h
+++ b/net/include/savory/net/loop.h
@@ -79,7 +79,13 @@
 void
 Defer(EventLoop& aLoop, sigc::slot<void()> aCallback);
 
+// Keeps a POSIX signal pending until a SignalWatch of it exists.
+void
+HoldSignal(int aSignal);
+
 // Calls a callback for each delivery of a POSIX signal while the object exists.
+// Before the callback is destroyed, the signal is held as by HoldSignal, so
+// that its default action cannot end a process that is about to exit.
 class SignalWatch
 {
 public:
--- a/net/src/loop.cpp
+++ b/net/src/loop.cpp
@@ -9,6 +9,19 @@
 
 namespace savory {
 
+namespace {
+
+void
+ChangeSignalMask(int aHow, int aSignal)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, aSignal);
+  sigprocmask(aHow, &signals, nullptr);
+}
+
+} // namespace
+
 EventLoop::EventLoop()
   : mBase(event_base_new())
 {
@@ -183,6 +196,12 @@
     &now);
 }
 
+void
+HoldSignal(int aSignal)
+{
+  ChangeSignalMask(SIG_BLOCK, aSignal);
+}
+
 SignalWatch::SignalWatch(EventLoop& aLoop,
                          int aSignal,
                          sigc::slot<void()> aCallback)
@@ -196,10 +215,12 @@
   , mCallback(std::move(aCallback))
 {
   event_add(mEvent, nullptr);
+  ChangeSignalMask(SIG_UNBLOCK, aSignal);
 }
 
 SignalWatch::~SignalWatch()
 {
+  HoldSignal(event_get_signal(mEvent));
   event_free(mEvent);
 }
 
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -55,17 +55,6 @@
   return BootTimeMs() - MonotonicMs();
 }
 
-// Holds SIGHUP back, which would end a process that does not handle it yet, or
-// delivers what was held back.
-void
-HoldReloads(bool aHold)
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGHUP);
-  sigprocmask(aHold ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
-}
-
 } // namespace
 
 Gateway::Gateway(EventLoop& aLoop, FleetSettings aSettings)
@@ -611,7 +600,8 @@
 int
 RunGateway(const std::vector<std::string>& aArguments)
 {
-  HoldReloads(true);
+  // A reload that is asked for during the start is done after it.
+  HoldSignal(SIGHUP);
   bool check = aArguments.size() > 2 && aArguments[2] == "--check";
   std::size_t fileIndex = check ? 3 : 2;
   const char* variable =
@@ -648,7 +638,6 @@
   SignalWatch terminate(loop, SIGTERM, [&] { gateway.Drain(); });
   SignalWatch interrupt(loop, SIGINT, [&] { gateway.Drain(); });
   SignalWatch reload(loop, SIGHUP, [&] { gateway.Reload(path); });
-  HoldReloads(false);
   LogEvent(Event::ProcessStarted,
            { { "role", "gateway" },
              { "host", settings->mHost },
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -506,6 +506,16 @@
     wait_until(gateway.is_ready, what="the process to be ready")
 
 
+def signals_during_the_end_do_not_change_the_exit(platform):
+    """Guards against signals that end a process after its last handler is gone."""
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        process = platform.gateway("ending-%d" % number).process
+        process.terminate()
+        while process.poll() is None:
+            process.send_signal(number)
+        assert process.returncode == 0, (number, process.returncode)
+
+
 def check_option_reports_invalid_fields(_platform):
     path = os.path.join(FOLDER, "bad.json")
     with open(path, "w", encoding="utf-8") as file:
@@ -525,4 +535,5 @@
     zone_follows_two_watchers, completes_a_good_version,
     rolls_back_a_bad_version, stops_gracefully, log_never_blocks,
     check_option_reports_invalid_fields,
-    reload_during_the_start_ends_no_process])
+    reload_during_the_start_ends_no_process,
+    signals_during_the_end_do_not_change_the_exit])
