Play callers that come back as soon as they are cut off

The crowds of the trial stayed after they had been refused; a client that does not behave connects again and sends the same once more. The new check has the crowd, the mixture and the bounds of test_resource_exhaustion, with four connections one after the other for each client, none of which the client closes.

--- a/tests/process/test_resource_exhaustion.py
+++ b/tests/process/test_resource_exhaustion.py
@@ -5,6 +5,7 @@
 Guards against a process that exceeds the memory or the descriptors of its
 machine, and against one that answers nobody else afterwards."""
 
+import functools
 import os
 import socket
 import threading
@@ -26,6 +27,8 @@
 # How long a client goes on sending while the gateway reads nothing.
 SEND_SECONDS = 6
 SETTLED_SECONDS = 1
+# Connections that a client opens one after the other.
+RETURNS = 4
 
 HEAD = (b"POST /u/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: e%d\r\n"
         b"Api-Key: k1\r\nDeadline-Ms: 5000\r\n")
@@ -119,6 +122,32 @@
             pass
 
 
+class ReturningClient(Client):
+    """Opens another connection as soon as it is cut off, and sends again."""
+
+    def __init__(self, gateway, make_parts):
+        self.gateway = gateway
+        self.make_parts = make_parts
+        # Not closed by the client.
+        self.ended_connections = []
+        super().__init__(gateway, make_parts())
+
+    def run(self):
+        for _ in range(RETURNS):
+            super().run()
+            try:
+                while self.connection.recv(4096):
+                    pass
+            except socket.timeout:
+                return
+            except OSError:
+                pass
+            self.ended_connections.append(self.connection)
+            self.connection = socket.create_connection(
+                (self.gateway.address, self.gateway.frontend_port))
+            self.parts = self.make_parts()
+
+
 def start_gateway(platform, name):
     platform.store.put("op/config", dict(
         fleet_platform.CONFIGURATION, limits={
@@ -162,8 +191,13 @@
 
 
 def play(platform, name, count, make_parts):
+    play_clients(platform, name, lambda gateway: [
+        Client(gateway, make_parts(number)) for number in range(count)])
+
+
+def play_clients(platform, name, start_clients):
     gateway = start_gateway(platform, name)
-    clients = [Client(gateway, make_parts(number)) for number in range(count)]
+    clients = start_clients(gateway)
     most_fds = 0
     while any(client.is_alive() for client in clients):
         most_fds = max(most_fds, descriptors(gateway))
@@ -191,6 +225,12 @@
          lambda number: KINDS[number % len(KINDS)](number))
 
 
+def clients_that_return_at_once(platform):
+    play_clients(platform, "returning", lambda gateway: [
+        ReturningClient(gateway, functools.partial(
+            KINDS[number % len(KINDS)], number)) for number in range(CLIENTS)])
+
+
 def connections_without_a_request(platform):
     play(platform, "idle", IDLE_CLIENTS, lambda number: ())
 
@@ -220,5 +260,6 @@
 
 if __name__ == "__main__":
     run_checks([make_kind_check(kind) for kind in KINDS] +
-               [a_mixture_of_all, connections_without_a_request,
+               [a_mixture_of_all, clients_that_return_at_once,
+                connections_without_a_request,
                 permitted_bodies_are_served_or_refused])
