--- a/tests/process/test_resource_exhaustion_entry.py
+++ b/tests/process/test_resource_exhaustion_entry.py
@@ -3,6 +3,7 @@
 Guards against a process that exceeds the memory of its machine, and against one
 that answers nobody else afterwards. Agents take no requests of callers."""
 
+import functools
 import os
 import sys
 import time
@@ -23,10 +24,10 @@
         self.frontend_port = int(port)
 
 
-def play(fleet, name, make_parts):
+def play(fleet, name, make_parts, client=callers.Client):
     entry = fleet.entries[0]
     target = Entry(entry)
-    clients = [callers.Client(target, make_parts(number))
+    clients = [client(target, make_parts(number))
                for number in range(callers.CLIENTS)]
     while any(client.is_alive() for client in clients):
         time.sleep(0.05)
@@ -46,19 +47,26 @@
     return callers.KINDS[number % len(callers.KINDS)](number)
 
 
+def play_returning(fleet, name, make_parts):
+    play(fleet, name, lambda number: functools.partial(make_parts, number),
+         callers.ReturningClient)
+
+
 def main():
     os.environ["SAVORY_MEMORY_MB"] = str(MEMORY_MB)
     os.environ["SAVORY_MAX_BODY_BYTES"] = str(callers.MAX_BODY_BYTES)
     failed = 0
-    for kind in callers.KINDS + [mixture]:
+    checks = [(kind.__name__, play, kind) for kind in callers.KINDS + [mixture]]
+    checks.append(("returning", play_returning, mixture))
+    for name, check, kind in checks:
         with Fleet(sys.argv[1], engines=1, services=1, entries=1) as fleet:
             fleet.wait_ready()
             try:
-                play(fleet, kind.__name__, kind)
-                print("ok", kind.__name__, flush=True)
+                check(fleet, name, kind)
+                print("ok", name, flush=True)
             except AssertionError as error:
                 failed += 1
-                print("FAILED", kind.__name__, error, flush=True)
+                print("FAILED", name, error, flush=True)
     sys.exit(1 if failed else 0)
 
 
