Mend what the check of turned-away hosts took for granted

A host was paused for 2 s, the timeout of the route, so that a call in flight rightly ended with 504; and both runners answered within a millisecond, so that placement could stay with the other one and the returning hosts were not seen.

The pause is now 1.5 s, across the end of the Retry-After as before, and the other runner takes 30 ms, so that each host goes back to the first as soon as it may. All conditions are unchanged: at most two requests while turned away, all three hosts come back, fewer at first than at last, every call 200.

--- a/tests/process/test_runner_hints.py
+++ b/tests/process/test_runner_hints.py
@@ -156,6 +156,8 @@
     again in the midst of a second time."""
     gateways = fleet(platform, 3)
     busy, other = platform.desk
+    # Placement prefers the runner that turns hosts away whenever it may.
+    other.answer_delay_s = 0.03
     loads = [Load(gateway) for gateway in gateways]
     try:
         time.sleep(0.5)
@@ -164,9 +166,10 @@
         started = time.monotonic()
         time.sleep(1)
         gateways[0].process.send_signal(signal.SIGSTOP)
-        time.sleep(2)
-        gateways[0].process.send_signal(signal.SIGCONT)
+        # Shorter than the timeout of the route: no call may fail.
         time.sleep(1.5)
+        gateways[0].process.send_signal(signal.SIGCONT)
+        time.sleep(2)
         for gateway in gateways:
             kept = [when for when, attempt in busy.arrivals
                     if attempt.startswith(gateway.address + "-") and
@@ -226,4 +229,5 @@
     run_checks([leaving_runner_gets_no_requests_without_the_store,
                 refused_when_all_runners_leave,
                 answer_of_another_process_says_nothing,
+                hosts_that_are_turned_away_stay_away,
                 told_at_once_when_all_runners_turn_requests_away])
