Log and measure what a configuration costs on its way

Five hypotheses were written before any change; the logs could not tell them apart: nothing said how large a configuration is, how long an answer of the store or of a peer took and whether it broke off while it arrived, or whether the process had no time to act.

E201 states the size and the time to read, E507 and E508 bytes and time of what a peer handed over, E512 is new for long answers of the store; two metrics give the size of the configuration and the delay of the event loop. No decision depends on them.

--- a/core/include/savory/core/events.h
+++ b/core/include/savory/core/events.h
@@ -68,6 +68,7 @@
   PeerMessageDropped = 509,
   WatchDutyChanged = 510,
   StoreRestored = 511,
+  LongStoreAnswer = 512,
   DutyTaken = 521,
   DutyLost = 522,
   DutyIgnored = 523,
@@ -89,7 +90,7 @@
   Severity mSeverity;
 };
 
-inline constexpr std::array<EventRow, 62> kEventTable{ {
+inline constexpr std::array<EventRow, 63> kEventTable{ {
   { Event::ProcessStarted, "process-started", Severity::Info },
   { Event::DrainStarted, "drain-started", Severity::Info },
   { Event::ProcessStopped, "process-stopped", Severity::Info },
@@ -140,6 +141,7 @@
   { Event::PeerMessageDropped, "peer-message-dropped", Severity::Warning },
   { Event::WatchDutyChanged, "watch-duty-changed", Severity::Info },
   { Event::StoreRestored, "store-restored", Severity::Warning },
+  { Event::LongStoreAnswer, "long-store-answer", Severity::Info },
   { Event::DutyTaken, "duty-taken", Severity::Info },
   { Event::DutyLost, "duty-lost", Severity::Warning },
   { Event::DutyIgnored, "duty-ignored", Severity::Warning },
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -43,6 +43,9 @@
 // Callers that were refused unread are logged at most this often by reason.
 constexpr TimeMs kRefusalLogIntervalMs = 1000;
 
+// Answers of the store from this size on are logged.
+constexpr std::size_t kLongAnswerBytes = 64 * 1024;
+
 // Large buffers are separate mappings, which return to the system when freed.
 // glibc would otherwise raise this threshold with each one that is freed, up to
 // 32 MiB, and the heap would keep the gaps that bodies leave.
@@ -102,6 +105,11 @@
                  kRegistrationReturnSlackMs
              : kRestoreHoldMs;
   };
+  mWatcher.mOnAnswer = [this](std::int64_t aRevision,
+                              std::size_t aEntries,
+                              const std::string& aReason) {
+    OnStoreAnswer(aRevision, aEntries, aReason);
+  };
   mWatcher.mOnRestored = [this](const StoreRevision& aBefore) {
     OnRestored(aBefore);
   };
@@ -206,6 +214,7 @@
   mDuties.OnStoreEntry(aEntry);
   StateChange change = ApplyStoreEntry(mShared.mState, aEntry, mLoop.NowMs());
   if (change == StateChange::Table) {
+    mShared.mMetrics.SetConfigBytes(aEntry.mValue.size());
     OnTableChanged();
   } else if (change == StateChange::Shift) {
     AdvanceShifts();
@@ -257,6 +266,22 @@
   mPeers.ScheduleSend();
 }
 
+void
+Gateway::OnStoreAnswer(std::int64_t aRevision,
+                       std::size_t aEntries,
+                       const std::string& aReason)
+{
+  const AnswerSize& answer = mStore.LastRead();
+  if (answer.mBytes >= kLongAnswerBytes) {
+    LogEvent(Event::LongStoreAnswer,
+             { { "bytes", std::to_string(answer.mBytes) },
+               { "ms", std::to_string(answer.mMs) },
+               { "entries", std::to_string(aEntries) },
+               { "revision", std::to_string(aRevision) },
+               { "reason", aReason } });
+  }
+}
+
 void
 Gateway::OnStoreReachability(bool aReachable, const std::string& aReason)
 {
@@ -382,6 +407,11 @@
 Gateway::Tick()
 {
   TimeMs now = mLoop.NowMs();
+  if (mTickedMs > 0) {
+    mShared.mMetrics.ObserveLoopDelay(
+      std::max<TimeMs>(0, now - mTickedMs - kTickIntervalMs));
+  }
+  mTickedMs = now;
   CheckSuspension();
   mPeers.UpdateSharing();
   mShared.mMetrics.SetCopyAge(mPeers.CopyAgeMs());
--- a/router/gateway/gateway.h
+++ b/router/gateway/gateway.h
@@ -40,6 +40,9 @@
   void OnStoreEntry(const StoreEntry& aEntry);
   void OnStoreDeletion(const std::string& aKey);
   void OnRestored(const StoreRevision& aBefore);
+  void OnStoreAnswer(std::int64_t aRevision,
+                     std::size_t aEntries,
+                     const std::string& aReason);
   void OnStoreReachability(bool aReachable, const std::string& aReason);
   void OnTableChanged();
   void OnConnectionLost(const std::string& aRunner,
@@ -88,6 +91,7 @@
   bool mOutageIsLocal = false;
   TimeMs mNextAdvanceMs = 0;
   bool mDraining = false;
+  TimeMs mTickedMs = 0;
   TimeMs mTotalSuspendedMs = 0;
   std::string mSettingsText;
   Timer mTickTimer;
--- a/router/gateway/gateway_metrics.h
+++ b/router/gateway/gateway_metrics.h
@@ -62,6 +62,21 @@
                                   {}),
                   static_cast<double>(aAgeMs) / 1000);
   }
+  void SetConfigBytes(std::size_t aBytes)
+  {
+    mRegistry.Set(mRegistry.Gauge("savory_gateway_config_bytes",
+                                  "Size of the configuration in the store.",
+                                  {}),
+                  static_cast<double>(aBytes));
+  }
+  void ObserveLoopDelay(TimeMs aDelayMs)
+  {
+    mRegistry.Observe(
+      mRegistry.Histogram("savory_gateway_loop_delay_seconds",
+                          "How late a timer of the event loop runs.",
+                          {}),
+      static_cast<double>(aDelayMs) / 1000);
+  }
   void SetRunnerHints(int aLeaving, int aBackedOff)
   {
     mRegistry.Set(mRegistry.Gauge("savory_gateway_runners_leaving",
--- a/router/gateway/gateway_state.cpp
+++ b/router/gateway/gateway_state.cpp
@@ -31,6 +31,7 @@
 StateChange
 ApplyTable(GatewayState& aState, const StoreEntry& aEntry)
 {
+  TimeMs startMs = MonotonicMs();
   auto table = ParseRouteTable(aEntry.mValue);
   if (!table) {
     LogEvent(Event::ConfigRefused, { { "reason", table.error() } });
@@ -43,7 +44,9 @@
            { { "version", std::to_string(table->mVersion) },
              { "revision", std::to_string(aEntry.mModRevision) },
              { "services", std::to_string(table->mServices.size()) },
-             { "keys", std::to_string(table->mKeys.size()) } });
+             { "keys", std::to_string(table->mKeys.size()) },
+             { "bytes", std::to_string(aEntry.mValue.size()) },
+             { "parse_ms", std::to_string(MonotonicMs() - startMs) } });
   aState.mTable = std::make_shared<const RouteTable>(std::move(*table));
   return StateChange::Table;
 }
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -278,14 +278,19 @@
     }
     LogEvent(
       Event::PeerPullFailed,
-      { { "peer", mPullAddress }, { "reason", entries.error().mReason } });
+      { { "peer", mPullAddress },
+        { "reason", entries.error().mReason },
+        { "bytes", std::to_string(mPullConnection->LastAnswer().mBytes) },
+        { "ms", std::to_string(mPullConnection->LastAnswer().mMs) } });
     return;
   }
   LogEvent(Event::PeerPulled,
            { { "peer", mPullAddress },
              { "revision", std::to_string(entries->mRevision) },
              { "entries", std::to_string(entries->mEntries.size()) },
-             { "full", aOnlyChanges ? "false" : "true" } });
+             { "full", aOnlyChanges ? "false" : "true" },
+             { "bytes", std::to_string(mPullConnection->LastAnswer().mBytes) },
+             { "ms", std::to_string(mPullConnection->LastAnswer().mMs) } });
   if (aOnlyChanges) {
     mWatcher.MergePeerChanges({ mWatcher.Revision(), *entries });
   } else {
