Pass on a change of a large value as its difference

What callers saw: keys that had been taken away still served, and new routes answered with 404, for seconds after the change was confirmed (CONFIG).

Cause (hypothesis 1): the cost of a change grew with the document. A configuration of these deployments does not fit into a datagram, so each host of a zone fetched all of it, and all versions between, from one watcher: 640 KB for 2,500 routes, over a line of 10 Mbit/s that also carries callers.

Change: values of 4 KiB or more are passed on as deltas to the version before (Zstandard with that version as dictionary, checksum in the frame); the log holds deltas and no superseded whole versions; only the newest version in a batch is put in force. A host without the version that a delta needs asks for the whole value. Releases without deltas drop such datagrams and fetch whole values as before.

--- a/core/include/savory/core/peer_message.h
+++ b/core/include/savory/core/peer_message.h
@@ -91,6 +91,8 @@
   // Empty if the key was deleted.
   std::optional<std::string> mValue;
   std::int64_t mRevision = 0;
+  // Where not 0, mValue is a delta to the key's value at this revision.
+  std::int64_t mBaseRevision = 0;
 };
 
 // The changes of the store after one revision up to another.
--- a/core/include/savory/core/store_copy.h
+++ b/core/include/savory/core/store_copy.h
@@ -24,6 +24,10 @@
   bool mDeleted = false;
   // The epoch in which mModRevision was assigned. Copies set it.
   std::int64_t mEpoch = 0;
+  // Where not 0, mDelta turns the value that the key had at this revision into
+  // mValue (value_delta.h). Changes between hosts have the delta alone.
+  std::int64_t mBaseRevision = 0;
+  std::string mDelta = {};
 };
 
 StoreRevision
@@ -71,7 +75,9 @@
   std::int64_t mRevision = 0;
   // The epoch of all revisions of the copy.
   std::int64_t mEpoch = 0;
-  // The latest changes, complete after mLogRevision but for mListed.
+  // The latest changes, complete after mLogRevision but for mListed and for
+  // superseded versions of large values. Those of large values have the delta
+  // alone, where there is one.
   std::deque<StoreEntry> mLog;
   std::int64_t mLogRevision = 0;
   // Spans of revisions that a whole list took the copy over, without the
@@ -117,15 +123,36 @@
 std::vector<StoreEntry>
 ReleaseHeld(StoreCopy& aCopy, TimeMs aNowMs);
 
+// Values from this size on are passed on as deltas, and only the newest version
+// of such a value matters.
+inline constexpr std::size_t kLargeValueBytes = std::size_t{ 4 } * 1024;
+
+// Restores the values of changes that have deltas alone. Returns false if one
+// of them builds on a version that the copy does not have.
+bool
+ResolveDeltas(const StoreCopy& aCopy, StoreChanges& aChanges);
+
 // Applies changes that begin at the copy's revision or before it, and returns
-// those that were new to the copy. Changes of another epoch change nothing.
+// those that were new to the copy; of a large value only the newest version.
+// Changes of another epoch change nothing. Deltas must have been resolved.
 std::vector<StoreEntry>
 ApplyChanges(StoreCopy& aCopy, const StoreChanges& aChanges);
 
+// How changes have the versions of large values.
+enum class ChangeForm
+{
+  // As deltas to the version before, where that is known.
+  Deltas,
+  // The newest version as a whole.
+  Values,
+};
+
 // The changes after a revision; empty if the copy does not know them all, as
 // for a revision of another epoch.
 std::optional<StoreChanges>
-ChangesAfter(const StoreCopy& aCopy, const StoreRevision& aRevision);
+ChangesAfter(const StoreCopy& aCopy,
+             const StoreRevision& aRevision,
+             ChangeForm aForm = ChangeForm::Values);
 
 // How long a host waits with its first calls after a change of the epoch. All
 // hosts learn of it within a second; the hash of their names spreads them.
--- a/core/src/peer_message.cpp
+++ b/core/src/peer_message.cpp
@@ -14,6 +14,9 @@
 // The version of changes that state an epoch. Releases that know no epochs drop
 // them; they would apply them to a copy of another epoch.
 constexpr std::uint8_t kEpochFormatVersion = 3;
+// The version of changes with deltas, which earlier releases would take for
+// values.
+constexpr std::uint8_t kDeltaFormatVersion = 4;
 constexpr std::size_t kHeaderBytes = 2;
 
 // Largest size in CBOR of an unsigned 64-bit integer or a double, and of the
@@ -204,6 +207,9 @@
       const auto& value = row.at(2).get_binary();
       change.mValue = std::string(value.begin(), value.end());
     }
+    if (row.size() > 3) {
+      change.mBaseRevision = row.at(3).get<std::int64_t>();
+    }
     message.mRows.push_back(std::move(change));
   }
   return message;
@@ -275,6 +281,7 @@
 {
   Json rows = Json::array();
   std::size_t valueBytes = 0;
+  bool hasDelta = false;
   for (const ChangeRow& row : aMessage.mRows) {
     Json fields{ row.mKey, row.mRevision };
     if (row.mValue) {
@@ -284,6 +291,10 @@
       }
       fields.push_back(
         Json::binary({ row.mValue->begin(), row.mValue->end() }));
+      if (row.mBaseRevision > 0) {
+        fields.push_back(row.mBaseRevision);
+        hasDelta = true;
+      }
     }
     rows.push_back(std::move(fields));
   }
@@ -296,10 +307,11 @@
   if (hasEpoch) {
     document["e"] = aMessage.mEpoch;
   }
-  std::string bytes =
-    EncodeDatagram(PeerDatagramKind::Changes,
-                   document,
-                   hasEpoch ? kEpochFormatVersion : kFormatVersion);
+  std::string bytes = EncodeDatagram(PeerDatagramKind::Changes,
+                                     document,
+                                     hasDelta   ? kDeltaFormatVersion
+                                     : hasEpoch ? kEpochFormatVersion
+                                                : kFormatVersion);
   return bytes.size() <= kMaxPeerDatagramBytes ? bytes : std::string();
 }
 
@@ -310,7 +322,8 @@
     return tl::unexpected(std::string("shorter than its header"));
   }
   auto version = static_cast<std::uint8_t>(aBytes[0]);
-  if (version != kFormatVersion && version != kEpochFormatVersion) {
+  if (version != kFormatVersion && version != kEpochFormatVersion &&
+      version != kDeltaFormatVersion) {
     return tl::unexpected("format version " + std::to_string(version));
   }
   auto kind = static_cast<std::uint8_t>(aBytes[1]);
--- a/core/src/store_copy.cpp
+++ b/core/src/store_copy.cpp
@@ -1,5 +1,7 @@
 #include "savory/core/store_copy.h"
 
+#include "savory/core/value_delta.h"
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -14,6 +16,13 @@
 // The same in bytes of their keys and values, as values may be long documents.
 constexpr std::size_t kMaxLogBytes = std::size_t{ 4 } * 1024 * 1024;
 
+// More deltas than these in a row are replaced by the whole value, which costs
+// the receiver less time to restore.
+constexpr int kMaxDeltasInRow = 16;
+
+// A delta above this share of the value is not used.
+constexpr double kMaxDeltaShare = 0.5;
+
 // Spans of whole lists that are kept; the log begins after those that are not.
 constexpr std::size_t kMaxListedSpans = 64;
 
@@ -65,7 +74,10 @@
     AddReplaced(aCopy, HashOf(found->second));
   }
   if (!aEntry.mDeleted) {
-    aCopy.mEntries[aEntry.mKey] = aEntry;
+    StoreEntry& entry = aCopy.mEntries[aEntry.mKey];
+    entry = aEntry;
+    entry.mBaseRevision = 0;
+    entry.mDelta.clear();
   } else if (isKnown) {
     aCopy.mEntries.erase(found);
   }
@@ -139,12 +151,91 @@
   return entries;
 }
 
+bool
+IsLarge(const StoreEntry& aEntry)
+{
+  return aEntry.mBaseRevision > 0 || aEntry.mValue.size() >= kLargeValueBytes;
+}
+
+// Returns whether a later one of the entries is a newer version of the value.
+std::vector<bool>
+FindSuperseded(const std::vector<StoreEntry>& aEntries)
+{
+  std::vector<bool> superseded(aEntries.size());
+  std::map<std::string_view, bool> isPutLater;
+  for (std::size_t i = aEntries.size(); i-- > 0;) {
+    bool& isPut = isPutLater[aEntries[i].mKey];
+    superseded[i] = isPut && IsLarge(aEntries[i]);
+    isPut = !aEntries[i].mDeleted;
+  }
+  return superseded;
+}
+
+// Adds the delta to the copy's version of a large value.
+void
+AddDelta(const StoreCopy& aCopy, StoreEntry& aEntry)
+{
+  auto base = aCopy.mEntries.find(aEntry.mKey);
+  if (aEntry.mBaseRevision > 0 || !IsLarge(aEntry) ||
+      base == aCopy.mEntries.end() ||
+      base->second.mModRevision >= aEntry.mModRevision) {
+    return;
+  }
+  auto delta = MakeValueDelta(base->second.mValue, aEntry.mValue);
+  if (delta && static_cast<double>(delta->size()) <=
+                 kMaxDeltaShare * static_cast<double>(aEntry.mValue.size())) {
+    aEntry.mBaseRevision = base->second.mModRevision;
+    aEntry.mDelta = std::move(*delta);
+  }
+}
+
+// Prepares entries that are new to the copy: drops superseded versions without
+// a delta, which nobody needs, and adds deltas to the others. Returns those
+// that are superseded nevertheless.
+std::vector<bool>
+PrepareEntries(const StoreCopy& aCopy, std::vector<StoreEntry>& aEntries)
+{
+  std::vector<bool> superseded = FindSuperseded(aEntries);
+  std::vector<bool> kept;
+  std::size_t count = 0;
+  for (std::size_t i = 0; i < aEntries.size(); ++i) {
+    if (superseded[i] && aEntries[i].mBaseRevision == 0) {
+      continue;
+    }
+    AddDelta(aCopy, aEntries[i]);
+    kept.push_back(superseded[i]);
+    if (count != i) {
+      aEntries[count] = std::move(aEntries[i]);
+    }
+    ++count;
+  }
+  aEntries.resize(count);
+  return kept;
+}
+
+// The entry as the log has it and as hosts pass it on.
+StoreEntry
+WithoutResolvedValue(StoreEntry aEntry)
+{
+  if (aEntry.mBaseRevision > 0) {
+    aEntry.mValue.clear();
+  }
+  return aEntry;
+}
+
 void
 AddToLog(StoreCopy& aCopy, const std::vector<StoreEntry>& aEntries)
 {
-  aCopy.mLog.insert(aCopy.mLog.end(), aEntries.begin(), aEntries.end());
+  for (const StoreEntry& entry : aEntries) {
+    if (entry.mBaseRevision == 0 && IsLarge(entry)) {
+      std::erase_if(aCopy.mLog, [&entry](const StoreEntry& aLogged) {
+        return aLogged.mKey == entry.mKey && IsLarge(aLogged);
+      });
+    }
+    aCopy.mLog.push_back(WithoutResolvedValue(entry));
+  }
   auto size = [](const StoreEntry& aEntry) {
-    return aEntry.mKey.size() + aEntry.mValue.size();
+    return aEntry.mKey.size() + aEntry.mValue.size() + aEntry.mDelta.size();
   };
   std::size_t bytes = 0;
   for (const StoreEntry& entry : aCopy.mLog) {
@@ -251,6 +342,7 @@
   std::vector<StoreEntry> entries = aList.mEntries;
   AddDeletions(aCopy, 0, revision, revision, entries);
   SetEpoch(entries, aCopy.mEpoch);
+  PrepareEntries(aCopy, entries);
   std::erase_if(entries, [&aCopy](const StoreEntry& aEntry) {
     return !ApplyEntry(aCopy, aEntry);
   });
@@ -306,17 +398,53 @@
     return aEntry.mModRevision <= known;
   });
   SetEpoch(entries, aCopy.mEpoch);
+  std::vector<bool> superseded = PrepareEntries(aCopy, entries);
   // Peers may have keys that this copy never had.
   AddToLog(aCopy, entries);
-  std::erase_if(entries, [&aCopy](const StoreEntry& aEntry) {
-    return !ApplyEntry(aCopy, aEntry);
-  });
+  std::vector<StoreEntry> applied;
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    if (!superseded[i] && ApplyEntry(aCopy, entries[i])) {
+      applied.push_back(std::move(entries[i]));
+    }
+  }
   aCopy.mRevision = std::max(aCopy.mRevision, revision);
-  return entries;
+  return applied;
+}
+
+bool
+ResolveDeltas(const StoreCopy& aCopy, StoreChanges& aChanges)
+{
+  // The latest of the changes of each key.
+  std::map<std::string_view, const StoreEntry*> latest;
+  for (StoreEntry& entry : aChanges.mEntries.mEntries) {
+    if (entry.mModRevision <= aCopy.mRevision) {
+      continue;
+    }
+    if (entry.mBaseRevision > 0) {
+      auto changed = latest.find(entry.mKey);
+      auto copied = aCopy.mEntries.find(entry.mKey);
+      const StoreEntry* base = changed != latest.end() ? changed->second
+                               : copied != aCopy.mEntries.end()
+                                 ? &copied->second
+                                 : nullptr;
+      if (!base || base->mModRevision != entry.mBaseRevision) {
+        return false;
+      }
+      auto value = ApplyValueDelta(base->mValue, entry.mDelta);
+      if (!value) {
+        return false;
+      }
+      entry.mValue = std::move(*value);
+    }
+    latest[entry.mKey] = &entry;
+  }
+  return true;
 }
 
 std::optional<StoreChanges>
-ChangesAfter(const StoreCopy& aCopy, const StoreRevision& aRevision)
+ChangesAfter(const StoreCopy& aCopy,
+             const StoreRevision& aRevision,
+             ChangeForm aForm)
 {
   if (aRevision.mEpoch != aCopy.mEpoch) {
     return std::nullopt;
@@ -333,11 +461,26 @@
   changes.mFromRevision = after;
   changes.mEntries.mRevision = aCopy.mRevision;
   changes.mEntries.mEpoch = aCopy.mEpoch;
-  std::copy_if(
-    aCopy.mLog.begin(),
-    aCopy.mLog.end(),
-    std::back_inserter(changes.mEntries.mEntries),
-    [after](const StoreEntry& aEntry) { return aEntry.mModRevision > after; });
+  std::map<std::string_view, int> deltas;
+  for (const StoreEntry& entry : aCopy.mLog) {
+    deltas[entry.mKey] += entry.mModRevision > after && entry.mBaseRevision > 0;
+  }
+  for (const StoreEntry& entry : aCopy.mLog) {
+    if (entry.mModRevision <= after) {
+      continue;
+    }
+    if (entry.mBaseRevision == 0 || (aForm == ChangeForm::Deltas &&
+                                     deltas[entry.mKey] <= kMaxDeltasInRow)) {
+      changes.mEntries.mEntries.push_back(entry);
+      continue;
+    }
+    // The newest version takes the place of all deltas.
+    auto newest = aCopy.mEntries.find(entry.mKey);
+    if (newest != aCopy.mEntries.end() &&
+        newest->second.mModRevision == entry.mModRevision) {
+      changes.mEntries.mEntries.push_back(newest->second);
+    }
+  }
   return changes;
 }
 
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -20,6 +20,8 @@
 constexpr std::string_view kChangesTarget = "/changes?after=";
 // Left out where the epoch is 0.
 constexpr std::string_view kEpochParameter = "&epoch=";
+// The asking host can restore values from deltas.
+constexpr std::string_view kDeltasParameter = "&deltas=1";
 
 // Writes entries in the format that ParseFleetEntries reads.
 std::string
@@ -35,7 +37,11 @@
   if (aEntry.mDeleted) {
     row["tombstone"] = true;
   } else {
-    row["value"] = EncodeBase64(aEntry.mValue);
+    bool isDelta = aEntry.mBaseRevision > 0;
+    row["value"] = EncodeBase64(isDelta ? aEntry.mDelta : aEntry.mValue);
+    if (isDelta) {
+      row[kBaseRevisionField] = aEntry.mBaseRevision;
+    }
   }
   return row;
 }
@@ -49,8 +55,11 @@
   changes.mEntries.mEpoch = aMessage.mEpoch;
   changes.mIsFromList = aMessage.mIsFromList;
   for (const ChangeRow& row : aMessage.mRows) {
-    changes.mEntries.mEntries.push_back(
-      { row.mKey, row.mValue.value_or(""), row.mRevision, !row.mValue });
+    StoreEntry entry{ row.mKey, "", row.mRevision, !row.mValue };
+    entry.mBaseRevision = row.mBaseRevision;
+    (row.mBaseRevision > 0 ? entry.mDelta : entry.mValue) =
+      row.mValue.value_or("");
+    changes.mEntries.mEntries.push_back(std::move(entry));
   }
   return changes;
 }
@@ -161,9 +170,11 @@
   message.mToRevision = aChanges.mEntries.mRevision;
   message.mIsFromList = aChanges.mIsFromList;
   for (const StoreEntry& entry : aChanges.mEntries.mEntries) {
-    ChangeRow row{ entry.mKey, entry.mValue, entry.mModRevision };
-    if (entry.mDeleted) {
-      row.mValue.reset();
+    ChangeRow row{
+      entry.mKey, std::nullopt, entry.mModRevision, entry.mBaseRevision
+    };
+    if (!entry.mDeleted) {
+      row.mValue = entry.mBaseRevision > 0 ? entry.mDelta : entry.mValue;
     }
     message.mRows.push_back(std::move(row));
   }
@@ -178,12 +189,15 @@
 void
 StoreSharing::OnChangeMessage(const ChangeMessage& aMessage)
 {
+  MergeResult result = mWatcher.MergePeerChanges(ToStoreChanges(aMessage));
   auto sender = mPeers.find(aMessage.mAddress);
-  if (!mWatcher.MergePeerChanges(ToStoreChanges(aMessage)) &&
-      sender != mPeers.end() &&
+  if (result != MergeResult::Applied && sender != mPeers.end() &&
       mLoop.NowMs() >= sender->second.mAvoidedUntilMs &&
       MayPullEpoch(aMessage.mEpoch)) {
-    Pull(aMessage.mAddress, mWatcher.HasState());
+    Pull(aMessage.mAddress,
+         !mWatcher.HasState()                ? PullScope::Entries
+         : result == MergeResult::MissesBase ? PullScope::Changes
+                                             : PullScope::Deltas);
   }
 }
 
@@ -213,12 +227,13 @@
   auto source = ChoosePullSource(
     mPeers, mDutyOptions, isFollowing, mWatcher.Position(), mLoop.NowMs());
   if (source && MayPullEpoch(mPeers.at(*source).mStoreRevision.mEpoch)) {
-    Pull(*source, mWatcher.IsConfirmed());
+    Pull(*source,
+         mWatcher.IsConfirmed() ? PullScope::Deltas : PullScope::Entries);
   }
 }
 
 void
-StoreSharing::Pull(const std::string& aAddress, bool aOnlyChanges)
+StoreSharing::Pull(const std::string& aAddress, PullScope aScope)
 {
   if (mPullConnection && mPullConnection->IsBusy()) {
     return;
@@ -229,7 +244,7 @@
       mLoop, Endpoint{ aAddress, mSettings.mPeers.mPort });
   }
   std::string target(kItemsTarget);
-  if (aOnlyChanges) {
+  if (aScope != PullScope::Entries) {
     target = kChangesTarget;
     target += std::to_string(mWatcher.Revision());
     if (mWatcher.Position().mEpoch > 0) {
@@ -237,28 +252,30 @@
       target += std::to_string(mWatcher.Position().mEpoch);
     }
   }
+  if (aScope == PullScope::Deltas) {
+    target += kDeltasParameter;
+  }
   mPullConnection->Call(
     "GET",
     target,
     {},
     kPullTimeoutMs,
-    [this,
-     aOnlyChanges](const tl::expected<HttpResponse, StoreError>& aResult) {
-      OnPulled(aOnlyChanges, aResult);
+    [this, aScope](const tl::expected<HttpResponse, StoreError>& aResult) {
+      OnPulled(aScope, aResult);
     });
 }
 
 void
-StoreSharing::OnPulled(bool aOnlyChanges,
+StoreSharing::OnPulled(PullScope aScope,
                        const tl::expected<HttpResponse, StoreError>& aResult)
 {
-  if (aOnlyChanges && aResult && aResult->mStatus == 410) {
-    Pull(std::string(mPullAddress), false);
+  if (aScope != PullScope::Entries && aResult && aResult->mStatus == 410) {
+    Pull(std::string(mPullAddress), PullScope::Entries);
     return;
   }
   tl::expected<StoreEntries, StoreError> entries =
     aResult && aResult->mStatus == 200
-      ? ParseFleetEntries(aResult->mBody)
+      ? ParseFleetEntries(aResult->mBody, EntryWriter::Peer)
       : tl::unexpected(
           aResult ? StoreError{ StoreErrorCode::Refused,
                                 "status " + std::to_string(aResult->mStatus) }
@@ -288,13 +305,15 @@
            { { "peer", mPullAddress },
              { "revision", std::to_string(entries->mRevision) },
              { "entries", std::to_string(entries->mEntries.size()) },
-             { "full", aOnlyChanges ? "false" : "true" },
+             { "full", aScope == PullScope::Entries ? "true" : "false" },
+             { "scope", std::string(ToName(kPullScopeNames, aScope)) },
              { "bytes", std::to_string(mPullConnection->LastAnswer().mBytes) },
              { "ms", std::to_string(mPullConnection->LastAnswer().mMs) } });
-  if (aOnlyChanges) {
-    mWatcher.MergePeerChanges({ mWatcher.Revision(), *entries });
-  } else {
+  if (aScope == PullScope::Entries) {
     mWatcher.MergePeerEntries(*entries);
+  } else if (mWatcher.MergePeerChanges({ mWatcher.Revision(), *entries }) ==
+             MergeResult::MissesBase) {
+    Pull(std::string(mPullAddress), PullScope::Changes);
   }
 }
 
@@ -310,7 +329,9 @@
     }
   } else if (target.starts_with(kChangesTarget)) {
     target.remove_prefix(kChangesTarget.size());
-    auto changes = ChangesAfter(mWatcher.Copy(), ParsePosition(target));
+    auto form = target.ends_with(kDeltasParameter) ? ChangeForm::Deltas
+                                                   : ChangeForm::Values;
+    auto changes = ChangesAfter(mWatcher.Copy(), ParsePosition(target), form);
     if (!changes) {
       aCaller->Respond(410, {}, {});
       return;
--- a/router/gateway/store_sharing.h
+++ b/router/gateway/store_sharing.h
@@ -6,11 +6,27 @@
 #include "savory/platform/fleet_settings.h"
 #include "savory/platform/fleet_watcher.h"
 
+#include <array>
 #include <memory>
 #include <string>
 
 namespace savory {
 
+// What a host fetches from a peer: the changes that it lacks, those of large
+// values as deltas, the same with whole values, or all entries.
+enum class PullScope
+{
+  Deltas,
+  Changes,
+  Entries,
+};
+
+inline constexpr std::array<EnumName<PullScope>, 3> kPullScopeNames{ {
+  { PullScope::Deltas, "deltas" },
+  { PullScope::Changes, "changes" },
+  { PullScope::Entries, "entries" },
+} };
+
 // Shares the copy of the store among the hosts of an availability zone: decides
 // whether this host watches the store, passes on the changes that it receives,
 // and fetches from a peer what it lacks.
@@ -46,8 +62,8 @@
   void UpdateCopyAge(TimeMs aNowMs);
   void PullIfBehind();
   bool MayPullEpoch(std::int64_t aEpoch);
-  void Pull(const std::string& aAddress, bool aOnlyChanges);
-  void OnPulled(bool aOnlyChanges,
+  void Pull(const std::string& aAddress, PullScope aScope);
+  void OnPulled(PullScope aScope,
                 const tl::expected<HttpResponse, StoreError>& aResult);
 
   EventLoop& mLoop;
--- a/tests/core/test_peer_message.cpp
+++ b/tests/core/test_peer_message.cpp
@@ -90,6 +90,21 @@
   BOOST_TEST(!ParseDatagramKind(std::string_view("\x02\x04", 2)));
 }
 
+// Guards against a delta that a release without deltas takes for the value.
+BOOST_AUTO_TEST_CASE(deltas_have_a_version_of_their_own)
+{
+  ChangeMessage message = MakeChanges();
+  BOOST_TEST(EncodeChangeMessage(message)[0] == '\2');
+  message.mRows[0].mBaseRevision = 400;
+  std::string bytes = EncodeChangeMessage(message);
+  BOOST_TEST(bytes[0] == '\4');
+  BOOST_TEST((ParseDatagramKind(bytes) == PeerDatagramKind::Changes));
+  auto read = DecodeChangeMessage(bytes);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read->mRows.at(0).mBaseRevision == 400);
+  BOOST_TEST(read->mRows.at(1).mBaseRevision == 0);
+}
+
 // Guards against changes that the receiver would cut off.
 BOOST_AUTO_TEST_CASE(changes_that_do_not_fit_are_not_sent)
 {
--- a/tests/core/test_store_copy.cpp
+++ b/tests/core/test_store_copy.cpp
@@ -70,7 +70,7 @@
   for (int revision = 1; revision <= 20; ++revision) {
     StoreChanges changes;
     StoreEntry entry;
-    entry.mKey = "long";
+    entry.mKey = "long-" + std::to_string(revision);
     entry.mValue.assign(1024 * 1024, 'v');
     entry.mModRevision = revision;
     changes.mEntries.mEntries = { entry };
@@ -82,6 +82,127 @@
   BOOST_TEST(ChangesAfter(copy, { 0, 18 }).has_value());
 }
 
+// Guards against a log that keeps versions which nobody needs.
+BOOST_AUTO_TEST_CASE(log_has_the_newest_version_of_a_large_value)
+{
+  StoreCopy copy;
+  std::mt19937 random(1);
+  for (int revision = 1; revision <= 20; ++revision) {
+    StoreEntry entry{ "long", {}, revision };
+    entry.mValue.resize(kLargeValueBytes);
+    std::generate(entry.mValue.begin(), entry.mValue.end(), [&random] {
+      return static_cast<char>(random());
+    });
+    ApplyChanges(copy, { revision - 1, { revision, { entry } } });
+    BOOST_REQUIRE(copy.mLog.size() == 1U);
+  }
+  auto changes = ChangesAfter(copy, { 0, 1 });
+  BOOST_REQUIRE(changes);
+  BOOST_TEST(changes->mEntries.mEntries.size() == 1U);
+}
+
+// Guards against a whole document that is sent for a change of one of its rows,
+// and against a document that differs from the store's: hosts read the store at
+// different moments and lose messages of each other.
+BOOST_AUTO_TEST_CASE(large_value_travels_as_deltas)
+{
+  constexpr std::size_t kRowBytes = 20;
+  std::string document(kRowBytes * 10000, 'r');
+  std::mt19937 random(7);
+  auto draw = [&random](std::size_t aBelow) { return random() % aBelow; };
+  std::generate(document.begin(), document.end(), [&] {
+    return static_cast<char>('a' + draw(26));
+  });
+  SimStore store;
+  store.Write("document", false, document);
+  std::vector<StoreCopy> copies(4);
+  for (StoreCopy& copy : copies) {
+    ApplyList(copy, store.List());
+  }
+  int deltas = 0;
+  int unknownBases = 0;
+  auto receive = [&](StoreCopy& aCopy, StoreChanges aChanges) {
+    if (aChanges.mFromRevision > aCopy.mRevision ||
+        aChanges.mEntries.mRevision <= aCopy.mRevision) {
+      return;
+    }
+    if (!ResolveDeltas(aCopy, aChanges)) {
+      ++unknownBases;
+      return;
+    }
+    ApplyChanges(aCopy, aChanges);
+  };
+  for (int step = 0; step < 1000; ++step) {
+    if (draw(3) > 0) {
+      document.replace(kRowBytes * draw(10000), 3, std::to_string(draw(10000)));
+      store.Write("document", false, document);
+    } else {
+      store.Write("other", draw(2) == 0, "value");
+    }
+    // The first two copies read the store.
+    StoreCopy& reader = copies[draw(2)];
+    if (draw(2) == 0) {
+      StoreRevision before = RevisionOf(reader);
+      ApplyChanges(reader, *store.ChangesAfter(before.mRevision));
+      auto sent = ChangesAfter(reader, before, ChangeForm::Deltas);
+      BOOST_REQUIRE(sent);
+      for (const StoreEntry& entry : sent->mEntries.mEntries) {
+        deltas += entry.mBaseRevision > 0;
+        BOOST_REQUIRE(entry.mValue.size() + entry.mDelta.size() < 5000U);
+      }
+      for (StoreCopy& copy : copies) {
+        if (draw(4) > 0) {
+          receive(copy, *sent);
+        }
+      }
+    }
+    // The others ask for what they lack.
+    StoreCopy& follower = copies[2 + draw(2)];
+    if (follower.mRevision < reader.mRevision) {
+      auto form = draw(3) > 0 ? ChangeForm::Deltas : ChangeForm::Values;
+      receive(follower, *ChangesAfter(reader, RevisionOf(follower), form));
+    }
+    for (const StoreCopy& copy : copies) {
+      const StoreEntry& entry = copy.mEntries.at("document");
+      auto written =
+        std::find_if(store.mHistory.begin(),
+                     store.mHistory.end(),
+                     [&entry](const StoreEntry& aEntry) {
+                       return aEntry.mModRevision == entry.mModRevision;
+                     });
+      BOOST_REQUIRE((written->mValue == entry.mValue));
+    }
+  }
+  BOOST_TEST(deltas > 100);
+  BOOST_TEST(unknownBases > 0, "no message came after another reader's");
+  for (StoreCopy& copy : copies) {
+    ApplyChanges(copy, *store.ChangesAfter(copy.mRevision));
+    BOOST_TEST((copy.mEntries.at("document").mValue == document));
+  }
+}
+
+// Guards against a superseded document that is put in force on the way.
+BOOST_AUTO_TEST_CASE(superseded_version_of_a_large_value_is_not_applied)
+{
+  SimStore store;
+  StoreCopy copy;
+  store.Write("document", false, std::string(kLargeValueBytes, 'a'));
+  store.Write("small", false, "1");
+  ApplyList(copy, store.List());
+  std::int64_t known = copy.mRevision;
+  store.Write("document", false, std::string(kLargeValueBytes, 'b'));
+  store.Write("small", false, "2");
+  store.Write("document", false, std::string(kLargeValueBytes, 'c'));
+  store.Write("small", false, "3");
+  auto applied = ApplyChanges(copy, *store.ChangesAfter(known));
+  std::vector<std::string> values;
+  for (const StoreEntry& entry : applied) {
+    values.push_back(entry.mValue.substr(0, 1));
+  }
+  std::vector<std::string> expected{ "2", "c", "3" };
+  BOOST_TEST(values == expected, boost::test_tools::per_element());
+}
+
 // Guards against a peer that keeps a key, since the host that it asks never had
 // that key and left the deletion out of its log.
 BOOST_AUTO_TEST_CASE(log_keeps_deletions_of_unknown_keys)
--- a/tests/platform/test_fleet.cpp
+++ b/tests/platform/test_fleet.cpp
@@ -417,18 +417,18 @@
   WatcherFixture fixture;
   StoreWatcher& watcher = fixture.mWatcher;
   StoreChanges early{ 10, { 11, { { "a", "2", 11 } } } };
-  BOOST_TEST(!watcher.MergePeerChanges(early));
+  BOOST_TEST((watcher.MergePeerChanges(early) == MergeResult::MissesChanges));
   watcher.MergePeerEntries({ 10, { { "a", "1", 5 }, { "b", "1", 9 } } });
   fixture.mApplied.clear();
-  BOOST_TEST(watcher.MergePeerChanges(early));
-  BOOST_TEST(watcher.MergePeerChanges(early));
+  BOOST_TEST((watcher.MergePeerChanges(early) == MergeResult::Applied));
+  BOOST_TEST((watcher.MergePeerChanges(early) == MergeResult::Applied));
   StoreChanges later{ 14, { 15, { { "a", "3", 15 } } } };
-  BOOST_TEST(!watcher.MergePeerChanges(later));
+  BOOST_TEST((watcher.MergePeerChanges(later) == MergeResult::MissesChanges));
   StoreChanges overlapping{
     9, { 14, { { "a", "2", 11 }, { "b", "", 13, true } } }
   };
-  BOOST_TEST(watcher.MergePeerChanges(overlapping));
-  BOOST_TEST(watcher.MergePeerChanges(later));
+  BOOST_TEST((watcher.MergePeerChanges(overlapping) == MergeResult::Applied));
+  BOOST_TEST((watcher.MergePeerChanges(later) == MergeResult::Applied));
   watcher.MergePeerEntries({ 12, { { "a", "2", 11 }, { "b", "1", 9 } } });
   std::vector<std::string> expected{ "a=2", "-b", "a=3" };
   BOOST_TEST(fixture.mApplied == expected, boost::test_tools::per_element());
@@ -500,14 +500,16 @@
   watcher.mLostHoldMs = [](const std::string&) { return TimeMs(0); };
   watcher.MergePeerEntries({ 40, { { "a", "1", 5 }, { "b", "1", 39 } } });
   StoreChanges changes{ 30, { 31, { { "a", "2", 31 } }, false, 1 } };
-  BOOST_TEST(!watcher.MergePeerChanges(changes), "needs the list first");
+  BOOST_TEST((watcher.MergePeerChanges(changes) == MergeResult::MissesChanges),
+             "needs the list first");
   fixture.mApplied.clear();
   watcher.MergePeerEntries({ 30, { { "a", "1", 5 } }, false, 1 });
   BOOST_REQUIRE(restores.size() == 1U);
   BOOST_TEST((restores[0] == StoreRevision{ 0, 40 }));
-  BOOST_TEST(watcher.MergePeerChanges(changes));
+  BOOST_TEST((watcher.MergePeerChanges(changes) == MergeResult::Applied));
   StoreChanges late{ 40, { 41, { { "a", "0", 41 } } } };
-  BOOST_TEST(watcher.MergePeerChanges(late), "needs no list of the old epoch");
+  BOOST_TEST((watcher.MergePeerChanges(late) == MergeResult::Applied),
+             "needs no list of the old epoch");
   watcher.MergePeerEntries({ 50, { { "a", "0", 45 } } });
   watcher.ReleaseHeldEntries();
   std::vector<std::string> expected{ "a=1", "a=2", "-b" };
