--- a/tests/process/test_large_configuration.py
+++ b/tests/process/test_large_configuration.py
@@ -2,7 +2,7 @@
 changes several times a second.
 
 Guards against a change that is in force late because the whole configuration
-travels to each host for each change."""
+travels for each change, and against superseded versions that are transferred."""
 
 import asyncio
 import copy
@@ -108,6 +108,23 @@
         gateway.read_log())]
 
 
+def storm_of_a_large_configuration_is_in_force_in_time(platform):
+    gateways = start_zone(platform)
+    written = play_storm(platform, 12, 0.25)
+    for gateway in gateways:
+        wait_until(lambda host=gateway: adoptions(host)[-1][1] == max(written),
+                   30, "the last version at " + gateway.address)
+    late = []
+    for gateway in gateways:
+        for version, acknowledged in written.items():
+            in_force = min(when for when, adopted in adoptions(gateway)
+                           if adopted >= version)
+            if in_force - acknowledged > BOUND_S:
+                late.append((gateway.address, version,
+                             round(in_force - acknowledged, 2)))
+    assert not late, late
+
+
 def change_of_a_large_configuration_costs_followers_little(platform):
     gateways = start_zone(platform)
     marks = [len(gateway.read_log()) for gateway in gateways]
@@ -122,4 +139,5 @@
 
 
 if __name__ == "__main__":
-    run_checks([change_of_a_large_configuration_costs_followers_little])
+    run_checks([storm_of_a_large_configuration_is_in_force_in_time,
+                change_of_a_large_configuration_costs_followers_little])
