Let the most capable hosts of a zone watch the store

What callers saw: late changes at all hosts of a zone (CONFIG) where the hosts that read the store for it were small ones.

Cause: watchers were drawn by rendezvous hash among hosts with 10 to 200 Mbit/s and 0.068 to 0.5 cores. One with 10 Mbit/s reads a configuration of 2,500 routes in 0.5 s, one with 200 in 0.03 s.

Change: hosts state linkMbps times cpuShare of their settings in their beacons and rank by it first. Hosts without these fields rank as before.

--- a/core/include/savory/core/peer_message.h
+++ b/core/include/savory/core/peer_message.h
@@ -49,6 +49,8 @@
   std::optional<TimeMs> mContactAgeMs;
   // Time since the end of the last outage of the store that the sender saw.
   TimeMs mReachableForMs = 0;
+  // See ZonePeer.
+  double mCapacity = 0;
   // Number of hosts that the sender considers live, itself included.
   int mLiveHosts = 1;
   struct Shift
--- a/core/include/savory/core/peer_table.h
+++ b/core/include/savory/core/peer_table.h
@@ -29,6 +29,8 @@
   TimeMs mReachableSinceMs = 0;
   // Number of live hosts that the peer counts.
   int mLiveHosts = 0;
+  // See ZonePeer.
+  double mCapacity = 0;
   // The peer has left a request for changes unanswered, though its messages
   // arrive, and gets none before this time.
   TimeMs mAvoidedUntilMs = -1'000'000;
--- a/core/include/savory/core/watch_duty.h
+++ b/core/include/savory/core/watch_duty.h
@@ -9,14 +9,16 @@
 namespace savory {
 
 // Decides which hosts of an availability zone watch the store. A few hosts, the
-// first by rendezvous hash, watch it and pass its changes on; the others follow
-// them. The number of calls to the store thus grows with the zones and not with
-// the hosts. The hosts need not agree: one that is not covered watches the
-// store itself.
+// most capable ones and among equals the first by rendezvous hash, watch it and
+// pass its changes on; the others follow them. The number of calls to the store
+// thus grows with the zones and not with the hosts. The hosts need not agree:
+// one that is not covered watches the store itself.
 struct WatchDutyOptions
 {
   std::string mHost;
   std::string mZone;
+  // See ZonePeer.
+  double mCapacity = 0;
   // A change of the store must be in force within this time.
   TimeMs mChangeBoundMs = 0;
   // A peer without a message for this long is not relied upon.
@@ -42,6 +44,8 @@
   std::optional<TimeMs> mContactMs;
   // End of the last outage of the store that the peer saw.
   TimeMs mReachableSinceMs = 0;
+  // Grows with the host's line and processor share; equal hosts have the same.
+  double mCapacity = 0;
 };
 
 // The local host's part.
--- a/core/src/peer_message.cpp
+++ b/core/src/peer_message.cpp
@@ -152,6 +152,10 @@
     message.mContactAgeMs = aDocument.at("g").get<TimeMs>();
   }
   message.mReachableForMs = aDocument.at("o").get<TimeMs>();
+  // Releases that do not rank hosts by it do not send it.
+  if (aDocument.contains("p")) {
+    message.mCapacity = aDocument.at("p").get<double>();
+  }
   message.mLiveHosts = aDocument.at("n").get<int>();
   for (const Json& row : aDocument.at("s")) {
     message.mShifts[row.at(0).get<std::string>()] = {
@@ -267,6 +271,9 @@
   if (aMessage.mUsage) {
     document["t"] = ToJson(*aMessage.mUsage);
   }
+  if (aMessage.mCapacity > 0) {
+    document["p"] = aMessage.mCapacity;
+  }
   if (aMessage.mContactAgeMs) {
     document["g"] = *aMessage.mContactAgeMs;
   }
--- a/core/src/peer_table.cpp
+++ b/core/src/peer_table.cpp
@@ -229,7 +229,8 @@
 ToZonePeer(const Peer& aPeer)
 {
   return { aPeer.mHost,    aPeer.mLastHeardMs, aPeer.mMayWatch,
-           aPeer.mLeaving, aPeer.mContactMs,   aPeer.mReachableSinceMs };
+           aPeer.mLeaving, aPeer.mContactMs,   aPeer.mReachableSinceMs,
+           aPeer.mCapacity };
 }
 
 } // namespace savory
--- a/core/src/watch_duty.cpp
+++ b/core/src/watch_duty.cpp
@@ -30,11 +30,13 @@
 
 // The zone's name is part of the key, so that hosts with alike names in
 // different zones do not all rank first.
-std::uint64_t
-Rank(const std::string& aHost, const std::string& aZone)
+std::pair<double, std::uint64_t>
+Rank(double aCapacity, const std::string& aHost, const std::string& aZone)
 {
-  return XXH3_64bits_withSeed(
-    aHost.data(), aHost.size(), XXH3_64bits(aZone.data(), aZone.size()));
+  return { aCapacity,
+           XXH3_64bits_withSeed(aHost.data(),
+                                aHost.size(),
+                                XXH3_64bits(aZone.data(), aZone.size())) };
 }
 
 bool
@@ -84,7 +86,7 @@
                 TimeMs aCopyAgeMs,
                 TimeMs aNowMs)
 {
-  std::uint64_t localRank = Rank(aOptions.mHost, aOptions.mZone);
+  auto localRank = Rank(aOptions.mCapacity, aOptions.mHost, aOptions.mZone);
   int candidatesAbove = 0;
   int watchers = 0;
   int watchersAbove = 0;
@@ -92,7 +94,7 @@
     if (!IsLive(peer, aOptions, aNowMs)) {
       continue;
     }
-    bool above = Rank(peer.mHost, aOptions.mZone) > localRank;
+    bool above = Rank(peer.mCapacity, peer.mHost, aOptions.mZone) > localRank;
     candidatesAbove += above && peer.mMayWatch;
     if (IsInContact(peer, aOptions, aNowMs)) {
       ++watchers;
--- a/router/gateway/peers.cpp
+++ b/router/gateway/peers.cpp
@@ -195,6 +195,7 @@
   message.mMayWatch = mWatcher.MayWatch();
   message.mContactAgeMs = mWatcher.ContactAgeMs();
   message.mReachableForMs = aNowMs - mWatcher.ReachableSinceMs();
+  message.mCapacity = mShared.mSettings.mCapacity;
   AddShifts(message);
   AddPrefillReports(message, state.mRunners, mBeaconCursor);
   mShared.mAddUsage(message);
@@ -380,6 +381,7 @@
   }
   peer.mReachableSinceMs = now - aMessage.mReachableForMs;
   peer.mLiveHosts = aMessage.mLiveHosts;
+  peer.mCapacity = aMessage.mCapacity;
   for (const std::string& address : aMessage.mLiveAddresses) {
     if (address != mShared.mSettings.mAddress) {
       mPeers.try_emplace(address);
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -92,6 +92,7 @@
 {
   mDutyOptions.mHost = aSettings.mHost;
   mDutyOptions.mZone = aSettings.mZone;
+  mDutyOptions.mCapacity = aSettings.mCapacity;
   mDutyOptions.mChangeBoundMs = aSettings.mChangeBoundMs;
   mWatcher.mOnWatchedChanges = [this](const StoreChanges& aChanges) {
     Share(aChanges);
--- a/tests/core/test_watch_duty.cpp
+++ b/tests/core/test_watch_duty.cpp
@@ -76,8 +76,8 @@
       bool sends = aFrom.mContactMs &&
                    mNowMs - *aFrom.mContactMs < aFrom.mOptions.mMaxContactAgeMs;
       to.mPeers[aFrom.mName] = {
-        aFrom.mName, mNowMs,           mNowMs >= aFrom.mMayWatchFromMs,
-        false,       aFrom.mContactMs, 0
+        aFrom.mName,      mNowMs, mNowMs >= aFrom.mMayWatchFromMs, false,
+        aFrom.mContactMs, 0,      aFrom.mOptions.mCapacity
       };
       // A beacon with a newer revision of a watcher leads to a pull.
       if (sends || aHasChanges) {
@@ -265,6 +265,33 @@
   BOOST_TEST(watches("a", "b") != watches("b", "a"));
 }
 
+// Guards against the smallest hosts of a zone that read each change for all.
+BOOST_AUTO_TEST_CASE(most_capable_hosts_watch)
+{
+  SimZone zone(8, 5, 3000);
+  for (SimHost& host : zone.mHosts) {
+    host.mOptions.mCapacity = 0.9;
+  }
+  std::vector<SimHost*> capable{ &zone.mHosts[3], &zone.mHosts[5] };
+  for (SimHost* host : capable) {
+    host->mOptions.mCapacity = 100;
+  }
+  zone.Run(8000);
+  BOOST_TEST((zone.Watching() == capable));
+  for (SimHost* host : capable) {
+    host->mDown = true;
+  }
+  BOOST_TEST(zone.ChangeArrives());
+  zone.Run(8000);
+  BOOST_TEST(zone.Watching().size() == 2U);
+  for (SimHost* host : capable) {
+    host->mDown = false;
+  }
+  BOOST_TEST(zone.ChangeArrives());
+  zone.Run(8000);
+  BOOST_TEST((zone.Watching() == capable));
+}
+
 // Guards against hosts that follow where the bound on a change leaves no time
 // for a takeover.
 BOOST_AUTO_TEST_CASE(all_watch_where_the_bound_is_tight)
