--- a/tests/platform/test_fleet_watcher.cpp
+++ b/tests/platform/test_fleet_watcher.cpp
@@ -202,4 +202,31 @@
   BOOST_TEST(mWatcher.ReachableSinceMs() == sinceMs);
 }
 
+// Guards against superseded versions that take a slow line for longer than the
+// store has them.
+BOOST_AUTO_TEST_CASE(answer_longer_than_a_list_is_not_read)
+{
+  mWatcher.Start();
+  Answer(kList, 0, MakePage(9, "a"));
+  Answer(kWatch, 0, kNoChanges);
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.IsConfirmed(); }));
+  const std::string version =
+    R"({"key":"a","revision":12,"value":")" + std::string(64 * 1024, 'A');
+  Answer(kWatch, 0, R"({"at":12,"events":[)" + version + R"("}]})");
+  Answer(kList, 0, MakePage(12, "a"));
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.Revision() == 12; }));
+  BOOST_TEST(mWatcher.IsReachable());
+  // One version of a value that the copy has is no longer than a list.
+  Answer(kWatch,
+         0,
+         R"({"at":13,"events":[{"key":"b","revision":13,"value":")" +
+           std::string(60 * 1024, 'A') + R"("}]})");
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.Revision() == 13; }));
+  Answer(kWatch,
+         0,
+         R"({"at":14,"events":[{"key":"b","revision":14,"value":")" +
+           std::string(60 * 1024, 'B') + R"("}]})");
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.Revision() == 14; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/test_large_configuration.py
+++ b/tests/process/test_large_configuration.py
@@ -71,11 +71,11 @@
     return configuration
 
 
-def start_zone(platform):
+def start_zone(platform, name):
     platform.store.put("op/config", make_configuration(1, 0))
     peer_port, datagram_port = free_port(), free_port()
     gateways = [platform.gateway(
-        "zone-" + address, store=Line(platform.store), address=address,
+        name + "-" + address, store=Line(platform.store), address=address,
         seeds=["%s:%d" % (seed, peer_port) for seed in HOSTS[:3]],
         peer_port=peer_port, datagram_port=datagram_port,
         bounds={"configApplyMs": 1000 * BOUND_S, "drainMs": 1000 * BOUND_S})
@@ -109,7 +109,7 @@
 
 
 def storm_of_a_large_configuration_is_in_force_in_time(platform):
-    gateways = start_zone(platform)
+    gateways = start_zone(platform, "storm")
     written = play_storm(platform, 12, 0.25)
     for gateway in gateways:
         wait_until(lambda host=gateway: adoptions(host)[-1][1] == max(written),
@@ -126,7 +126,7 @@
 
 
 def change_of_a_large_configuration_costs_followers_little(platform):
-    gateways = start_zone(platform)
+    gateways = start_zone(platform, "cost")
     marks = [len(gateway.read_log()) for gateway in gateways]
     written = play_storm(platform, 6, 1.0)
     for gateway in gateways:
