--- a/tests/platform/test_fleet_watcher.cpp
+++ b/tests/platform/test_fleet_watcher.cpp
@@ -229,4 +229,34 @@
   BOOST_REQUIRE(RunUntil([&] { return mWatcher.Revision() == 14; }));
 }
 
+// Guards against a long value that is read from the store and from a peer at
+// once over the same line.
+BOOST_AUTO_TEST_CASE(answer_that_a_peer_has_overtaken_is_not_read)
+{
+  const std::string value(100 * 1024, 'v');
+  mWatcher.Start();
+  Answer(kList, 0, MakePage(9, "a"));
+  Answer(kWatch, 0, kNoChanges);
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.IsConfirmed(); }));
+  mWatcher.MergePeerChanges({ 9, { 11, { { "long", value, 10 } } } });
+  auto answer = [&](int aRevision) {
+    return R"({"at":)" + std::to_string(aRevision) +
+           R"(,"events":[{"key":"long","revision":)" +
+           std::to_string(aRevision) + R"(,"value":")" +
+           std::string(100 * 1024, 'A') + R"("}]})";
+  };
+  // A short change of a peer does not stand in for the long one.
+  BOOST_REQUIRE(RunUntil([&] { return !mCalls.empty(); }));
+  mWatcher.MergePeerChanges({ 11, { 12, { { "b", "1", 12 } } } });
+  Answer(kWatch + "11", 0, answer(13));
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.Revision() == 13; }));
+  BOOST_REQUIRE(RunUntil([&] { return !mCalls.empty(); }));
+  std::size_t applied = mApplied.size();
+  mWatcher.MergePeerChanges({ 13, { 14, { { "long", value, 14 } } } });
+  Answer(kWatch + "13", 0, answer(14));
+  Answer(kWatch + "14", 0, R"({"at":14,"events":[]})");
+  BOOST_TEST(mApplied.size() == applied + 1);
+  BOOST_TEST(mWatcher.IsReachable());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
