--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -272,7 +272,7 @@
                        const std::string& aReason)
 {
   const AnswerSize& answer = mStore.LastRead();
-  if (answer.mBytes >= kLongAnswerBytes) {
+  if (answer.mBytes >= kLongAnswerBytes || aReason == kAnswerTooLong) {
     LogEvent(Event::LongStoreAnswer,
              { { "bytes", std::to_string(answer.mBytes) },
                { "ms", std::to_string(answer.mMs) },
--- a/tests/core/test_store_copy.cpp
+++ b/tests/core/test_store_copy.cpp
@@ -196,6 +196,7 @@
   store.Write("small", false, "3");
   auto applied = ApplyChanges(copy, *store.ChangesAfter(known));
   std::vector<std::string> values;
+  values.reserve(applied.size());
   for (const StoreEntry& entry : applied) {
     values.push_back(entry.mValue.substr(0, 1));
   }
