Count deltas only where the log has some

ChangesAfter counted the changes of every key in a log of 512, and each batch was searched for superseded versions, also where no value is large.

--- a/core/src/store_copy.cpp
+++ b/core/src/store_copy.cpp
@@ -162,6 +162,9 @@
 FindSuperseded(const std::vector<StoreEntry>& aEntries)
 {
   std::vector<bool> superseded(aEntries.size());
+  if (std::none_of(aEntries.begin(), aEntries.end(), IsLarge)) {
+    return superseded;
+  }
   std::map<std::string_view, bool> isPutLater;
   for (std::size_t i = aEntries.size(); i-- > 0;) {
     bool& isPut = isPutLater[aEntries[i].mKey];
@@ -463,7 +466,9 @@
   changes.mEntries.mEpoch = aCopy.mEpoch;
   std::map<std::string_view, int> deltas;
   for (const StoreEntry& entry : aCopy.mLog) {
-    deltas[entry.mKey] += entry.mModRevision > after && entry.mBaseRevision > 0;
+    if (entry.mModRevision > after && entry.mBaseRevision > 0) {
+      ++deltas[entry.mKey];
+    }
   }
   for (const StoreEntry& entry : aCopy.mLog) {
     if (entry.mModRevision <= after) {
