--- a/core/include/savory/core/watch_duty.h
+++ b/core/include/savory/core/watch_duty.h
@@ -44,7 +44,7 @@
   std::optional<TimeMs> mContactMs;
   // End of the last outage of the store that the peer saw.
   TimeMs mReachableSinceMs = 0;
-  // Grows with the host's line and processor share; equal hosts have the same.
+  // Grows with the host's link and processor share; equal hosts have the same.
   double mCapacity = 0;
 };
 
--- a/tests/platform/test_fleet_store.cpp
+++ b/tests/platform/test_fleet_store.cpp
@@ -30,7 +30,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(fleet_store, CallFixture)
 
-// Guards against a long answer over a slow line that is begun again and again.
+// Guards against a long answer over a slow link that is begun again and again.
 BOOST_AUTO_TEST_CASE(long_answer_is_not_given_up_while_it_arrives)
 {
   constexpr int kPieces = 10;
--- a/tests/platform/test_fleet_watcher.cpp
+++ b/tests/platform/test_fleet_watcher.cpp
@@ -202,8 +202,8 @@
   BOOST_TEST(mWatcher.ReachableSinceMs() == sinceMs);
 }
 
-// Guards against superseded versions that take a slow line for longer than the
-// store has them.
+// Guards against superseded versions that fill a slow link for longer than
+// they are the newest ones.
 BOOST_AUTO_TEST_CASE(answer_longer_than_a_list_is_not_read)
 {
   mWatcher.Start();
@@ -230,7 +230,7 @@
 }
 
 // Guards against a long value that is read from the store and from a peer at
-// once over the same line.
+// once over the same link.
 BOOST_AUTO_TEST_CASE(answer_that_a_peer_has_overtaken_is_not_read)
 {
   const std::string value(100 * 1024, 'v');
--- a/tests/process/test_large_configuration.py
+++ b/tests/process/test_large_configuration.py
@@ -14,16 +14,16 @@
 
 BOUND_S = 3
 ROUTES = 2500
-# 10 Mbit/s, the line of the smallest hosts.
-LINE_BYTES_PER_S = 10e6 / 8
+# 10 Mbit/s, the link of the smallest hosts.
+LINK_BYTES_PER_S = 10e6 / 8
 # What a host may spend on control messages in a second (CONTRIBUTING.md), in
 # which one change is due.
 CHANGE_BYTES = 5000
 HOSTS = ["127.0.0.%d" % number for number in range(21, 27)]
 
 
-class Line:
-    """A host's way to the store: a TCP proxy whose connections share a rate."""
+class StoreLink:
+    """A host's link to the store: a TCP proxy whose connections share a rate."""
 
     def __init__(self, store):
         self.store_port = store.port
@@ -48,7 +48,7 @@
             while data := await reader.read(16384):
                 now = self.loop.time()
                 self.free_at = max(now, self.free_at) + \
-                    len(data) / LINE_BYTES_PER_S
+                    len(data) / LINK_BYTES_PER_S
                 await asyncio.sleep(self.free_at - now)
                 writer.write(data)
                 await writer.drain()
@@ -75,7 +75,7 @@
     platform.store.put("op/config", make_configuration(1, 0))
     peer_port, datagram_port = free_port(), free_port()
     gateways = [platform.gateway(
-        name + "-" + address, store=Line(platform.store), address=address,
+        name + "-" + address, store=StoreLink(platform.store), address=address,
         seeds=["%s:%d" % (seed, peer_port) for seed in HOSTS[:3]],
         peer_port=peer_port, datagram_port=datagram_port,
         bounds={"configApplyMs": 1000 * BOUND_S, "drainMs": 1000 * BOUND_S})
