--- a/tests/platform/test_fleet_watcher.cpp
+++ b/tests/platform/test_fleet_watcher.cpp
@@ -3,6 +3,7 @@
 #include "savory/platform/fleet_watcher.h"
 
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 using namespace savory;
 
@@ -259,4 +260,24 @@
   BOOST_TEST(mWatcher.IsReachable());
 }
 
+// Guards against followers that rely on a watcher which is behind by what it
+// has not processed yet.
+BOOST_AUTO_TEST_CASE(answer_processed_late_does_not_count_as_new)
+{
+  constexpr TimeMs kBusyMs = 600;
+  mWatcher.SetWatcherCount(2, true);
+  mWatcher.Start();
+  Answer(kList, 0, MakePage(9, "a"));
+  Answer(kWatch, 0, kNoChanges);
+  BOOST_REQUIRE(RunUntil([&] { return mWatcher.IsConfirmed(); }));
+  BOOST_REQUIRE(RunUntil([&] { return !mCalls.empty(); }));
+  mCalls.front().second->Respond(200, {}, kNoChanges);
+  TimeMs waitMs = FollowedWatchPeriod(4000).mWaitMs;
+  std::this_thread::sleep_for(std::chrono::milliseconds(waitMs + kBusyMs));
+  bool isProcessed = false;
+  mWatcher.mOnAnswer = [&](auto&&...) { isProcessed = true; };
+  BOOST_REQUIRE(RunUntil([&] { return isProcessed; }));
+  BOOST_TEST(mWatcher.ContactAgeMs().value_or(0) >= kBusyMs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
