--- a/tests/platform/test_fleet_store.cpp
+++ b/tests/platform/test_fleet_store.cpp
@@ -17,9 +17,13 @@
   FleetStoreConnection mConnection{ mLoop, mServer.mAddress };
   std::optional<tl::expected<HttpResponse, StoreError>> mResult;
 
-  CallFixture()
+  CallFixture() { Call("GET"); }
+
+  void Call(const char* aMethod)
   {
-    mConnection.Call("GET", "/kv-watch", {}, kTimeoutMs, [this](auto aResult) {
+    mServer.End();
+    mResult.reset();
+    mConnection.Call(aMethod, "/kv", {}, kTimeoutMs, [this](auto aResult) {
       mResult = std::move(aResult);
     });
     BOOST_REQUIRE(RunUntil([this] { return mServer.Accept(); }));
@@ -70,4 +74,35 @@
   BOOST_TEST(MonotonicMs() - startMs < 2 * kTimeoutMs);
 }
 
+// Guards against a renewal of a lease that is waited for beyond its time.
+BOOST_AUTO_TEST_CASE(answer_to_a_write_is_complete_in_time)
+{
+  Call("POST");
+  TimeMs startMs = MonotonicMs();
+  mServer.Write("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n");
+  while (!mResult && MonotonicMs() - startMs < 4 * kTimeoutMs) {
+    RunFor(50);
+    if (!mResult) {
+      mServer.Write("x");
+    }
+  }
+  BOOST_REQUIRE(mResult);
+  BOOST_TEST(!mResult->has_value());
+  BOOST_TEST(MonotonicMs() - startMs < 2 * kTimeoutMs);
+}
+
+// Guards against an answer without a stated length that fills the memory.
+BOOST_AUTO_TEST_CASE(answer_of_unknown_length_is_limited)
+{
+  mConnection.LimitAnswer(10);
+  mServer.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "8\r\n12345678\r\n");
+  RunFor(50);
+  BOOST_TEST(!mResult);
+  mServer.Write("8\r\n12345678\r\n");
+  BOOST_REQUIRE(RunUntil([this] { return mResult.has_value(); }, 500));
+  BOOST_REQUIRE(!mResult->has_value());
+  BOOST_TEST(mResult->error().mReason == kAnswerTooLong);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
