Bound what the deltas of one message are restored to

No budget counted these bytes, on hosts of 120 MB.

Change: of each key only the newest version is held, and all of a message together up to 8 MiB; beyond that the host asks for whole values, as where it does not have the base.

--- a/core/include/savory/core/store_copy.h
+++ b/core/include/savory/core/store_copy.h
@@ -127,8 +127,14 @@
 // of such a value matters.
 inline constexpr std::size_t kLargeValueBytes = std::size_t{ 4 } * 1024;
 
-// Restores the values of changes that have deltas alone. Returns false if one
-// of them builds on a version that the copy does not have.
+// The most bytes of values that the deltas of one message are restored to; a
+// few bytes of a delta can stand for megabytes.
+inline constexpr std::size_t kMaxRestoredBytes = std::size_t{ 8 } * 1024 * 1024;
+
+// Restores the values of changes that have deltas alone, of each key only the
+// newest. Returns false if one of them builds on a version that the copy does
+// not have, or if they exceed kMaxRestoredBytes; whole values can be asked for
+// instead.
 bool
 ResolveDeltas(const StoreCopy& aCopy, StoreChanges& aChanges);
 
--- a/core/src/store_copy.cpp
+++ b/core/src/store_copy.cpp
@@ -418,7 +418,8 @@
 ResolveDeltas(const StoreCopy& aCopy, StoreChanges& aChanges)
 {
   // The latest of the changes of each key.
-  std::map<std::string_view, const StoreEntry*> latest;
+  std::map<std::string_view, StoreEntry*> latest;
+  std::size_t restoredBytes = 0;
   for (StoreEntry& entry : aChanges.mEntries.mEntries) {
     if (entry.mModRevision <= aCopy.mRevision) {
       continue;
@@ -426,7 +427,9 @@
     if (entry.mBaseRevision > 0) {
       auto changed = latest.find(entry.mKey);
       auto copied = aCopy.mEntries.find(entry.mKey);
-      const StoreEntry* base = changed != latest.end() ? changed->second
+      StoreEntry* previous =
+        changed != latest.end() ? changed->second : nullptr;
+      const StoreEntry* base = previous ? previous
                                : copied != aCopy.mEntries.end()
                                  ? &copied->second
                                  : nullptr;
@@ -438,6 +441,14 @@
         return false;
       }
       entry.mValue = std::move(*value);
+      restoredBytes += entry.mValue.size();
+      if (previous && previous->mBaseRevision > 0) {
+        restoredBytes -= previous->mValue.size();
+        previous->mValue = {};
+      }
+      if (restoredBytes > kMaxRestoredBytes) {
+        return false;
+      }
     }
     latest[entry.mKey] = &entry;
   }
--- a/tests/core/test_store_copy.cpp
+++ b/tests/core/test_store_copy.cpp
@@ -1,3 +1,4 @@
+#include "savory/core/value_delta.h"
 #include "store_sim.h"
 
 #include <boost/test/unit_test.hpp>
@@ -184,6 +185,41 @@
   }
 }
 
+// Guards against a datagram whose deltas fill the memory of a small host.
+BOOST_AUTO_TEST_CASE(restored_values_are_bounded)
+{
+  const std::string value(1024 * 1024, 'v');
+  StoreCopy copy;
+  StoreEntries list{ 1, {} };
+  StoreChanges chain{ 1, { 1, {} } };
+  StoreChanges many{ 1, { 1, {} } };
+  std::string delta = *MakeValueDelta("v", value);
+  for (int i = 0; i < 12; ++i) {
+    StoreEntry entry{ "key-" + std::to_string(i), "v", 1 };
+    list.mEntries.push_back(entry);
+    entry.mValue.clear();
+    entry.mDelta = delta;
+    entry.mBaseRevision = 1;
+    entry.mModRevision = many.mEntries.mRevision = 2 + i;
+    many.mEntries.mEntries.push_back(entry);
+    // The same key again and again.
+    entry.mKey = "key-0";
+    entry.mDelta = i == 0 ? delta : *MakeValueDelta(value, value);
+    entry.mBaseRevision = 1 + i;
+    chain.mEntries.mRevision = entry.mModRevision;
+    chain.mEntries.mEntries.push_back(entry);
+  }
+  ApplyList(copy, list);
+  BOOST_TEST(!ResolveDeltas(copy, many));
+  BOOST_REQUIRE(ResolveDeltas(copy, chain));
+  for (int i = 0; i < 11; ++i) {
+    BOOST_TEST(chain.mEntries.mEntries[i].mValue.empty());
+  }
+  auto applied = ApplyChanges(copy, chain);
+  BOOST_REQUIRE(applied.size() == 1U);
+  BOOST_TEST((copy.mEntries.at("key-0").mValue == value));
+}
+
 // Guards against a superseded document that is put in force on the way.
 BOOST_AUTO_TEST_CASE(superseded_version_of_a_large_value_is_not_applied)
 {
