Decide without a network which answers to a watch are read

Found in review. What is worth reading of an answer to a watch was decided in the watcher, which only tests with sockets reach: MaxWatchAnswerBytes and HasLargeValue are in core/store_copy now, with a test of their own.

answer_that_a_peer_has_overtaken_is_not_read also passed without the limit that it guards (run so): it looks at the reason now, and fails without it (run so). answer_longer_than_a_list_is_not_read failed without its limit when it was run so. limit_ends_an_answer_that_has_begun is new: the rest of a needless answer is not received.

AnswerSize holds times, too, and is AnswerTransfer.

--- a/core/include/savory/core/store_copy.h
+++ b/core/include/savory/core/store_copy.h
@@ -160,6 +160,17 @@
              const StoreRevision& aRevision,
              ChangeForm aForm = ChangeForm::Values);
 
+// Whether one of the entries has a value of kLargeValueBytes or more.
+bool
+HasLargeValue(const std::vector<StoreEntry>& aEntries);
+
+// The longest answer to a watch that is worth reading, in bytes. It has each
+// version of a value, while a list of all entries has only the newest, so that
+// a longer answer than a list is not. Where a peer has passed on a large value
+// since the watch began (aIsOvertaken), a long answer repeats it.
+std::uint64_t
+MaxWatchAnswerBytes(const StoreCopy& aCopy, bool aIsOvertaken);
+
 // How long a host waits with its first calls after a change of the epoch. All
 // hosts learn of it within a second; the hash of their names spreads them.
 TimeMs
--- a/core/src/store_copy.cpp
+++ b/core/src/store_copy.cpp
@@ -16,6 +16,12 @@
 // The same in bytes of their keys and values, as values may be long documents.
 constexpr std::size_t kMaxLogBytes = std::size_t{ 4 } * 1024 * 1024;
 
+// Answers to a watch up to this length are always read.
+constexpr std::uint64_t kShortAnswerBytes = 64 * 1024;
+
+// Size of an entry in a list beside its value, whose base64 is 4/3 as long.
+constexpr std::size_t kListedEntryBytes = 128;
+
 // More deltas than these in a row are replaced by the whole value, which costs
 // the receiver less time to restore.
 constexpr int kMaxDeltasInRow = 16;
@@ -500,6 +506,28 @@
   return changes;
 }
 
+bool
+HasLargeValue(const std::vector<StoreEntry>& aEntries)
+{
+  return std::any_of(
+    aEntries.begin(), aEntries.end(), [](const StoreEntry& aEntry) {
+      return aEntry.mValue.size() >= kLargeValueBytes;
+    });
+}
+
+std::uint64_t
+MaxWatchAnswerBytes(const StoreCopy& aCopy, bool aIsOvertaken)
+{
+  if (aIsOvertaken) {
+    return kShortAnswerBytes;
+  }
+  std::uint64_t listBytes = 0;
+  for (const auto& [key, entry] : aCopy.mEntries) {
+    listBytes += kListedEntryBytes + 4 * entry.mValue.size() / 3;
+  }
+  return std::max(kShortAnswerBytes, listBytes);
+}
+
 TimeMs
 RestoreDelayMs(std::string_view aHost)
 {
--- a/router/gateway/gateway.cpp
+++ b/router/gateway/gateway.cpp
@@ -271,11 +271,11 @@
                        std::size_t aEntries,
                        const std::string& aReason)
 {
-  const AnswerSize& answer = mStore.LastRead();
+  const AnswerTransfer& answer = mStore.LastRead();
   if (answer.mBytes >= kLongAnswerBytes || aReason == kAnswerTooLong) {
     LogEvent(Event::LongStoreAnswer,
              { { "bytes", std::to_string(answer.mBytes) },
-               { "ms", std::to_string(answer.mMs) },
+               { "ms", std::to_string(answer.mTotalMs) },
                { "entries", std::to_string(aEntries) },
                { "revision", std::to_string(aRevision) },
                { "reason", aReason } });
--- a/router/gateway/store_sharing.cpp
+++ b/router/gateway/store_sharing.cpp
@@ -299,17 +299,18 @@
       { { "peer", mPullAddress },
         { "reason", entries.error().mReason },
         { "bytes", std::to_string(mPullConnection->LastAnswer().mBytes) },
-        { "ms", std::to_string(mPullConnection->LastAnswer().mMs) } });
+        { "ms", std::to_string(mPullConnection->LastAnswer().mTotalMs) } });
     return;
   }
-  LogEvent(Event::PeerPulled,
-           { { "peer", mPullAddress },
-             { "revision", std::to_string(entries->mRevision) },
-             { "entries", std::to_string(entries->mEntries.size()) },
-             { "full", aScope == PullScope::Entries ? "true" : "false" },
-             { "scope", std::string(ToName(kPullScopeNames, aScope)) },
-             { "bytes", std::to_string(mPullConnection->LastAnswer().mBytes) },
-             { "ms", std::to_string(mPullConnection->LastAnswer().mMs) } });
+  LogEvent(
+    Event::PeerPulled,
+    { { "peer", mPullAddress },
+      { "revision", std::to_string(entries->mRevision) },
+      { "entries", std::to_string(entries->mEntries.size()) },
+      { "full", aScope == PullScope::Entries ? "true" : "false" },
+      { "scope", std::string(ToName(kPullScopeNames, aScope)) },
+      { "bytes", std::to_string(mPullConnection->LastAnswer().mBytes) },
+      { "ms", std::to_string(mPullConnection->LastAnswer().mTotalMs) } });
   if (aScope == PullScope::Entries) {
     mWatcher.MergePeerEntries(*entries);
   } else if (mWatcher.MergePeerChanges({ mWatcher.Revision(), *entries }) ==
--- a/tests/core/test_store_copy.cpp
+++ b/tests/core/test_store_copy.cpp
@@ -185,6 +185,23 @@
   }
 }
 
+// Guards against superseded versions that are read where a list is shorter.
+BOOST_AUTO_TEST_CASE(watch_is_read_while_it_is_shorter_than_a_list)
+{
+  constexpr std::uint64_t kVersionBytes = 4 * 480 * 1024 / 3;
+  StoreCopy copy;
+  BOOST_TEST(MaxWatchAnswerBytes(copy, false) == 64U * 1024);
+  StoreEntries list{ 1, {} };
+  list.mEntries.push_back({ "document", std::string(480 * 1024, 'v'), 1 });
+  for (int i = 0; i < 60; ++i) {
+    list.mEntries.push_back({ "runner-" + std::to_string(i), "{}", 1 });
+  }
+  ApplyList(copy, list);
+  BOOST_TEST(MaxWatchAnswerBytes(copy, false) > kVersionBytes);
+  BOOST_TEST(MaxWatchAnswerBytes(copy, false) < 2 * kVersionBytes);
+  BOOST_TEST(MaxWatchAnswerBytes(copy, true) < kVersionBytes);
+}
+
 // Guards against a datagram whose deltas fill the memory of a small host.
 BOOST_AUTO_TEST_CASE(restored_values_are_bounded)
 {
--- a/tests/platform/test_fleet_store.cpp
+++ b/tests/platform/test_fleet_store.cpp
@@ -49,7 +49,7 @@
   BOOST_TEST((*mResult)->mBody.size() == 40U);
   BOOST_TEST(mConnection.LastAnswer().mBytes == 40U);
   BOOST_TEST(mConnection.LastAnswer().mTransferMs >= 900);
-  BOOST_TEST(mConnection.LastAnswer().mMs >=
+  BOOST_TEST(mConnection.LastAnswer().mTotalMs >=
              mConnection.LastAnswer().mTransferMs);
 }
 
@@ -105,4 +105,20 @@
   BOOST_TEST(mResult->error().mReason == kAnswerTooLong);
 }
 
+// Guards against the rest of an answer that has become needless on its way.
+BOOST_AUTO_TEST_CASE(limit_ends_an_answer_that_has_begun)
+{
+  mServer.Write("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\npart");
+  RunFor(50);
+  BOOST_REQUIRE(!mResult);
+  mConnection.LimitAnswer(10);
+  BOOST_REQUIRE(mResult);
+  BOOST_REQUIRE(!mResult->has_value());
+  BOOST_TEST(mResult->error().mReason == kAnswerTooLong);
+  // The reset is reported once.
+  bool isReset = false;
+  BOOST_TEST(RunUntil(
+    [&] { return isReset = isReset || mServer.IsResetByClient(); }, 500));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/test_fleet_watcher.cpp
+++ b/tests/platform/test_fleet_watcher.cpp
@@ -253,9 +253,15 @@
   BOOST_REQUIRE(RunUntil([&] { return mWatcher.Revision() == 13; }));
   BOOST_REQUIRE(RunUntil([&] { return !mCalls.empty(); }));
   std::size_t applied = mApplied.size();
+  std::vector<std::string> reasons;
+  mWatcher.mOnAnswer = [&](auto, auto, const std::string& aReason) {
+    reasons.push_back(aReason);
+  };
   mWatcher.MergePeerChanges({ 13, { 14, { { "long", value, 14 } } } });
   Answer(kWatch + "13", 0, answer(14));
   Answer(kWatch + "14", 0, R"({"at":14,"events":[]})");
+  BOOST_REQUIRE(!reasons.empty());
+  BOOST_TEST(reasons.front() == kAnswerTooLong);
   BOOST_TEST(mApplied.size() == applied + 1);
   BOOST_TEST(mWatcher.IsReachable());
 }
