--- a/review/platform3.py
+++ b/review/platform3.py
@@ -262,6 +262,8 @@
         self.work_s = 0.06
         self.first_event_s = 0.2
         self.body_bytes = 800
+        # Other lengths, by the first part of the path.
+        self.long_bodies = {}
         # Attempt ids of the requests that ran.
         self.runs = []
         super().__init__(address, port)
@@ -308,7 +310,9 @@
                 await self.stream(writer, signed)
             else:
                 await asyncio.sleep(self.work_s)
-                answer(writer, 200, b"r" * self.body_bytes, signed)
+                length = self.long_bodies.get(target.split("/")[1],
+                                              self.body_bytes)
+                answer(writer, 200, b"r" * length, signed)
                 await writer.drain()
         finally:
             self.active -= 1
