review/12: shares its lookups with the next case

Cause: case 13 needs the same ordinary clients. Change: moves them and their judgement to review/platform3.py; the check is the same.

--- a/review/platform3.py
+++ b/review/platform3.py
@@ -553,6 +553,84 @@
             thread.join(3)
 
 
+class Lookups:
+    """Ordinary clients, each with a kept connection, that look up a state (`safe`)
+    every 100 ms. Notes when each was sent and how long its answer took."""
+
+    # Of the route, what the rule allows beyond it, and the clients' deadline.
+    TIMEOUT_S = 0.8
+    SLACK_S = 0.5
+    DEADLINE_S = 1.5
+    # CONFIG: eight or more, and over a quarter of those unanswered at the timeout.
+    ALLOWED_LATE = 7
+    ALLOWED_SHARE = 0.25
+
+    def __init__(self, record, gateway, clients):
+        self.record = record
+        self.gateway = gateway
+        self.stopping = threading.Event()
+        self.rows = []
+        self.threads = [threading.Thread(target=self.run, args=(number,),
+                                         daemon=True)
+                        for number in range(clients)]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, client):
+        number = 0
+        link = None
+        while not self.stopping.is_set():
+            number += 1
+            attempt = "look-%d-%d" % (client, number)
+            sent = self.record.now()
+            status = None
+            try:
+                if link is None:
+                    link = socket.create_connection(
+                        (self.gateway.ip, self.gateway.frontend), 1)
+                sent = self.record.now()
+                link.settimeout(self.DEADLINE_S)
+                link.sendall(request("GET", "/cufi504/2f", attempt,
+                                     int(1000 * self.DEADLINE_S)))
+                status = read_answer(link)
+            except OSError:
+                pass
+            elapsed = self.record.now() - sent
+            self.rows.append((sent, elapsed if status else None))
+            self.record.write("%s sent at %.3f: %s after %.3f s" % (
+                attempt, sent, status or "no answer", elapsed))
+            if status is None and link is not None:
+                link.close()
+                link = None
+            time.sleep(0.1)
+
+    def stop(self):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join(3)
+
+    def judge(self, since):
+        """Says what became of the lookups that were sent since then, and returns
+        whether CONFIG is broken."""
+        rows = [row for row in self.rows if row[0] > since - self.TIMEOUT_S]
+        unanswered = [row for row in rows
+                      if row[1] is None or row[1] > self.TIMEOUT_S]
+        late = [row for row in unanswered
+                if row[1] is None or row[1] > self.TIMEOUT_S + self.SLACK_S]
+        answers = sorted(sent + elapsed for sent, elapsed in self.rows if elapsed)
+        answers.append(max(sent for sent, _ in self.rows))
+        gap, at = max((later - earlier, earlier) for earlier, later
+                      in zip(answers, answers[1:]))
+        self.record.say(
+            "%d lookups: %d unanswered at the route's timeout of %.1f s, %d of "
+            "these still 0.5 s later; longest time without an answer to any: "
+            "%.2f s, from %.2f s after the trouble began" % (
+                len(rows), len(unanswered), self.TIMEOUT_S, len(late), gap,
+                at - since))
+        return len(late) > self.ALLOWED_LATE and \
+            len(late) > self.ALLOWED_SHARE * len(unanswered)
+
+
 def lost(bookings, runners):
     """Handovers that reached a sound runner from a kept connection which was then
     closed without an answer."""
