review: scripts say when they could not run

Cause: with fewer descriptors than a machine of the site, or without its crowd, a script could hold for a wrong reason.

--- a/review/platform3.py
+++ b/review/platform3.py
@@ -30,6 +30,7 @@
 
 # Machines and bounds of sites/dialworks-kolkata.toml.
 MEMORY_MB = 110
+MAX_FDS = 4100
 CONTACT_MS = 3000
 HEARTBEAT_S = 1.2
 MODELS = ["daka510000", "rada7437b5", "ravo486f6a"]
@@ -353,7 +354,7 @@
             "portRange": [self.peer, self.peer + 15], "seeds": list(seeds),
             "bootstrap": True, "inTolerance": False,
             "limits": {"cpuShare": 0.19, "cores": 1, "memoryMb": MEMORY_MB,
-                       "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+                       "maxFds": MAX_FDS, "linkMbps": 1000.0, "diskMb": 0},
             "dataDir": None, "discovery": "platform", "entry": "vip",
             "heartbeatMs": int(1000 * HEARTBEAT_S),
             "contracts": ["base", "drain", "config", "cost", "retry", "recover",
@@ -646,6 +647,13 @@
     return wanted >= count
 
 
+def check_helpers(started):
+    """Fails if a helper has ended before its time."""
+    if any(isinstance(item, subprocess.Popen) and item.poll() is not None
+           for item in started):
+        raise RuntimeError("a helper has ended")
+
+
 def start_helper(script, *arguments):
     """Starts a script of a case as a process of its own; it ends with this one's
     end of its standard input."""
@@ -658,6 +666,9 @@
     temporary files and the record, and returns HELD or BROKEN. It registers what
     is to be ended in the list that it gets."""
     record = Record(folder)
+    if not raise_descriptor_limit(MAX_FDS):
+        record.say("cannot run: fewer than %d descriptors" % MAX_FDS)
+        os._exit(CANNOT_RUN)
     if not os.access(BINARY, os.X_OK):
         record.say("cannot run: %s is missing" % os.path.relpath(BINARY, ROOT))
         os._exit(CANNOT_RUN)
