--- a/review/platform3.py
+++ b/review/platform3.py
@@ -82,13 +82,12 @@
 
 
 class Record:
-    """record.txt beside the script: what was sent, answered and run."""
+    """What was sent, answered and run, as a file beside the script."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.begin = time.monotonic()
         self.lock = threading.Lock()
-        self.file = open(os.path.join(folder, "record.txt"), "w",
-                         encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.begin
@@ -661,11 +660,11 @@
                             stdin=subprocess.PIPE)
 
 
-def run_case(folder, play):
+def run_case(record_path, play):
     """Plays a case and exits with its result. `play` gets the folder for
     temporary files and the record, and returns HELD or BROKEN. It registers what
     is to be ended in the list that it gets."""
-    record = Record(folder)
+    record = Record(record_path)
     if not raise_descriptor_limit(MAX_FDS):
         record.say("cannot run: fewer than %d descriptors" % MAX_FDS)
         os._exit(CANNOT_RUN)
