review: no gateway is started while a case ends

Cause: the platform stand-in could start a gateway again up to 0.5 s after the case had ended its processes; one was left behind by a run of case 11. Change: it looks at the end of the case after its delay.

--- a/review/platform3.py
+++ b/review/platform3.py
@@ -415,7 +415,8 @@
                         return
                     self.own_ends.append(self.record.now())
                     self.record.write("%s ended by itself" % self.name)
-                    time.sleep(0.5)
+                    if self.stopping.wait(0.5):
+                        return
                     self.start()
                 time.sleep(0.01)
         threading.Thread(target=watch, daemon=True).start()
